--- /dev/null
+++ b/src/cli/explain.ts
@@ -0,0 +1,39 @@
+/** `celerywind explain`: what became of a request or job. */
+import { Command, Option } from "clipanion";
+import { OperatorCommand } from "./operator.js";
+
+interface Explained {
+    readonly traces: readonly Readonly<Record<string, unknown>>[];
+}
+
+/** Prints what any entry remembers of a request, or the row of a job. */
+export class ExplainCommand extends OperatorCommand {
+    static override paths = [["explain"]];
+    static override usage = Command.Usage({
+        description: "show what became of a request or job",
+        details: "Entries remember their last few thousand requests; jobs are read from the store.",
+        examples: [[
+            "Explain a request by its id",
+            "celerywind explain 3f0c2a9e-8f0e-4d5e-9f0a-0f6a3a1b2c3d",
+        ]],
+    });
+
+    id = Option.String({ name: "request-id" });
+
+    protected act(): Promise<Explained> {
+        return this.call<Explained>("GET", `/v1/requests/${encodeURIComponent(this.id)}`);
+    }
+
+    protected show({ traces }: Explained): string {
+        if (traces.length === 0) {
+            return `no entry remembers "${this.id}"; it may be too old, or was never received`;
+        }
+        return traces.map(trace => lines(trace).join("\n")).join("\n\n");
+    }
+}
+
+function lines(trace: Readonly<Record<string, unknown>>): string[] {
+    return Object.entries(trace)
+        .filter(([, value]) => value !== undefined)
+        .map(([name, value]) => `${name}: ${typeof value === "string" ? value : JSON.stringify(value)}`);
+}
--- /dev/null
+++ b/src/cli/keys-list.ts
@@ -0,0 +1,26 @@
+/** `celerywind keys list`: lists the keys in force. */
+import { Command } from "clipanion";
+import { OperatorCommand, table } from "./operator.js";
+
+interface Keys {
+    readonly keys: readonly { readonly id: string; readonly team: string; readonly givenAt: number }[];
+}
+
+/** Prints the ids and teams of all keys; never a secret. */
+export class KeysListCommand extends OperatorCommand {
+    static override paths = [["keys", "list"]];
+    static override usage = Command.Usage({
+        category: "Keys",
+        description: "list the keys in force",
+        examples: [["List the keys as JSON", "celerywind keys list --json"]],
+    });
+
+    protected act(): Promise<Keys> {
+        return this.call<Keys>("GET", "/v1/keys");
+    }
+
+    protected show({ keys }: Keys): string {
+        const rows = keys.map(key => [key.id, key.team, new Date(key.givenAt).toISOString()]);
+        return table([["KEY", "TEAM", "GIVEN"], ...rows]);
+    }
+}
--- /dev/null
+++ b/src/cli/lists-apply.ts
@@ -0,0 +1,56 @@
+/** `celerywind lists apply`: puts both lists in force. */
+import { Command, Option } from "clipanion";
+import { OperatorError } from "../process/errors.js";
+import { OperatorCommand, readList } from "./operator.js";
+
+interface Applied {
+    readonly revision: number;
+}
+
+/** Applies the lists if the revision that was read is still the newest. */
+export class ListsApplyCommand extends OperatorCommand {
+    static override paths = [["lists", "apply"]];
+    static override usage = Command.Usage({
+        category: "Lists",
+        description: "put both lists in force on every entry",
+        details: `
+            Applies only if no other operator's lists were accepted since the revision given with --revision, or
+            without it, since this command was started. Exits with 3 when another operator was first.
+        `,
+        examples: [
+            ["Apply the lists", "celerywind lists apply plans.jsonc teams.jsonc"],
+            [
+                "Apply only on top of revision 12",
+                "celerywind lists apply --revision 12 plans.jsonc teams.jsonc",
+            ],
+        ],
+    });
+
+    plans = Option.String({ name: "plans.jsonc" });
+    teams = Option.String({ name: "teams.jsonc" });
+    revision = Option.String("--revision", { description: "revision of the lists that were read" });
+
+    protected async act(): Promise<Applied> {
+        const plans = await readList(this.plans);
+        const teams = await readList(this.teams);
+        const listsRevision = this.revision === undefined
+            ? await this.currentRevision()
+            : toRevision(this.revision);
+        return await this.call<Applied>("POST", "/v1/lists/apply", { plans, teams, listsRevision });
+    }
+
+    protected show({ revision }: Applied): string {
+        return `applied as revision ${revision}`;
+    }
+
+    private async currentRevision(): Promise<number> {
+        return (await this.call<{ listsRevision: number }>("GET", "/v1/lists")).listsRevision;
+    }
+}
+
+function toRevision(text: string): number {
+    if (!/^[0-9]{1,12}$/.test(text)) {
+        throw new OperatorError(`--revision: found "${text}"; give the number that "lists diff" printed`);
+    }
+    return Number(text);
+}
--- /dev/null
+++ b/src/cli/lists-check.ts
@@ -0,0 +1,36 @@
+/** `celerywind lists check`: checks both lists without an entry. */
+import { Command, Option } from "clipanion";
+import { parseLists } from "../version/schema.js";
+import { OperatorCommand, readList } from "./operator.js";
+
+interface Counts {
+    readonly queues: number;
+    readonly plans: number;
+    readonly teams: number;
+}
+
+/** Checks the lists and prints what they contain. */
+export class ListsCheckCommand extends OperatorCommand {
+    static override paths = [["lists", "check"]];
+    static override usage = Command.Usage({
+        category: "Lists",
+        description: "check both lists without applying them",
+        examples: [["Check the lists in this folder", "celerywind lists check plans.jsonc teams.jsonc"]],
+    });
+
+    plans = Option.String({ name: "plans.jsonc" });
+    teams = Option.String({ name: "teams.jsonc" });
+
+    protected async act(): Promise<Counts> {
+        const lists = parseLists(await readList(this.plans), await readList(this.teams));
+        return {
+            queues: Object.keys(lists.queues).length,
+            plans: Object.keys(lists.plans).length,
+            teams: Object.keys(lists.teams).length,
+        };
+    }
+
+    protected show({ queues, plans, teams }: Counts): string {
+        return `ok: ${queues} queues, ${plans} plans, ${teams} teams`;
+    }
+}
--- /dev/null
+++ b/src/cli/operator.ts
@@ -0,0 +1,103 @@
+/** What every command of the tool shares: where the operator interface is, and how results are shown. */
+import { Command, Option } from "clipanion";
+import { readFile } from "node:fs/promises";
+import { request } from "undici";
+import { messageOf, OperatorError } from "../process/errors.js";
+import type { ListFile } from "../version/schema.js";
+
+/** Exit codes of the tool. */
+export enum ExitCode {
+    Ok = 0,
+    Failed = 1,
+    /** The files or arguments are wrong. */
+    BadInput = 2,
+    /** Another operator's change was accepted first. */
+    Conflict = 3,
+}
+
+const defaultUrl = "http://127.0.0.1:7100";
+const conflictStatus = 409;
+const badInputStatus = 400;
+const firstErrorStatus = 300;
+
+/** An answer of the operator interface that is not a success. */
+export class AnswerError extends Error {
+    constructor(readonly status: number, message: string) {
+        super(message);
+    }
+}
+
+/** Base of all commands: the address, the token, and output as text or JSON. */
+export abstract class OperatorCommand extends Command {
+    url = Option.String("--url", process.env["CELERYWIND_URL"] ?? defaultUrl, {
+        description: "operator address of any entry (or CELERYWIND_URL)",
+    });
+    token = Option.String("--token", process.env["CELERYWIND_TOKEN"] ?? "", {
+        description: "operator token, if the entries have one (or CELERYWIND_TOKEN)",
+    });
+    json = Option.Boolean("--json", false, { description: "print JSON" });
+
+    /** Carries out the command; the result is printed. */
+    protected abstract act(): Promise<unknown>;
+
+    /** The result as lines of text. */
+    protected abstract show(result: never): string;
+
+    override async execute(): Promise<number> {
+        try {
+            const result = await this.act();
+            const text = this.json ? JSON.stringify(result, undefined, 4) : this.show(result as never);
+            this.context.stdout.write(`${text}\n`);
+            return ExitCode.Ok;
+        }
+        catch (err) {
+            this.context.stderr.write(`${messageOf(err)}\n`);
+            return exitCodeOf(err);
+        }
+    }
+
+    /** Calls the operator interface. */
+    protected async call<T>(method: "GET" | "POST" | "DELETE", path: string, value?: unknown): Promise<T> {
+        const headers = this.token === "" ? {} : { authorization: `Bearer ${this.token}` };
+        const body = value === undefined ? {} : { body: JSON.stringify(value) };
+        const res = await request(`${this.url}${path}`, { method, headers, ...body }).catch(
+            (err: unknown) => {
+                throw new OperatorError(
+                    `no answer from ${this.url} (${messageOf(err)}); name another entry with --url`,
+                );
+            },
+        );
+        const answer = await res.body.json() as T & { readonly error?: string };
+        if (res.statusCode >= firstErrorStatus) {
+            throw new AnswerError(res.statusCode, answer.error ?? `the entry answered ${res.statusCode}`);
+        }
+        return answer;
+    }
+}
+
+function exitCodeOf(err: unknown): ExitCode {
+    if (err instanceof AnswerError && err.status === conflictStatus) {
+        return ExitCode.Conflict;
+    }
+    const isBadInput = err instanceof AnswerError && err.status === badInputStatus;
+    return isBadInput || (err as { name?: string }).name === "ConfigError"
+        ? ExitCode.BadInput
+        : ExitCode.Failed;
+}
+
+/** Reads a list file. */
+export async function readList(file: string): Promise<ListFile> {
+    try {
+        return { file, text: await readFile(file, "utf8") };
+    }
+    catch (err) {
+        throw new OperatorError(`cannot read "${file}" (${messageOf(err)}); give the path of a list`);
+    }
+}
+
+/** Lays out rows in columns. */
+export function table(rows: readonly (readonly (string | number | boolean | undefined)[])[]): string {
+    const cells = rows.map(row => row.map(cell => String(cell ?? "-")));
+    const widths = (cells[0] ?? []).map((_, at) => Math.max(...cells.map(row => row[at]!.length)));
+    return cells.map(row => row.map((cell, at) => cell.padEnd(widths[at]!)).join("  ").trimEnd()).join("\n");
+}
--- /dev/null
+++ b/src/cli/status.ts
@@ -0,0 +1,42 @@
+/** `celerywind status`: the state of one entry and what it sees of the fleet. */
+import { Command } from "clipanion";
+import type { Status } from "../operator/status.js";
+import { OperatorCommand, table } from "./operator.js";
+
+/** Prints the status of the entry at --url. */
+export class StatusCommand extends OperatorCommand {
+    static override paths = [["status"]];
+    static override usage = Command.Usage({
+        description: "show the state of an entry and what it sees of the fleet",
+        examples: [
+            ["Ask the entry on this machine", "celerywind status"],
+            ["Ask another entry", "celerywind status --url http://10.0.0.6:7100"],
+        ],
+    });
+
+    protected act(): Promise<Status> {
+        return this.call<Status>("GET", "/v1/status");
+    }
+
+    protected show(status: Status): string {
+        const teams = status.teams.map((
+            { team, plan, limit, grantHere, runningHere },
+        ) => [team, plan, limit, grantHere, runningHere]);
+        const pools = status.pools.map((
+            { pool, vms, available, budget, permits },
+        ) => [pool, vms, available, budget, permits]);
+        return [
+            `entry ${status.incarnation ?? status.vm}: ${
+                status.ready ? "ready" : `not ready (${status.reason})`
+            }`,
+            `revision ${status.revision} (lists ${status.listsRevision}), `
+            + `${status.pendingWithdrawals} withdrawals not yet stored`,
+            `entries ${status.entries.length}, linked peers ${status.peers.length}`,
+            `requests ${status.activeRequests}, jobs ${status.runningJobs}`,
+            "",
+            table([["TEAM", "PLAN", "LIMIT", "GRANT HERE", "RUNNING HERE"], ...teams]),
+            "",
+            table([["POOL", "VMS", "AVAILABLE", "BUDGET", "PERMITS"], ...pools]),
+        ].join("\n");
+    }
+}
--- /dev/null
+++ b/src/connection/peer/index.ts
@@ -0,0 +1,2 @@
+export { type Identity } from "./link.js";
+export { Mesh, type PeerAddress } from "./mesh.js";
--- /dev/null
+++ b/src/operator/routes.ts
@@ -0,0 +1,170 @@
+/** The HTTP interface for operators: lists, keys, state of the entry, metrics and health. */
+import { timingSafeEqual } from "node:crypto";
+import type { ServerResponse } from "node:http";
+import { z } from "zod";
+import {
+    readBody,
+    sendBody,
+    sendJson,
+    type WebHandler,
+    type WebRequest,
+} from "../connection/caller/index.js";
+import {
+    ConfigError,
+    messageOf,
+    OperatorError,
+    PlatformError,
+    RevisionConflictError,
+    StoreBusyError,
+} from "../process/errors.js";
+import { checkValue } from "../process/jsonc.js";
+import type { Metrics } from "../process/metrics.js";
+import { diffLists } from "../version/diff.js";
+import { parseLists } from "../version/schema.js";
+import type { Versions } from "../version/versions.js";
+import type { Status } from "./status.js";
+
+/** Options of `createOperatorRoutes`. */
+export interface OperatorOptions {
+    readonly versions: Versions;
+    readonly metrics: Metrics;
+    readonly token: string | undefined;
+    readonly status: () => Status;
+    /** Why the entry is not ready, if so. */
+    readonly notReady: () => string | undefined;
+    /** What is remembered of a request anywhere in the fleet. */
+    readonly explain: (id: string) => Promise<readonly unknown[]>;
+}
+
+const maxListBytes = 32 * 1024 * 1024;
+
+const listFileSchema = z.strictObject({ file: z.string().max(300), text: z.string() });
+
+const proposalSchema = z.strictObject({
+    plans: listFileSchema,
+    teams: listFileSchema,
+    listsRevision: z.int().min(0).optional(),
+});
+
+const giveSchema = z.strictObject({ team: z.string({ error: "name the team" }).min(1).max(63) });
+
+/** Routes of the operator listener. */
+export function createOperatorRoutes(options: OperatorOptions): Readonly<Record<string, WebHandler>> {
+    const { versions, metrics, status, notReady, explain } = options;
+    const guarded = (handler: WebHandler): WebHandler => (req, res) => guard(options, req, res, handler);
+    return {
+        "GET /healthz": (_, res) => text(res, 200, "ok\n"),
+        "GET /readyz": (_, res) =>
+            text(res, notReady() === undefined ? 200 : 503, `${notReady() ?? "ready"}\n`),
+        "GET /metrics": (_, res) => text(res, 200, metrics.render()),
+        "GET /v1/status": guarded((_, res) => json(res, status())),
+        "GET /v1/lists": guarded((_, res) => {
+            const { revision, listsRevision, lists } = versions.state;
+            return json(res, { revision, listsRevision, lists });
+        }),
+        "POST /v1/lists/diff": guarded(async (req, res) => {
+            const { plans, teams } = await readJson(req, proposalSchema);
+            const { listsRevision, lists } = versions.state;
+            sendJson(res, 200, { listsRevision, differences: diffLists(lists, parseLists(plans, teams)) });
+        }),
+        "POST /v1/lists/apply": guarded(async (req, res) => {
+            const { plans, teams, listsRevision } = await readJson(req, proposalSchema);
+            const lists = parseLists(plans, teams);
+            const state = await versions.applyLists(lists, listsRevision ?? versions.state.listsRevision);
+            sendJson(res, 200, { revision: state.revision });
+        }),
+        "GET /v1/keys": guarded((_, res) => {
+            const keys = [...versions.state.keys.values()].map(({ id, team, givenAt }) => ({
+                id,
+                team,
+                givenAt,
+            }));
+            return json(res, { keys: keys.filter(key => !versions.pendingWithdrawals.has(key.id)) });
+        }),
+        "POST /v1/keys": guarded(async (req, res) => {
+            const { team } = await readJson(req, giveSchema);
+            sendJson(res, 201, await versions.giveKey(team));
+        }),
+        "DELETE /v1/keys/:id": guarded(async (req, res) => {
+            const withdrawal = await versions.withdrawKey(String(req.$params?.["id"]));
+            sendJson(res, 200, { ...withdrawal, entries: status().entries.length });
+        }),
+        "GET /v1/requests/:id": guarded(async (req, res) => {
+            sendJson(res, 200, { traces: await explain(String(req.$params?.["id"])) });
+        }),
+    };
+}
+
+/** Answers an operator's request that failed. */
+export function answerOperatorError(_req: WebRequest, res: ServerResponse, err: unknown): void {
+    if (!res.headersSent) {
+        sendJson(res, statusOf(err), {
+            error: messageOf(err),
+            revision: (err as { revision?: number }).revision,
+        });
+    }
+}
+
+function statusOf(err: unknown): number {
+    if (err instanceof RevisionConflictError) {
+        return 409;
+    }
+    if (err instanceof ConfigError || err instanceof OperatorError) {
+        return 400;
+    }
+    if (err instanceof StoreBusyError || err instanceof PlatformError) {
+        return 503;
+    }
+    return (err as { code?: unknown }).code === 404 ? 404 : 500;
+}
+
+function guard(
+    options: OperatorOptions,
+    req: WebRequest,
+    res: ServerResponse,
+    handler: WebHandler,
+): Promise<void> {
+    const { token } = options;
+    if (token !== undefined && !isSame(req.headers.authorization ?? "", `Bearer ${token}`)) {
+        options.metrics.count("celerywind_operator_refusals_total");
+        return json(
+            res,
+            { error: 'send the operator token in the header "Authorization: Bearer TOKEN"' },
+            401,
+        );
+    }
+    return handler(req, res);
+}
+
+function isSame(given: string, expected: string): boolean {
+    const a = Buffer.from(given);
+    const b = Buffer.from(expected);
+    return a.length === b.length && timingSafeEqual(a, b);
+}
+
+async function readJson<S extends z.ZodType>(req: WebRequest, schema: S): Promise<z.output<S>> {
+    const body = await readBody(req, maxListBytes);
+    if (body === undefined) {
+        throw new OperatorError(`the request is larger than ${maxListBytes} bytes; send smaller lists`);
+    }
+    return checkValue("request", parse(body), schema);
+}
+
+function parse(body: Buffer): unknown {
+    try {
+        return JSON.parse(body.toString());
+    }
+    catch (err) {
+        throw new OperatorError("the request is not JSON; use the command-line tool", { cause: err });
+    }
+}
+
+function text(res: ServerResponse, status: number, body: string): Promise<void> {
+    sendBody(res, status, { "content-type": "text/plain; charset=utf-8" }, body);
+    return Promise.resolve();
+}
+
+function json(res: ServerResponse, value: unknown, status = 200): Promise<void> {
+    sendJson(res, status, value);
+    return Promise.resolve();
+}
--- /dev/null
+++ b/src/process/bucket.ts
@@ -0,0 +1,57 @@
+/** Token bucket that limits a rate with a bounded burst. */
+
+/** Options of `TokenBucket.create`. */
+export interface TokenBucketOptions {
+    /** Tokens added each second. */
+    readonly perSecond: number;
+    /** Most tokens that can be saved up. */
+    readonly burst: number;
+    /** Monotonic clock in milliseconds. */
+    readonly now: () => number;
+}
+
+const msPerSecond = 1000;
+
+/** A bucket that fills at a constant rate and never holds more than its burst. */
+export class TokenBucket {
+    private tokens: number;
+    private filledAt: number;
+
+    private constructor(private options: TokenBucketOptions) {
+        this.tokens = options.burst;
+        this.filledAt = options.now();
+    }
+
+    static create(options: TokenBucketOptions): TokenBucket {
+        return new TokenBucket(options);
+    }
+
+    /** Takes `amount` tokens if that many are there. */
+    take(amount = 1): boolean {
+        this.fill();
+        if (this.tokens < amount) {
+            return false;
+        }
+        this.tokens -= amount;
+        return true;
+    }
+
+    /** Milliseconds until `amount` tokens will be there. */
+    waitFor(amount = 1): number {
+        this.fill();
+        return Math.max(0, (amount - this.tokens) / this.options.perSecond * msPerSecond);
+    }
+
+    /** Changes the rate; tokens saved so far stay. */
+    setRate(perSecond: number): void {
+        this.fill();
+        this.options = { ...this.options, perSecond };
+    }
+
+    private fill(): void {
+        const now = this.options.now();
+        const added = (now - this.filledAt) / msPerSecond * this.options.perSecond;
+        this.tokens = Math.min(this.options.burst, this.tokens + added);
+        this.filledAt = now;
+    }
+}
--- /dev/null
+++ b/src/process/flow.ts
@@ -0,0 +1,31 @@
+/**
+ * Decision logic is written as generators that yield effects and receive their results. The same generator runs
+ * against real sockets in the daemon and against small fakes in tests.
+ */
+
+/** A decision that yields effects of type `E` and ends with a value of type `T`. */
+export type Flow<E, T> = Generator<E, T, unknown>;
+
+/** Carries out one effect and resolves with its result; a rejection is thrown into the generator. */
+export type Perform<E> = (effect: E) => Promise<unknown>;
+
+type Settled = { readonly ok: true; readonly value: unknown } | { readonly ok: false; readonly err: unknown };
+
+/** Drives a flow to its end, performing each effect it yields in turn. */
+export async function run<E, T>(flow: Flow<E, T>, perform: Perform<E>): Promise<T> {
+    let step = flow.next();
+    while (!step.done) {
+        const settled = await settle(perform, step.value);
+        step = settled.ok ? flow.next(settled.value) : flow.throw(settled.err);
+    }
+    return step.value;
+}
+
+async function settle<E>(perform: Perform<E>, effect: E): Promise<Settled> {
+    try {
+        return { ok: true, value: await perform(effect) };
+    }
+    catch (err) {
+        return { ok: false, err };
+    }
+}
--- /dev/null
+++ b/src/process/grant-task.ts
@@ -0,0 +1,241 @@
+/** Task that keeps this entry's grants: it follows the grant rows, and takes and returns grants as demand shifts. */
+import { EventId, Severity } from "./events.js";
+import type { Fleet } from "./fleet.js";
+import { run } from "./flow.js";
+import { decideGrants, emptyGrants, type GrantRow, readGrants, usable, writeGrants } from "./grants.js";
+import { type Hub, type Task, Topic } from "./hub.js";
+import type { Log } from "./log.js";
+import type { Metrics } from "./metrics.js";
+import { CommitOutcome, type Row, type Store, type StoreFlow } from "./store.js";
+import type { Cancel, Timer } from "./timer.js";
+
+/** What the task asks about teams and demand. */
+export interface GrantView {
+    readonly teams: () => readonly string[];
+    readonly limit: (team: string) => number;
+    /** Running and waiting work of a team on this entry. */
+    readonly demand: (team: string) => number;
+    /** The same on the other entries, as far as known. */
+    readonly otherDemand: (team: string) => number;
+}
+
+/** Options of `Grants.create`. */
+export interface GrantsOptions {
+    readonly store: Store;
+    readonly fleet: Fleet;
+    readonly hub: Hub;
+    readonly timer: Timer;
+    readonly log: Log;
+    readonly metrics: Metrics;
+    readonly view: GrantView;
+    /** How long a gone holder's grant stays in quarantine, in milliseconds. */
+    readonly quarantineMs: number;
+    readonly tickMs?: number;
+}
+
+interface Held {
+    readonly row: Row | undefined;
+    readonly value: GrantRow;
+    /**
+     * Most that may be used while a write of the row is open. It stays until the row is seen with a newer version,
+     * since a write whose answer was lost can still take effect until then.
+     */
+    readonly ceiling?: number;
+}
+
+const peakDecay = 0.9;
+
+/** The grants of one entry. */
+export class Grants implements Task {
+    readonly name = "grants";
+    private held = new Map<string, Held>();
+    private readonly peaks = new Map<string, number>();
+    private readonly quarantinedAt = new Map<string, number>();
+    private readonly cancels: Cancel[] = [];
+    private isTicking = false;
+    private isLeaving = false;
+
+    private constructor(private readonly options: GrantsOptions) {}
+
+    static create(options: GrantsOptions): Grants {
+        return new Grants(options);
+    }
+
+    /** How many a team may run at once on this entry now. */
+    usable(team: string): number {
+        const held = this.held.get(team);
+        const self = this.options.fleet.self?.incarnation;
+        if (held === undefined || self === undefined) {
+            return 0;
+        }
+        const n = usable(held.value.holders[self], this.options.view.limit(team));
+        return held.ceiling === undefined ? n : Math.min(n, held.ceiling);
+    }
+
+    start(): Promise<void> {
+        const { timer, tickMs = 1000 } = this.options;
+        this.cancels.push(timer.every(tickMs, () => void this.tick()));
+        return Promise.resolve();
+    }
+
+    stop(): Promise<void> {
+        this.cancels.forEach(cancel => cancel());
+        return Promise.resolve();
+    }
+
+    /** Reads all rows and changes those that should change. */
+    async tick(): Promise<void> {
+        if (this.isTicking || this.options.fleet.self === undefined) {
+            return;
+        }
+        this.isTicking = true;
+        try {
+            this.merge(await this.runFlow(readGrants()));
+            for (const team of this.teams()) {
+                await this.settle(team);
+            }
+        }
+        catch {
+            this.options.metrics.count("celerywind_grant_ticks_failed_total");
+        }
+        finally {
+            this.isTicking = false;
+            this.options.hub.publish(Topic.GrantsChanged, {});
+        }
+    }
+
+    /** Returns every grant; call when nothing runs here any more. */
+    async leave(): Promise<void> {
+        this.isLeaving = true;
+        this.cancels.forEach(cancel => cancel());
+        this.merge(await this.runFlow(readGrants()));
+        await Promise.all(this.teams().map(team => this.settle(team)));
+    }
+
+    private teams(): readonly string[] {
+        return [...new Set([...this.options.view.teams(), ...this.held.keys()])];
+    }
+
+    private merge(rows: ReadonlyMap<string, Row>): void {
+        const next = new Map<string, Held>();
+        for (const [team, row] of rows) {
+            const known = this.held.get(team);
+            const isNewer = known === undefined || row.version > (known.row?.version ?? 0);
+            next.set(team, isNewer ? { row, value: row.value as GrantRow } : known);
+        }
+        this.held = next;
+        this.noteQuarantine();
+    }
+
+    private noteQuarantine(): void {
+        const now = this.options.timer.now();
+        const seen = [...this.held].flatMap(([team, { value }]) =>
+            Object.keys(value.quarantine).map(holder => quarantineKey(team, holder))
+        );
+        [...this.quarantinedAt.keys()].filter(key => !seen.includes(key)).forEach(key =>
+            this.quarantinedAt.delete(key)
+        );
+        seen.filter(key => !this.quarantinedAt.has(key)).forEach(key => this.quarantinedAt.set(key, now));
+    }
+
+    private async settle(team: string): Promise<void> {
+        const held = this.held.get(team) ?? { row: undefined, value: emptyGrants };
+        const wanted = this.decide(team, held.value);
+        if (wanted === held.value && held.ceiling === undefined) {
+            return;
+        }
+        const self = this.options.fleet.self!.incarnation;
+        const ceiling = Math.min(held.ceiling ?? Infinity, wanted.holders[self]?.n ?? 0);
+        this.held.set(team, { ...held, ceiling });
+        const outcome = await this.runFlow(writeGrants(team, held.row, wanted)).catch(() =>
+            CommitOutcome.Unknown
+        );
+        this.finishSettle(team, held, wanted, outcome);
+    }
+
+    private finishSettle(team: string, held: Held, wanted: GrantRow, outcome: CommitOutcome): void {
+        this.options.metrics.count("celerywind_grant_writes_total", { outcome });
+        switch (outcome) {
+            case CommitOutcome.Committed:
+                this.held.set(team, { row: nextRow(team, held.row, wanted), value: wanted });
+                this.logChange(team, held.value, wanted);
+                break;
+            case CommitOutcome.Conflict:
+            case CommitOutcome.Unknown:
+                break;
+        }
+    }
+
+    private decide(team: string, row: GrantRow): GrantRow {
+        const { fleet, view } = this.options;
+        const { vm, incarnation } = fleet.self!;
+        const demand = this.peakDemand(team);
+        const wanted = decideGrants({
+            team,
+            row,
+            self: incarnation,
+            vm,
+            vms: this.isLeaving ? [] : fleet.live.map(member => member.vm),
+            limit: view.limit(team),
+            demand,
+            fleetDemand: demand + view.otherDemand(team),
+            isGone: holder => fleet.isGone(holder),
+            isReleased: holder => this.isReleased(team, holder),
+        });
+        return this.isLeaving ? withoutHolder(row, incarnation) : wanted;
+    }
+
+    private peakDemand(team: string): number {
+        const decayed = (this.peaks.get(team) ?? 0) * peakDecay;
+        const peak = Math.max(decayed, this.options.view.demand(team));
+        this.peaks.set(team, peak);
+        return peak;
+    }
+
+    private isReleased(team: string, holder: string): boolean {
+        const since = this.quarantinedAt.get(quarantineKey(team, holder));
+        return since !== undefined && this.options.timer.now() - since > this.options.quarantineMs;
+    }
+
+    private logChange(team: string, before: GrantRow, after: GrantRow): void {
+        const { log, fleet } = this.options;
+        const self = fleet.self!.incarnation;
+        const changed = Object.keys(after.quarantine).find(holder => before.quarantine[holder] === undefined);
+        if (changed !== undefined) {
+            log.write(Severity.Warn, EventId.GrantQuarantined, { team, holder: changed });
+        }
+        const released = Object.keys(before.quarantine).find(holder =>
+            after.quarantine[holder] === undefined
+        );
+        if (released !== undefined) {
+            log.write(Severity.Info, EventId.GrantReleased, { team, holder: released });
+        }
+        log.write(Severity.Info, EventId.GrantChanged, { team, n: after.holders[self]?.n ?? 0 });
+    }
+
+    private runFlow<T>(flow: StoreFlow<T>): Promise<T> {
+        return run(flow, effect => this.options.store.perform(effect));
+    }
+}
+
+function withoutHolder(row: GrantRow, incarnation: string): GrantRow {
+    if (row.holders[incarnation] === undefined) {
+        return row;
+    }
+    const holders = { ...row.holders };
+    delete holders[incarnation];
+    return { ...row, holders };
+}
+
+function nextRow(team: string, read: Row | undefined, value: GrantRow): Row {
+    return {
+        key: read?.key ?? team,
+        version: (read?.version ?? 0) + 1,
+        value,
+        ...(read?.tokens && { tokens: read.tokens }),
+    };
+}
+
+function quarantineKey(team: string, holder: string): string {
+    return `${team}\n${holder}`;
+}
--- /dev/null
+++ b/src/process/grants.ts
@@ -0,0 +1,154 @@
+/**
+ * Upper limits across the fleet. A team's limit is split into grants, one a holder, all in one row; an entry starts
+ * work only within its own grant, so no message is needed a request and the limit holds while the store is down.
+ *
+ * Safety: the sum of `weightUnder(limit)` over all holders plus the quarantine never exceeds the limit at the time
+ * of a take. Only the holder lowers its own grant; the grant of an ended incarnation moves to quarantine instead.
+ */
+import { rankedFor } from "./rendezvous.js";
+import {
+    commit,
+    type CommitOutcome,
+    put,
+    type Row,
+    scanAllRows,
+    type StoreFlow,
+    StorePriority,
+} from "./store.js";
+
+const grantPrefix = "grant/";
+
+/** A holder's grant, and the limit that was in force when the holder last confirmed it. */
+export interface Grant {
+    readonly n: number;
+    readonly limit: number;
+}
+
+/** Value of a team's grant row. */
+export interface GrantRow {
+    /** Grants by incarnation. */
+    readonly holders: Readonly<Record<string, Grant>>;
+    /** Grants of ended incarnations whose work may still be running. */
+    readonly quarantine: Readonly<Record<string, Grant>>;
+}
+
+/** A row in which nobody holds anything. */
+export const emptyGrants: GrantRow = { holders: {}, quarantine: {} };
+
+/** Scales a grant down to a lower limit; a higher limit leaves it as it is. */
+export function usable(grant: Grant | undefined, limit: number): number {
+    if (grant === undefined) {
+        return 0;
+    }
+    return grant.limit <= limit ? grant.n : Math.floor(grant.n * limit / grant.limit);
+}
+
+/** Most that a holder can count as its own under any limit up to `limit`, given what it last confirmed. */
+function weightUnder(grant: Grant, limit: number): number {
+    return grant.limit >= limit ? grant.n : Math.ceil(grant.n * limit / Math.max(1, grant.limit));
+}
+
+/** How much of the limit nobody holds. Negative after the limit was lowered, until the holders have scaled down. */
+export function spareOf(row: GrantRow, limit: number): number {
+    const grants = [...Object.values(row.holders), ...Object.values(row.quarantine)];
+    return limit - grants.reduce((sum, grant) => sum + weightUnder(grant, limit), 0);
+}
+
+/** What one entry knows when it decides about one team's grants. */
+export interface GrantInput {
+    readonly team: string;
+    readonly row: GrantRow;
+    /** This entry's incarnation. */
+    readonly self: string;
+    /** This entry's VM. */
+    readonly vm: string;
+    /** VMs of all live entries. */
+    readonly vms: readonly string[];
+    /** The team's upper limit in force here. */
+    readonly limit: number;
+    /** Most that ran and waited here at once, lately. */
+    readonly demand: number;
+    /** The same for all entries together, this one included. */
+    readonly fleetDemand: number;
+    readonly isGone: (incarnation: string) => boolean;
+    /** Whether a quarantined grant has been observed for the whole quarantine time. */
+    readonly isReleased: (incarnation: string) => boolean;
+}
+
+const headroom = 1.25;
+const releaseSlack = 0.1;
+
+/** The row as this entry wants it, or the very same object when nothing should change. */
+export function decideGrants(input: GrantInput): GrantRow {
+    const swept = sweep(input);
+    const confirmed = confirm(swept, input);
+    return resize(confirmed, input);
+}
+
+function sweep({ row, self, isGone, isReleased }: GrantInput): GrantRow {
+    const gone = Object.keys(row.holders).filter(holder => holder !== self && isGone(holder));
+    const released = Object.keys(row.quarantine).filter(holder => isReleased(holder));
+    if (gone.length === 0 && released.length === 0) {
+        return row;
+    }
+    const holders = { ...row.holders };
+    const quarantine = { ...row.quarantine };
+    released.forEach(holder => delete quarantine[holder]);
+    for (const holder of gone) {
+        const grant = holders[holder]!;
+        delete holders[holder];
+        if (grant.n > 0) {
+            quarantine[holder] = grant;
+        }
+    }
+    return { holders, quarantine };
+}
+
+function confirm(row: GrantRow, { self, limit }: GrantInput): GrantRow {
+    const mine = row.holders[self];
+    if (mine === undefined || mine.limit === limit) {
+        return row;
+    }
+    return withGrant(row, self, { n: usable(mine, limit), limit });
+}
+
+function resize(row: GrantRow, input: GrantInput): GrantRow {
+    const { self, limit } = input;
+    const held = row.holders[self]?.n ?? 0;
+    const target = targetOf(input);
+    const spare = spareOf(row, limit);
+    if (target > held && spare > 0) {
+        return withGrant(row, self, { n: held + Math.min(spare, target - held), limit });
+    }
+    const isWorthwhile = held - target > Math.max(1, held * releaseSlack);
+    const isUnwanted = held > 0 && target === 0;
+    return isWorthwhile || isUnwanted ? withGrant(row, self, { n: target, limit }) : row;
+}
+
+function withGrant(row: GrantRow, self: string, grant: Grant): GrantRow {
+    return { ...row, holders: { ...row.holders, [self]: grant } };
+}
+
+/** How much this entry should hold: an even part of half the limit, and of the rest what its demand calls for. */
+export function targetOf({ team, vm, vms, limit, demand, fleetDemand }: GrantInput): number {
+    const members = Math.max(1, vms.length);
+    if (limit < members) {
+        return rankedFor(team, vms, limit).includes(vm) ? 1 : 0;
+    }
+    const base = Math.floor(limit / (2 * members));
+    const wanted = Math.ceil(demand * headroom);
+    const contended = Math.floor((limit - members * base) * demand / Math.max(1, fleetDemand));
+    const rest = fleetDemand * headroom > limit ? contended : Math.max(0, wanted - base);
+    return Math.min(limit, base + rest);
+}
+
+/** Reads the grant rows of all teams. */
+export function* readGrants(): StoreFlow<ReadonlyMap<string, Row>> {
+    const rows = yield* scanAllRows({ prefix: grantPrefix, priority: StorePriority.Claim });
+    return new Map(rows.map(row => [row.key.slice(grantPrefix.length), row]));
+}
+
+/** Commits a team's grant row. */
+export function* writeGrants(team: string, read: Row | undefined, value: GrantRow): StoreFlow<CommitOutcome> {
+    return yield* commit([put(grantPrefix + team, read, value)], StorePriority.Claim);
+}
--- /dev/null
+++ b/src/process/hub.ts
@@ -0,0 +1,84 @@
+/**
+ * Hosts the tasks of an entry as services of a local moleculer broker and carries messages between them. The broker
+ * has no transporter: nothing leaves the process through it.
+ */
+import { ServiceBroker, type ServiceSchema } from "moleculer";
+
+/** Topics on which tasks publish. */
+export enum Topic {
+    /** A newer version of lists and keys is in force here. */
+    VersionAdopted = "version.adopted",
+    /** The members or the platform's VMs changed. */
+    FleetChanged = "fleet.changed",
+    /** Grants of this entry changed. */
+    GrantsChanged = "grants.changed",
+    /** A job became ready to run in a shard. */
+    JobReady = "job.ready",
+}
+
+/** Payload of each topic. */
+export interface TopicPayloads {
+    readonly [Topic.VersionAdopted]: { readonly revision: number };
+    readonly [Topic.FleetChanged]: Readonly<Record<string, never>>;
+    readonly [Topic.GrantsChanged]: Readonly<Record<string, never>>;
+    readonly [Topic.JobReady]: { readonly shard: number };
+}
+
+/** Handlers of a task by topic. */
+export type Handlers = { readonly [T in Topic]?: (payload: TopicPayloads[T]) => void };
+
+/** A part that owns its sockets and state, starts and stops with the entry, and hears messages. */
+export interface Task {
+    readonly name: string;
+    readonly handlers?: Handlers;
+    start(): Promise<void>;
+    stop(): Promise<void>;
+}
+
+/** The local broker of one entry. */
+export class Hub {
+    private constructor(private readonly broker: ServiceBroker) {}
+
+    static create(nodeID: string): Hub {
+        return new Hub(new ServiceBroker({ nodeID, logLevel: "warn", logger: false }));
+    }
+
+    /** Adds a task; call before `start`. */
+    host(task: Task): void {
+        this.broker.createService({
+            name: task.name,
+            started: () => task.start(),
+            stopped: () => task.stop(),
+            events: eventsOf(task.handlers ?? {}),
+        });
+    }
+
+    /** Adds a moleculer service, such as a web gateway, and returns it. */
+    hostService(schema: ServiceSchema): ReturnType<ServiceBroker["createService"]> {
+        return this.broker.createService(schema);
+    }
+
+    /** Starts all tasks. */
+    start(): Promise<void> {
+        return this.broker.start();
+    }
+
+    /** Stops all tasks. */
+    stop(): Promise<void> {
+        return this.broker.stop();
+    }
+
+    /** Tells every task that handles `topic`. */
+    publish<T extends Topic>(topic: T, payload: TopicPayloads[T]): void {
+        void this.broker.broadcastLocal(topic, payload);
+    }
+}
+
+function eventsOf(handlers: Handlers): NonNullable<ServiceSchema["events"]> {
+    const entries = Object.entries(handlers) as [string, (payload: unknown) => void][];
+    const events = entries.map(([topic, handle]) => {
+        const handler = (ctx: { params: unknown }): void => handle(ctx.params);
+        return [topic, { handler }] as const;
+    });
+    return Object.fromEntries(events);
+}
--- /dev/null
+++ b/src/process/jsonc.ts
@@ -0,0 +1,36 @@
+/** Reads JSON with comments and checks it against a schema; errors name the file, the path and the remedy. */
+import { parse, type ParseError, printParseErrorCode } from "jsonc-parser";
+import type { z } from "zod";
+import { ConfigError } from "./errors.js";
+
+/** Parses `text` and checks it with `schema`; throws a `ConfigError` that lists every fault found. */
+export function parseJsonc<S extends z.ZodType>(file: string, text: string, schema: S): z.output<S> {
+    const value = parseText(file, text);
+    return checkValue(file, value, schema);
+}
+
+/** Checks a value that was already parsed, with the same error messages as `parseJsonc`. */
+export function checkValue<S extends z.ZodType>(file: string, value: unknown, schema: S): z.output<S> {
+    const checked = schema.safeParse(value, { reportInput: true });
+    if (checked.success) {
+        return checked.data;
+    }
+    throw new ConfigError(checked.error.issues.map(issue => describeIssue(file, issue)).join("\n"));
+}
+
+function parseText(file: string, text: string): unknown {
+    const errors: ParseError[] = [];
+    const value: unknown = parse(text, errors, { allowTrailingComma: true });
+    const first = errors[0];
+    if (first !== undefined) {
+        const line = text.slice(0, first.offset).split("\n").length;
+        throw new ConfigError(`${file}:${line}: ${printParseErrorCode(first.error)}; correct the JSON there`);
+    }
+    return value;
+}
+
+function describeIssue(file: string, issue: z.core.$ZodIssue): string {
+    const path = issue.path.length === 0 ? "(top level)" : issue.path.map(String).join(".");
+    const found = issue.input === undefined ? "nothing" : JSON.stringify(issue.input).slice(0, 80);
+    return `${file}: ${path}: found ${found}; ${issue.message}`;
+}
--- /dev/null
+++ b/src/process/maintenance.ts
@@ -0,0 +1,214 @@
+/**
+ * Servicing of VMs: who may be taken out next, and how a VM goes from permit through drain and reboot back to work.
+ * All state is in the pool's row, so any entry can go on where another stopped.
+ */
+import type { FleetView } from "./fleet.js";
+import type { Flow } from "./flow.js";
+import { type Vm, VmState } from "./platform.js";
+import { emptyPoolRow, type Permit, PermitPhase, poolKey, type PoolRow } from "./pool-rows.js";
+import { commit, CommitOutcome, getRow, put, type Row, type StoreEffect, StorePriority } from "./store.js";
+import { budgetOf, isAvailable, poolOf } from "./workers.js";
+
+/** Kinds of effects on VMs. */
+export enum VmEffectKind {
+    Drain = "drain",
+    Undrain = "undrain",
+    Reboot = "reboot",
+    /** Asks whether nothing that any entry sent can still be running on the VM. */
+    IsQuiet = "is-quiet",
+    Note = "note",
+}
+
+/** Notable steps of servicing. */
+export enum ServiceStep {
+    PermitTaken = "permit-taken",
+    Rebooting = "rebooting",
+    PermitReleased = "permit-released",
+    Overdue = "overdue",
+}
+
+/** An effect that servicing asks for. */
+export type ServiceEffect =
+    | StoreEffect
+    | { readonly kind: VmEffectKind.Drain | VmEffectKind.Undrain; readonly vm: string }
+    | { readonly kind: VmEffectKind.Reboot; readonly vm: string; readonly bootId: string }
+    | { readonly kind: VmEffectKind.IsQuiet; readonly permit: Permit; readonly pool: string }
+    | {
+        readonly kind: VmEffectKind.Note;
+        readonly step: ServiceStep;
+        readonly vm: string;
+        readonly pool: string;
+    };
+
+type ServiceFlow<T> = Flow<ServiceEffect, T>;
+
+/** Options of one round of servicing. */
+export interface RoundOptions {
+    readonly pool: string;
+    readonly view: FleetView;
+    /** Wall-clock time, in milliseconds. */
+    readonly now: number;
+    /** Longest time a VM may be up before it is serviced, in milliseconds. */
+    readonly periodMs: number;
+    /** Time after which a VM that does not return counts as trouble, in milliseconds. */
+    readonly returnMs?: number;
+    /** Makes permit ids. */
+    readonly nextId: () => string;
+    /** Whether now is a good moment to take more VMs out; running services go on regardless. */
+    readonly isGoodMoment?: boolean;
+}
+
+const defaultReturnMs = 120_000;
+
+/** Runs one round for one pool: moves every permit on, then takes new ones as far as the budget allows. */
+export function* serviceRound(options: RoundOptions): ServiceFlow<void> {
+    const key = poolKey(options.pool);
+    let row = yield* getRow(key, StorePriority.Claim);
+    for (const permit of Object.values(rowValue(row).permits)) {
+        if (yield* advancePermit(options, row, permit)) {
+            row = yield* getRow(key, StorePriority.Claim);
+        }
+    }
+    for (const vm of nextVms(options, rowValue(row))) {
+        if (!(yield* takePermit(options, row, vm))) {
+            return;
+        }
+        row = yield* getRow(key, StorePriority.Claim);
+    }
+}
+
+function rowValue(row: Row | undefined): PoolRow {
+    return row === undefined ? emptyPoolRow : row.value as PoolRow;
+}
+
+/** VMs of a pool by its effective membership. */
+export function vmsOfPool(view: FleetView, pool: string): readonly Vm[] {
+    return view.vms.filter(vm => poolOf(view, vm) === pool);
+}
+
+/** VMs to take out of service now, longest-running first; empty while the pool has trouble or no room. */
+export function nextVms(options: RoundOptions, row: PoolRow): readonly Vm[] {
+    const { view, pool, now, periodMs, isGoodMoment = true } = options;
+    const vms = vmsOfPool(view, pool);
+    const permits = Object.values(row.permits);
+    if (!isGoodMoment || hasTrouble(options, vms, row)) {
+        return [];
+    }
+    const available = vms.filter(vm => isAvailable(view, vm) && row.permits[vm.id] === undefined);
+    const room = available.length - budgetOf(view, pool);
+    const due = available.filter(vm => now - vm.bootedAt > periodMs).sort((a, b) => a.bootedAt - b.bootedAt);
+    const rack = permits[0]?.rack ?? due[0]?.rack;
+    return due.filter(vm => vm.rack === rack).slice(0, Math.max(0, room));
+}
+
+/** Whether a VM of the pool failed or did not return in time; the wave waits until that has cleared. */
+function hasTrouble(
+    { now, returnMs = defaultReturnMs }: RoundOptions,
+    vms: readonly Vm[],
+    row: PoolRow,
+): boolean {
+    const isDown = vms.some(vm => vm.state !== VmState.Live && row.permits[vm.id] === undefined);
+    return isDown || Object.values(row.permits).some(permit => now - permit.takenAt > returnMs);
+}
+
+function* takePermit(options: RoundOptions, row: Row | undefined, vm: Vm): ServiceFlow<boolean> {
+    const { pool, now, nextId } = options;
+    const value = rowValue(row);
+    if (!nextVms(options, value).some(other => other.id === vm.id)) {
+        return false;
+    }
+    const { id, rack, bootId } = vm;
+    const permit: Permit = { id: nextId(), vm: id, rack, bootId, phase: PermitPhase.Draining, takenAt: now };
+    const wanted: PoolRow = { ...value, permits: { ...value.permits, [id]: permit } };
+    if ((yield* commit([put(poolKey(pool), row, wanted)], StorePriority.Claim)) !== CommitOutcome.Committed) {
+        return false;
+    }
+    yield { kind: VmEffectKind.Note, step: ServiceStep.PermitTaken, vm: id, pool };
+    return true;
+}
+
+/** Moves one permit on; true when the row changed. */
+function* advancePermit(options: RoundOptions, row: Row | undefined, permit: Permit): ServiceFlow<boolean> {
+    const vm = options.view.vms.find(other => other.id === permit.vm);
+    if (vm === undefined) {
+        return yield* releasePermit(options, row, permit);
+    }
+    switch (permit.phase) {
+        case PermitPhase.Draining:
+            return yield* advanceDraining(options, row, permit, vm);
+        case PermitPhase.Rebooting:
+            return yield* advanceRebooting(options, row, permit, vm);
+    }
+}
+
+function* advanceDraining(
+    options: RoundOptions,
+    row: Row | undefined,
+    permit: Permit,
+    vm: Vm,
+): ServiceFlow<boolean> {
+    if (vm.bootId !== permit.bootId && vm.state === VmState.Live) {
+        yield { kind: VmEffectKind.Undrain, vm: vm.id };
+        return yield* releasePermit(options, row, permit);
+    }
+    yield { kind: VmEffectKind.Drain, vm: vm.id };
+    const isQuiet = (yield { kind: VmEffectKind.IsQuiet, permit, pool: options.pool }) as boolean;
+    if (!isQuiet) {
+        return false;
+    }
+    const moved = yield* replacePermit(options, row, { ...permit, phase: PermitPhase.Rebooting });
+    if (moved) {
+        yield { kind: VmEffectKind.Reboot, vm: vm.id, bootId: permit.bootId };
+        yield { kind: VmEffectKind.Note, step: ServiceStep.Rebooting, vm: vm.id, pool: options.pool };
+    }
+    return moved;
+}
+
+function* advanceRebooting(
+    options: RoundOptions,
+    row: Row | undefined,
+    permit: Permit,
+    vm: Vm,
+): ServiceFlow<boolean> {
+    const { now, pool, returnMs = defaultReturnMs } = options;
+    if (vm.bootId === permit.bootId && vm.state === VmState.Live) {
+        yield { kind: VmEffectKind.Reboot, vm: vm.id, bootId: permit.bootId };
+        return false;
+    }
+    if (vm.state !== VmState.Live) {
+        if (now - permit.takenAt > returnMs) {
+            yield { kind: VmEffectKind.Note, step: ServiceStep.Overdue, vm: vm.id, pool };
+        }
+        return false;
+    }
+    yield { kind: VmEffectKind.Undrain, vm: vm.id };
+    return yield* releasePermit(options, row, permit);
+}
+
+function* releasePermit(options: RoundOptions, row: Row | undefined, permit: Permit): ServiceFlow<boolean> {
+    const released = yield* replacePermit(options, row, undefined, permit);
+    if (released) {
+        yield {
+            kind: VmEffectKind.Note,
+            step: ServiceStep.PermitReleased,
+            vm: permit.vm,
+            pool: options.pool,
+        };
+    }
+    return released;
+}
+
+function* replacePermit(
+    { pool }: RoundOptions,
+    row: Row | undefined,
+    next: Permit | undefined,
+    old?: Permit,
+): ServiceFlow<boolean> {
+    const value = rowValue(row);
+    const vm = (next ?? old!).vm;
+    const permits = { ...value.permits };
+    delete permits[vm];
+    const wanted: PoolRow = { ...value, permits: next === undefined ? permits : { ...permits, [vm]: next } };
+    return (yield* commit([put(poolKey(pool), row, wanted)], StorePriority.Claim))
+        === CommitOutcome.Committed;
+}
--- /dev/null
+++ b/src/process/pool-rows.ts
@@ -0,0 +1,71 @@
+/** Rows that celerywind keeps about pools and VMs: disruption permits of each pool, and the pool of each moved VM. */
+import { type Row, scanAllRows, type StoreFlow, StorePriority } from "./store.js";
+
+/** How far the servicing of a VM has come. */
+export enum PermitPhase {
+    /** Entries stop sending and finish what runs. */
+    Draining = "draining",
+    /** The platform was told to reboot it. */
+    Rebooting = "rebooting",
+}
+
+/** Leave to take one VM out of service. */
+export interface Permit {
+    readonly id: string;
+    readonly vm: string;
+    readonly rack: string;
+    readonly phase: PermitPhase;
+    /** Boot id at the time the permit was taken; the reboot is conditional on it. */
+    readonly bootId: string;
+    /** Wall-clock time, in milliseconds. */
+    readonly takenAt: number;
+}
+
+/** Value of a pool's row. */
+export interface PoolRow {
+    /** Permits by VM id. */
+    readonly permits: Readonly<Record<string, Permit>>;
+}
+
+/** A pool without permits. */
+export const emptyPoolRow: PoolRow = { permits: {} };
+
+/** Value of a moved VM's row. */
+export interface VmRow {
+    readonly pool: string;
+    /** Pool that the VM returns to, while it is lent. */
+    readonly home?: string;
+}
+
+const poolPrefix = "fleet/pool/";
+const vmPrefix = "fleet/vm/";
+
+/** Key of a pool's row. */
+export function poolKey(pool: string): string {
+    return poolPrefix + pool;
+}
+
+/** Key of a VM's row. */
+export function vmKey(vm: string): string {
+    return vmPrefix + vm;
+}
+
+/** Reads the rows of all members, pools and moved VMs. */
+export function* readFleetRows(): StoreFlow<readonly Row[]> {
+    return yield* scanAllRows({ prefix: "fleet/", priority: StorePriority.Claim });
+}
+
+/** The pool rows among `rows`, by pool. */
+export function poolRowsOf(rows: readonly Row[]): ReadonlyMap<string, PoolRow> {
+    return valuesUnder<PoolRow>(rows, poolPrefix);
+}
+
+/** The rows of moved VMs among `rows`, by VM id. */
+export function vmRowsOf(rows: readonly Row[]): ReadonlyMap<string, VmRow> {
+    return valuesUnder<VmRow>(rows, vmPrefix);
+}
+
+function valuesUnder<T>(rows: readonly Row[], prefix: string): ReadonlyMap<string, T> {
+    const under = rows.filter(row => row.key.startsWith(prefix));
+    return new Map(under.map(row => [row.key.slice(prefix.length), row.value as T]));
+}
--- /dev/null
+++ b/src/process/random.ts
@@ -0,0 +1,39 @@
+/** Seeded pseudo-random numbers, so that every decision can be replayed. */
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+
+const resolution = 0x1000000;
+
+/** A stream of random values that is fully determined by its seed. */
+export class Random {
+    private constructor(private readonly source: ReturnType<typeof xoroshiro128plus>) {}
+
+    static create(seed: number): Random {
+        return new Random(xoroshiro128plus(seed));
+    }
+
+    /** A whole number from 0 up to but not including `below`. */
+    int(below: number): number {
+        return uniformInt(this.source, 0, below - 1);
+    }
+
+    /** A number from 0 up to but not including 1. */
+    fraction(): number {
+        return this.int(resolution) / resolution;
+    }
+
+    /** True with the given probability. */
+    chance(probability: number): boolean {
+        return this.fraction() < probability;
+    }
+
+    /** One element of a non-empty list. */
+    pick<T>(list: readonly T[]): T {
+        return list[this.int(list.length)]!;
+    }
+
+    /** An exponentially distributed value with the given mean. */
+    exponential(mean: number): number {
+        return -mean * Math.log(1 - this.fraction());
+    }
+}
--- /dev/null
+++ b/src/request/guesses.ts
@@ -0,0 +1,45 @@
+/** Limits how many bad keys one address may try. */
+import { TokenBucket } from "../process/bucket.js";
+
+const badKeysPerSecond = 1;
+const badKeyBurst = 20;
+const maxAddresses = 10_000;
+
+/** Counts bad keys by address. */
+export class GuessLimit {
+    private readonly buckets = new Map<string, TokenBucket>();
+
+    private constructor(private readonly now: () => number) {}
+
+    static create(now: () => number): GuessLimit {
+        return new GuessLimit(now);
+    }
+
+    /** Whether the address used up its bad keys. */
+    isBlocked(address: string): boolean {
+        const bucket = this.buckets.get(address);
+        return bucket !== undefined && bucket.waitFor() > 0;
+    }
+
+    /** Counts one bad key. */
+    noteBad(address: string): void {
+        this.bucketOf(address).take();
+    }
+
+    private bucketOf(address: string): TokenBucket {
+        let bucket = this.buckets.get(address);
+        if (bucket === undefined) {
+            this.evictOldest();
+            bucket = TokenBucket.create({ perSecond: badKeysPerSecond, burst: badKeyBurst, now: this.now });
+            this.buckets.set(address, bucket);
+        }
+        return bucket;
+    }
+
+    private evictOldest(): void {
+        if (this.buckets.size >= maxAddresses) {
+            const [oldest] = this.buckets.keys();
+            this.buckets.delete(oldest!);
+        }
+    }
+}
--- /dev/null
+++ b/src/request/job-store.ts
@@ -0,0 +1,311 @@
+/** The transactions of a job's life. Each is conditional on the row version that was read, so racers lose cleanly. */
+import {
+    commit,
+    CommitOutcome,
+    deleteObject,
+    getObject,
+    getRow,
+    put,
+    putObject,
+    type Row,
+    scanRows,
+    type StoreFlow,
+    StorePriority,
+    type Write,
+    WriteKind,
+} from "../process/store.js";
+import {
+    activeKey,
+    activePrefix,
+    type Blob,
+    BlobKind,
+    hasEnded,
+    isInline,
+    type Job,
+    type JobFailure,
+    jobKey,
+    JobState,
+    readyKey,
+    readyPrefix,
+} from "./job.js";
+
+/** A job with the row it was read from. */
+export interface JobRead {
+    readonly row: Row;
+    readonly job: Job;
+}
+
+/** What became of an accept. */
+export enum AcceptKind {
+    Accepted = "accepted",
+    /** The same team sent the same idempotency key before. */
+    Known = "known",
+    Unknown = "unknown",
+}
+
+/** Result of accepting a job. */
+export type AcceptResult =
+    | { readonly kind: AcceptKind.Accepted | AcceptKind.Known; readonly job: Job }
+    | { readonly kind: AcceptKind.Unknown };
+
+const indexVersion = 1;
+const activePage = 100;
+
+/** Stores bytes where they belong. */
+export function* storeBlob(key: string, body: Buffer, priority: StorePriority): StoreFlow<Blob> {
+    if (isInline(body)) {
+        return { kind: BlobKind.Inline, base64: body.toString("base64") };
+    }
+    yield* putObject(key, body, priority);
+    return { kind: BlobKind.Object, key, size: body.length };
+}
+
+/** Reads the bytes of a blob; undefined when the object is missing. */
+export function* loadBlob(blob: Blob, priority: StorePriority): StoreFlow<Buffer | undefined> {
+    switch (blob.kind) {
+        case BlobKind.Inline:
+            return Buffer.from(blob.base64, "base64");
+        case BlobKind.Object:
+            return yield* getObject(blob.key, priority);
+    }
+}
+
+/** Reads a job. */
+export function* readJob(id: string): StoreFlow<JobRead | undefined> {
+    const row = yield* getRow(jobKey(id), StorePriority.Accept);
+    return row === undefined ? undefined : { row, job: row.value as Job };
+}
+
+/** Makes a job durable: its payload first, then its row; accepted only once the row is known to be committed. */
+export function* acceptJob(draft: Omit<Job, "payload">, body: Buffer): StoreFlow<AcceptResult> {
+    const payload = yield* storeBlob(`payload/${draft.id}`, body, StorePriority.Accept);
+    const job: Job = { ...draft, payload };
+    const outcome = yield* commit([
+        put(jobKey(job.id), undefined, job),
+        put(readyKey(job), undefined, indexEntry(job)),
+    ], StorePriority.Accept);
+    switch (outcome) {
+        case CommitOutcome.Committed:
+            return { kind: AcceptKind.Accepted, job };
+        case CommitOutcome.Conflict: {
+            const known = yield* readJob(job.id);
+            return known === undefined
+                ? { kind: AcceptKind.Unknown }
+                : { kind: AcceptKind.Known, job: known.job };
+        }
+        case CommitOutcome.Unknown:
+            return { kind: AcceptKind.Unknown };
+    }
+}
+
+function indexEntry(job: Job): { readonly id: string; readonly queue: string } {
+    return { id: job.id, queue: job.queue };
+}
+
+/** Who claims a job and where it is to run. */
+export interface Claim {
+    readonly holder: string;
+    readonly worker: string;
+    readonly workerBoot: string;
+}
+
+/** Claims a waiting job for one attempt; undefined when another entry has it or it no longer waits. */
+export function* claimJob(id: string, claim: Claim): StoreFlow<JobRead | undefined> {
+    const read = yield* readJob(id);
+    if (read === undefined || read.job.state !== JobState.Waiting) {
+        return undefined;
+    }
+    const job: Job = { ...read.job, ...claim, state: JobState.Running, attempt: read.job.attempt + 1 };
+    const writes = [
+        put(read.row.key, read.row, job),
+        removeIndex(readyKey(job)),
+        put(activeKey(claim.holder, id), undefined, indexEntry(job)),
+    ];
+    return yield* settleWrite(read, job, writes);
+}
+
+/** Takes over a running job from an entry that ended or cannot be reached. */
+export function* adoptJob(read: JobRead, holder: string): StoreFlow<JobRead | undefined> {
+    const { job, row } = read;
+    if (job.state !== JobState.Running || job.holder === undefined || job.holder === holder) {
+        return undefined;
+    }
+    const adopted: Job = { ...job, holder };
+    const writes = [
+        put(row.key, row, adopted),
+        removeIndex(activeKey(job.holder, job.id)),
+        put(activeKey(holder, job.id), undefined, indexEntry(job)),
+    ];
+    return yield* settleWrite(read, adopted, writes);
+}
+
+/** How a running job leaves the running state. */
+export type JobEnd =
+    | { readonly kind: JobEndKind.Done; readonly result: Blob; readonly resultType: string }
+    | { readonly kind: JobEndKind.Failed; readonly reason: string; readonly failure?: JobFailure }
+    | { readonly kind: JobEndKind.Uncertain; readonly reason: string }
+    | { readonly kind: JobEndKind.Cancelled }
+    | { readonly kind: JobEndKind.Again; readonly failure?: JobFailure; readonly payload?: Blob };
+
+/** Kinds of ends of a run. */
+export enum JobEndKind {
+    Done = "done",
+    Failed = "failed",
+    Uncertain = "uncertain",
+    Cancelled = "cancelled",
+    /** Back to waiting, to be run again. */
+    Again = "again",
+}
+
+/**
+ * Ends a run that `holder` looks after. True when the row now says so, false when the job is no longer this holder's.
+ * Throws while the store cannot say.
+ */
+export function* endRun(read: JobRead, end: JobEnd): StoreFlow<boolean> {
+    const holder = read.job.holder!;
+    const attempt = read.job.attempt;
+    let current: JobRead | undefined = read;
+    while (current !== undefined && isHeld(current.job, holder, attempt)) {
+        const written = yield* endOnce(current, end);
+        if (written) {
+            return true;
+        }
+        current = yield* readJob(read.job.id);
+    }
+    return current !== undefined && wasEndedBy(current.job, end, attempt);
+}
+
+function isHeld(job: Job, holder: string, attempt: number): boolean {
+    return job.state === JobState.Running && job.holder === holder && job.attempt === attempt;
+}
+
+function wasEndedBy(job: Job, end: JobEnd, attempt: number): boolean {
+    return job.attempt === attempt && job.state === stateAfter(end);
+}
+
+function* endOnce({ job, row }: JobRead, end: JobEnd): StoreFlow<boolean> {
+    const next = applyEnd(job, end);
+    const writes: Write[] = [put(row.key, row, next), removeIndex(activeKey(job.holder!, job.id))];
+    if (next.state === JobState.Waiting) {
+        writes.push(put(readyKey(next), undefined, indexEntry(next)));
+    }
+    return (yield* commit(writes, StorePriority.Claim)) === CommitOutcome.Committed;
+}
+
+function applyEnd(job: Job, end: JobEnd): Job {
+    const rest = withoutHolder(job);
+    const failure = "failure" in end && end.failure !== undefined ? [end.failure] : [];
+    const failures = [...job.failures, ...failure];
+    const base = { ...rest, failures, state: job.cancelAsked ? stateIfCancelled(end) : stateAfter(end) };
+    switch (end.kind) {
+        case JobEndKind.Done:
+            return { ...base, result: end.result, resultType: end.resultType };
+        case JobEndKind.Failed:
+        case JobEndKind.Uncertain:
+            return { ...base, reason: end.reason };
+        case JobEndKind.Cancelled:
+            return base;
+        case JobEndKind.Again:
+            return end.payload === undefined ? base : { ...base, payload: end.payload };
+    }
+}
+
+function withoutHolder(job: Job): Job {
+    const rest: { -readonly [K in keyof Job]: Job[K] } = { ...job };
+    delete rest.holder;
+    delete rest.worker;
+    delete rest.workerBoot;
+    return rest;
+}
+
+function stateIfCancelled(end: JobEnd): JobState {
+    return end.kind === JobEndKind.Again ? JobState.Cancelled : stateAfter(end);
+}
+
+function stateAfter(end: JobEnd): JobState {
+    switch (end.kind) {
+        case JobEndKind.Done:
+            return JobState.Done;
+        case JobEndKind.Failed:
+            return JobState.Failed;
+        case JobEndKind.Uncertain:
+            return JobState.Uncertain;
+        case JobEndKind.Cancelled:
+            return JobState.Cancelled;
+        case JobEndKind.Again:
+            return JobState.Waiting;
+    }
+}
+
+/** Asks for a job's cancellation: a waiting job ends at once, a running one when its holder has stopped it. */
+export function* cancelJob(id: string): StoreFlow<Job | undefined> {
+    for (;;) {
+        const read = yield* readJob(id);
+        if (read === undefined || hasEnded(read.job) || read.job.cancelAsked) {
+            return read?.job;
+        }
+        const { job, row } = read;
+        const isWaiting = job.state === JobState.Waiting;
+        const next: Job = isWaiting ? { ...job, state: JobState.Cancelled } : { ...job, cancelAsked: true };
+        const writes = [put(row.key, row, next), ...(isWaiting ? [removeIndex(readyKey(job))] : [])];
+        if ((yield* commit(writes, StorePriority.Accept)) === CommitOutcome.Committed) {
+            return next;
+        }
+    }
+}
+
+/** Ids of the jobs that an incarnation looks after, one page at a time. */
+export function* readActive(incarnation: string, after = ""): StoreFlow<readonly string[]> {
+    const prefix = activePrefix(incarnation);
+    const from = after === "" ? "" : prefix + after;
+    const rows = yield* scanRows({ prefix, after: from, limit: activePage, priority: StorePriority.Claim });
+    return rows.map(row => row.key.slice(prefix.length));
+}
+
+/** A waiting job as the index names it. */
+export interface ReadyJob {
+    readonly id: string;
+    readonly team: string;
+    readonly queue: string;
+    readonly key: string;
+}
+
+/** Waiting jobs of a shard after a key, oldest first within each team. */
+export function* readReady(shard: number, after: string, limit: number): StoreFlow<readonly ReadyJob[]> {
+    const prefix = readyPrefix(shard);
+    const rows = yield* scanRows({ prefix, after, limit, priority: StorePriority.Claim });
+    return rows.map(row => ({
+        key: row.key,
+        team: row.key.split("/")[2]!,
+        ...row.value as { id: string; queue: string },
+    }));
+}
+
+/** Deletes the payload object of a job that has ended. */
+export function* dropPayload(job: Job): StoreFlow<void> {
+    if (job.payload.kind === BlobKind.Object) {
+        yield* deleteObject(job.payload.key, StorePriority.Housekeeping);
+    }
+}
+
+function* settleWrite(read: JobRead, job: Job, writes: readonly Write[]): StoreFlow<JobRead | undefined> {
+    const outcome = yield* commit(writes, StorePriority.Claim);
+    switch (outcome) {
+        case CommitOutcome.Committed: {
+            const { tokens = [] } = read.row;
+            return { job, row: { key: read.row.key, version: read.row.version + 1, value: job, tokens } };
+        }
+        case CommitOutcome.Conflict:
+            return undefined;
+        case CommitOutcome.Unknown: {
+            const now = yield* readJob(job.id);
+            const isMine = now !== undefined && isHeld(now.job, job.holder!, job.attempt);
+            return isMine ? now : undefined;
+        }
+    }
+}
+
+/** Index rows are written once and removed once, so their version is always the first. */
+function removeIndex(key: string): Write {
+    return { kind: WriteKind.Remove, key, ifVersion: indexVersion };
+}
--- /dev/null
+++ b/src/request/jobs.ts
@@ -0,0 +1,399 @@
+/** Task that accepts jobs, claims waiting ones of its shards, runs them, and recovers those of ended entries. */
+import { EventId, Severity } from "../process/events.js";
+import type { Fleet } from "../process/fleet.js";
+import { run } from "../process/flow.js";
+import { type Hub, type Task, Topic } from "../process/hub.js";
+import type { Log } from "../process/log.js";
+import type { Metrics } from "../process/metrics.js";
+import type { Vm } from "../process/platform.js";
+import { responsibleFor } from "../process/rendezvous.js";
+import { type Store, type StoreEffect, StoreEffectKind, type StoreFlow } from "../process/store.js";
+import { StorePriority } from "../process/store.js";
+import { type Cancel, sleep, type Timer } from "../process/timer.js";
+import { poolOf } from "../process/workers.js";
+import { QueueClass } from "../version/schema.js";
+import { AcquiredKind, type Dispatcher, type Slot, SlotEnd, type Want } from "./dispatch.js";
+import { type JobEffect, RunEnd, startJob, type Surroundings, TaskEffectKind, watchJob } from "./job-run.js";
+import {
+    acceptJob,
+    AcceptKind,
+    type AcceptResult,
+    adoptJob,
+    cancelJob,
+    claimJob,
+    type JobRead,
+    loadBlob,
+    readActive,
+    readJob,
+    type ReadyJob,
+} from "./job-store.js";
+import { type Job, JobState, shardCount, shardOf } from "./job.js";
+import { ReadyLines } from "./ready.js";
+import type { WorkerTasks } from "./worker-tasks.js";
+
+/** Peer messages that this task sends and hears. */
+export interface JobPeers {
+    broadcast(topic: string, body: unknown): void;
+    notify(vm: string, topic: string, body: unknown): boolean;
+    heardAt(vm: string): number | undefined;
+    on(topic: string, handler: (peer: { readonly vm: string }, body: unknown) => unknown): void;
+}
+
+/** Options of `Jobs.create`. */
+export interface JobsOptions {
+    readonly store: Store;
+    readonly fleet: Fleet;
+    readonly dispatcher: Dispatcher;
+    readonly tasks: WorkerTasks;
+    readonly peers: JobPeers;
+    readonly hub: Hub;
+    readonly timer: Timer;
+    readonly log: Log;
+    readonly metrics: Metrics;
+    /** Teams whose work may run. */
+    readonly teams: () => readonly string[];
+    readonly pollMs?: number;
+}
+
+const readyTopic = "job.ready";
+const cancelTopic = "job.cancel";
+const claimWaitMs = 20_000;
+const maxClaimsAtOnce = 48;
+const recoverEvery = 3;
+const silentHolderMs = 3000;
+
+/** The job task of one entry. */
+export class Jobs implements Task {
+    readonly name = "jobs";
+    readonly handlers = { [Topic.JobReady]: ({ shard }: { readonly shard: number }) => this.poke(shard) };
+    private readonly lines = ReadyLines.create();
+    private readonly claiming = new Set<string>();
+    private readonly watching = new Map<string, Job>();
+    private readonly cancelAsked = new Set<string>();
+    private readonly cancels: Cancel[] = [];
+    private isLeaving = false;
+    private isPolling = false;
+    private polls = 0;
+
+    private constructor(private readonly options: JobsOptions) {
+        const { peers } = options;
+        peers.on(readyTopic, (_, body) => this.poke((body as { shard: number }).shard));
+        peers.on(cancelTopic, (_, body) => void this.cancelAsked.add((body as { id: string }).id));
+    }
+
+    static create(options: JobsOptions): Jobs {
+        return new Jobs(options);
+    }
+
+    /** Number of jobs that run under this entry's care. */
+    get runningCount(): number {
+        return this.watching.size;
+    }
+
+    start(): Promise<void> {
+        const { timer, pollMs = 1000 } = this.options;
+        this.cancels.push(timer.every(pollMs, () => void this.poll()));
+        return Promise.resolve();
+    }
+
+    stop(): Promise<void> {
+        this.isLeaving = true;
+        this.cancels.forEach(cancel => cancel());
+        return Promise.resolve();
+    }
+
+    /** Stops claiming and hands running jobs over; resolves when none is looked after here, or after `ms`. */
+    async leave(ms: number): Promise<void> {
+        await this.stop();
+        const { timer } = this.options;
+        const deadline = timer.now() + ms;
+        while (this.watching.size + this.claiming.size > 0 && timer.now() < deadline) {
+            await sleep(timer, 50);
+        }
+    }
+
+    /** Makes a job durable and tells the entry that will claim it. */
+    async accept(draft: Omit<Job, "payload">, body: Buffer): Promise<AcceptResult> {
+        const result = await this.runFlow(acceptJob(draft, body));
+        if (result.kind === AcceptKind.Accepted) {
+            this.options.log.write(Severity.Info, EventId.JobAccepted, { job: draft.id, team: draft.team });
+            this.options.metrics.count("celerywind_jobs_accepted_total", { queue: draft.queue });
+            this.announce(shardOf(draft.id));
+        }
+        return result;
+    }
+
+    /** Reads a job. */
+    async find(id: string): Promise<Job | undefined> {
+        return (await this.runFlow(readJob(id)))?.job;
+    }
+
+    /** Reads the result of a job that is done. */
+    async result(job: Job): Promise<Buffer | undefined> {
+        return job.result === undefined
+            ? undefined
+            : await this.runFlow(loadBlob(job.result, StorePriority.Accept));
+    }
+
+    /** Cancels a job; the entry that looks after it hears of it at once. */
+    async cancel(id: string): Promise<Job | undefined> {
+        const job = await this.runFlow(cancelJob(id));
+        if (job?.cancelAsked === true) {
+            this.cancelAsked.add(id);
+            this.options.peers.broadcast(cancelTopic, { id });
+        }
+        return job;
+    }
+
+    /** Claims what this entry's shards hold, and from time to time looks for abandoned jobs. */
+    async poll(): Promise<void> {
+        const { fleet, metrics } = this.options;
+        if (this.isPolling || fleet.self === undefined || this.isLeaving) {
+            return;
+        }
+        this.isPolling = true;
+        try {
+            const shards = this.ownShards();
+            this.lines.retain(shards);
+            await this.refill(shards);
+            this.claimSome();
+            if (this.polls++ % recoverEvery === 0) {
+                await this.recover();
+            }
+        }
+        catch {
+            metrics.count("celerywind_job_polls_failed_total");
+        }
+        finally {
+            this.isPolling = false;
+        }
+    }
+
+    private ownShards(): readonly number[] {
+        const vms = this.options.fleet.live.map(member => member.vm);
+        const self = this.options.fleet.self!.vm;
+        return Array.from({ length: shardCount }, (_, shard) => shard)
+            .filter(shard => responsibleFor(`shard-${shard}`, vms) === self);
+    }
+
+    private announce(shard: number): void {
+        const { fleet, peers, hub } = this.options;
+        const owner = responsibleFor(`shard-${shard}`, fleet.live.map(member => member.vm));
+        if (owner === fleet.self?.vm) {
+            hub.publish(Topic.JobReady, { shard });
+        }
+        else if (owner !== undefined) {
+            peers.notify(owner, readyTopic, { shard });
+        }
+    }
+
+    private poke(shard: number): void {
+        this.lines.poke(shard);
+        void this.poll();
+    }
+
+    private async refill(shards: readonly number[]): Promise<void> {
+        for (const shard of shards) {
+            await this.runFlow(this.lines.refill(shard));
+        }
+    }
+
+    private claimSome(): void {
+        while (this.claiming.size < maxClaimsAtOnce) {
+            const ready = this.lines.next(id => this.claiming.has(id) || this.watching.has(id));
+            if (ready === undefined) {
+                return;
+            }
+            this.claiming.add(ready.id);
+            void this.runReady(ready).catch(() => undefined).finally(() => {
+                this.claiming.delete(ready.id);
+                this.claimSome();
+            });
+        }
+    }
+
+    private async runReady(ready: ReadyJob): Promise<void> {
+        const read = await this.runFlow(readJob(ready.id));
+        if (read === undefined || read.job.state !== JobState.Waiting || this.isLeaving) {
+            return;
+        }
+        const acquired = await this.options.dispatcher.acquire(this.wantOf(read.job));
+        if (acquired.kind === AcquiredKind.Refused) {
+            return;
+        }
+        await this.runOn(read.job, acquired.slot);
+    }
+
+    private async runOn(job: Job, slot: Slot): Promise<void> {
+        const { fleet, dispatcher } = this.options;
+        const workerBoot = fleet.view.vms.find(vm => vm.id === slot.worker.vm)?.bootId ?? "";
+        const claim = { holder: fleet.self!.incarnation, worker: slot.worker.vm, workerBoot };
+        const claimed = this.isLeaving
+            ? undefined
+            : await this.runFlow(claimJob(job.id, claim)).catch(() => undefined);
+        if (claimed === undefined) {
+            dispatcher.release(slot, SlotEnd.Neutral);
+            return;
+        }
+        this.claiming.delete(job.id);
+        this.claimSome();
+        await this.look(claimed, slot, startJob(claimed));
+    }
+
+    private async look(read: JobRead, slot: Slot, flow: ReturnType<typeof startJob>): Promise<void> {
+        const { id } = read.job;
+        this.watching.set(id, read.job);
+        let end = RunEnd.Lost;
+        try {
+            end = await run(flow, effect => this.perform(effect));
+        }
+        finally {
+            this.watching.delete(id);
+            this.cancelAsked.delete(id);
+            this.options.dispatcher.release(slot, slotEndOf(end));
+            this.options.metrics.count("celerywind_job_runs_total", { end });
+        }
+        this.options.log.write(Severity.Info, EventId.JobFinished, { job: id, end });
+    }
+
+    private async recover(): Promise<void> {
+        const { fleet } = this.options;
+        const vms = fleet.live.map(member => member.vm);
+        const self = fleet.self!;
+        for (const incarnation of this.abandoned(self.incarnation)) {
+            const isMine = incarnation === self.incarnation
+                || responsibleFor(`recover-${incarnation}`, vms) === self.vm;
+            if (isMine) {
+                await this.recoverFrom(incarnation);
+            }
+        }
+    }
+
+    /** Incarnations whose jobs may lack a holder: ended ones, silent ones, and this one for claims with lost answers. */
+    private abandoned(self: string): readonly string[] {
+        const { fleet, peers, timer } = this.options;
+        const { generations, live } = fleet.view.members;
+        const ended = [...generations].flatMap(([vm, generation]) => {
+            const older = Array.from(
+                { length: Math.min(3, generation - 1) },
+                (_, back) => `${vm}#${generation - 1 - back}`,
+            );
+            return fleet.isGone(`${vm}#${generation}`) ? [`${vm}#${generation}`, ...older] : older;
+        });
+        const silent = live
+            .filter(member => member.incarnation !== self)
+            .filter(member => timer.now() - (peers.heardAt(member.vm) ?? 0) > silentHolderMs)
+            .map(member => member.incarnation);
+        return [...new Set([...ended, ...silent, self])];
+    }
+
+    private async recoverFrom(incarnation: string): Promise<void> {
+        for (const id of await this.runFlow(readActive(incarnation))) {
+            if (!this.watching.has(id) && !this.claiming.has(id)) {
+                await this.recoverJob(id, incarnation);
+            }
+        }
+    }
+
+    private async recoverJob(id: string, incarnation: string): Promise<void> {
+        const { fleet, dispatcher, log } = this.options;
+        const self = fleet.self!.incarnation;
+        const read = await this.runFlow(readJob(id));
+        if (read === undefined || read.job.state !== JobState.Running || read.job.holder !== incarnation) {
+            return;
+        }
+        const adopted = incarnation === self ? read : await this.runFlow(adoptJob(read, self));
+        if (adopted === undefined) {
+            return;
+        }
+        log.write(Severity.Info, EventId.JobRecovered, { job: id, from: incarnation });
+        const { worker = "" } = adopted.job;
+        const known = dispatcher.workerOf(adopted.job.pool, worker)
+            ?? { vm: worker, origin: "", rack: "", zone: "", isOpen: false, isHome: false };
+        const slot = dispatcher.adopt(this.wantOf(adopted.job), known);
+        void this.look(adopted, slot, watchJob(adopted)).catch(() => undefined);
+    }
+
+    private wantOf(job: Job): Want {
+        const { fleet, timer } = this.options;
+        const tooSmall = fleet.view.vms.filter(vm => !fits(job, vm)).map(vm => vm.id);
+        const failedOn = job.failures.map(failure => failure.worker);
+        const others = fleet.view.vms.filter(vm =>
+            poolOf(fleet.view, vm) === job.pool && !failedOn.includes(vm.id)
+        );
+        return {
+            pool: job.pool,
+            team: job.team,
+            queue: job.queue,
+            class: QueueClass.Deferred,
+            deadline: timer.now() + claimWaitMs,
+            exclude: others.length === 0 ? tooSmall : [...tooSmall, ...failedOn],
+        };
+    }
+
+    private perform(effect: JobEffect): Promise<unknown> {
+        const { tasks, timer } = this.options;
+        switch (effect.kind) {
+            case TaskEffectKind.Start:
+                return tasks.start(effect.job, effect.payload);
+            case TaskEffectKind.Ask:
+                return tasks.ask(effect.job);
+            case TaskEffectKind.Cancel:
+                return tasks.cancel(effect.job);
+            case TaskEffectKind.Checkpoint:
+                return tasks.checkpoint(effect.job);
+            case TaskEffectKind.Forget:
+                return tasks.forget(effect.job);
+            case TaskEffectKind.Sleep:
+                return sleep(timer, effect.ms);
+            case TaskEffectKind.Look:
+                return Promise.resolve(this.surroundings(effect.job));
+            case StoreEffectKind.Get:
+            case StoreEffectKind.Scan:
+            case StoreEffectKind.Commit:
+            case StoreEffectKind.PutObject:
+            case StoreEffectKind.GetObject:
+            case StoreEffectKind.DeleteObject:
+                return this.options.store.perform(effect);
+        }
+    }
+
+    private surroundings(job: Job): Surroundings {
+        const { view } = this.options.fleet;
+        const vm = view.vms.find(other => other.id === job.worker);
+        const pool = view.vms.filter(other => poolOf(view, other) === job.pool);
+        const permit = view.poolRows.get(job.pool)?.permits[job.worker ?? ""];
+        return {
+            isWorkerGone: vm === undefined || vm.bootId !== job.workerBoot,
+            shouldMove: permit !== undefined || vm?.draining === true,
+            isCancelAsked: this.cancelAsked.has(job.id),
+            rackOfWorker: vm?.rack ?? "",
+            racksInPool: new Set(pool.map(other => other.rack)).size,
+            isLeaving: this.isLeaving,
+        };
+    }
+
+    private runFlow<T>(flow: StoreFlow<T>): Promise<T> {
+        return run(flow, (effect: StoreEffect) => this.options.store.perform(effect));
+    }
+}
+
+/** Whether a VM is large enough for a job. */
+export function fits(job: Pick<Job, "size">, vm: Vm): boolean {
+    const { cores, memoryGb, accelerators } = job.size;
+    return vm.cores >= cores && vm.memoryGb >= memoryGb && vm.accelerators >= accelerators;
+}
+
+function slotEndOf(end: RunEnd): SlotEnd {
+    switch (end) {
+        case RunEnd.Finished:
+            return SlotEnd.Good;
+        case RunEnd.WorkerFailed:
+            return SlotEnd.Bad;
+        case RunEnd.WorkerFull:
+            return SlotEnd.Full;
+        case RunEnd.Lost:
+        case RunEnd.HandedOver:
+            return SlotEnd.Neutral;
+    }
+}
--- /dev/null
+++ b/src/request/ready.ts
@@ -0,0 +1,95 @@
+/**
+ * Waiting jobs of the shards that this entry claims from, a bounded line for each team. The index is read in pages
+ * and skips from team to team, so that one team's long line neither fills memory nor hides the others.
+ */
+import type { StoreFlow } from "../process/store.js";
+import { readReady, type ReadyJob } from "./job-store.js";
+import { readyTeamPrefix } from "./job.js";
+
+const lineLength = 20;
+const maxTeamsARefill = 8;
+const lastSuffix = "\uffff";
+
+interface ShardLines {
+    readonly teams: Map<string, ReadyJob[]>;
+    /** Where the next refill goes on. */
+    cursor: string;
+}
+
+/** Lines of waiting jobs by shard and team. */
+export class ReadyLines {
+    private readonly shards = new Map<number, ShardLines>();
+    private turn = 0;
+
+    static create(): ReadyLines {
+        return new ReadyLines();
+    }
+
+    /** Forgets the shards that belong to other entries now. */
+    retain(shards: readonly number[]): void {
+        [...this.shards.keys()].filter(shard => !shards.includes(shard)).forEach(shard =>
+            this.shards.delete(shard)
+        );
+    }
+
+    /** Notes that a job became ready in a shard. */
+    poke(shard: number): void {
+        this.linesOf(shard).cursor = "";
+    }
+
+    /** Number of jobs held in memory. */
+    get size(): number {
+        return [...this.shards.values()]
+            .flatMap(lines => [...lines.teams.values()])
+            .reduce((sum, line) => sum + line.length, 0);
+    }
+
+    /** Reads the head of each team's line, a few teams at a time. */
+    *refill(shard: number): StoreFlow<void> {
+        const lines = this.linesOf(shard);
+        for (let team = 0; team < maxTeamsARefill; team++) {
+            const page = yield* readReady(shard, lines.cursor, lineLength);
+            const first = page[0];
+            if (first === undefined) {
+                lines.cursor = "";
+                return;
+            }
+            const same = page.filter(ready => ready.team === first.team);
+            lines.teams.set(first.team, same);
+            lines.cursor = readyTeamPrefix(shard, first.team) + lastSuffix;
+        }
+    }
+
+    /** The next job to claim, taking shards and teams in turn; `isTaken` names those already in hand. */
+    next(isTaken: (id: string) => boolean): ReadyJob | undefined {
+        const all = [...this.shards.values()].flatMap(lines => [...lines.teams.values()]);
+        for (let step = 0; step < all.length; step++) {
+            const line = all[(this.turn + step) % all.length]!;
+            const ready = takeFirst(line, isTaken);
+            if (ready !== undefined) {
+                this.turn = (this.turn + step + 1) % all.length;
+                return ready;
+            }
+        }
+        return undefined;
+    }
+
+    private linesOf(shard: number): ShardLines {
+        let lines = this.shards.get(shard);
+        if (lines === undefined) {
+            lines = { teams: new Map(), cursor: "" };
+            this.shards.set(shard, lines);
+        }
+        return lines;
+    }
+}
+
+function takeFirst(line: ReadyJob[], isTaken: (id: string) => boolean): ReadyJob | undefined {
+    while (line.length > 0) {
+        const ready = line.shift()!;
+        if (!isTaken(ready.id)) {
+            return ready;
+        }
+    }
+    return undefined;
+}
--- /dev/null
+++ b/src/request/requests.ts
@@ -0,0 +1,264 @@
+/** Task that serves requests: it performs the effects of `serve` on workers and peers, and gossips load. */
+import { AttemptKind, type AttemptResult, type Upstream } from "../connection/upstream/index.js";
+import { TokenBucket } from "../process/bucket.js";
+import type { Fleet } from "../process/fleet.js";
+import { run } from "../process/flow.js";
+import type { Handlers, Task } from "../process/hub.js";
+import { Topic } from "../process/hub.js";
+import type { Metrics } from "../process/metrics.js";
+import type { Cancel, Timer } from "../process/timer.js";
+import { budgetOf, workersByPool } from "../process/workers.js";
+import { QueueClass } from "../version/schema.js";
+import type { Versions } from "../version/versions.js";
+import type { Dispatcher, PoolWorkers } from "./dispatch.js";
+import type { Digest } from "./load.js";
+import { notRun, NotRunReason, type Outcome, OutcomeKind, unknown, UnknownReason } from "./outcome.js";
+import { RetryBudget } from "./retry.js";
+import { type Admitted, serve, type ServeEffect, ServeEffectKind } from "./serve.js";
+import { Traces } from "./traces.js";
+
+/** Peer messages that this task sends and answers. */
+export interface RequestPeers {
+    broadcast(topic: string, body: unknown): void;
+    ask(vm: string, topic: string, body: unknown, timeoutMs: number): Promise<unknown>;
+    connected(): readonly { readonly vm: string }[];
+    on(topic: string, handler: (peer: { readonly vm: string }, body: unknown) => unknown): void;
+}
+
+/** Options of `Requests.create`. */
+export interface RequestsOptions {
+    readonly dispatcher: Dispatcher;
+    readonly upstream: Upstream;
+    readonly peers: RequestPeers;
+    readonly fleet: Fleet;
+    readonly versions: Versions;
+    readonly timer: Timer;
+    readonly metrics: Metrics;
+    readonly vm: string;
+    readonly usable: (team: string) => number;
+    readonly closedFor: () => NotRunReason | undefined;
+    readonly gossipMs?: number;
+    readonly gossipBytesPerSecond?: number;
+}
+
+/** A request on its way to another entry. */
+interface RelayBody {
+    readonly id: string;
+    readonly team: string;
+    readonly queue: string;
+    readonly pool: string;
+    readonly class: QueueClass;
+    readonly idempotent: boolean;
+    readonly contentType: string;
+    readonly body: Buffer;
+    readonly leftMs: number;
+}
+
+const digestTopic = "request.digest";
+const relayTopic = "request.relay";
+const relayGraceMs = 200;
+const teamEntryBytes = 28;
+const refreshEvery = 4;
+
+/** The request task of one entry. */
+export class Requests implements Task {
+    readonly name = "requests";
+    readonly traces = Traces.create();
+    readonly handlers: Handlers = {
+        [Topic.FleetChanged]: () => this.refreshPools(),
+        [Topic.VersionAdopted]: () => this.options.dispatcher.pumpAll(),
+        [Topic.GrantsChanged]: () => this.options.dispatcher.pumpAll(),
+    };
+    private readonly retries = RetryBudget.create();
+    private readonly gossipBudget: TokenBucket;
+    private readonly cancels: Cancel[] = [];
+    private active = 0;
+    private lastDigest = "";
+    private unchanged = 0;
+
+    private constructor(private readonly options: RequestsOptions) {
+        const { peers, timer, gossipBytesPerSecond = 7000 } = options;
+        const perSecond = gossipBytesPerSecond;
+        this.gossipBudget = TokenBucket.create({ perSecond, burst: perSecond, now: () => timer.now() });
+        peers.on(digestTopic, (peer, body) => options.dispatcher.hear(peer.vm, body as Digest));
+        peers.on(relayTopic, (_, body) => this.serveRelayed(body as RelayBody));
+    }
+
+    static create(options: RequestsOptions): Requests {
+        return new Requests(options);
+    }
+
+    /** Number of requests that are being served. */
+    get activeCount(): number {
+        return this.active;
+    }
+
+    start(): Promise<void> {
+        const { timer, gossipMs = 250 } = this.options;
+        this.cancels.push(timer.every(gossipMs, () => this.gossip()));
+        this.refreshPools();
+        return Promise.resolve();
+    }
+
+    async stop(): Promise<void> {
+        this.cancels.forEach(cancel => cancel());
+        await this.options.upstream.close();
+    }
+
+    /** Serves one admitted request to its outcome. */
+    async serve(req: Admitted): Promise<Outcome> {
+        const { timer, metrics } = this.options;
+        const startedAt = timer.now();
+        this.active++;
+        this.retries.earn();
+        try {
+            const outcome = await run(serve(req), effect => this.perform(effect));
+            const ms = timer.now() - startedAt;
+            this.traces.finish(req, outcome, ms);
+            metrics.observe("celerywind_request_ms", ms, { queue: req.queue });
+            this.countOutcome(req.queue, outcome);
+            return outcome;
+        }
+        finally {
+            this.active--;
+        }
+    }
+
+    private countOutcome(queue: string, outcome: Outcome): void {
+        const { metrics } = this.options;
+        metrics.count("celerywind_requests_total", { queue, outcome: outcome.kind });
+        if (outcome.kind !== OutcomeKind.Answered) {
+            metrics.count("celerywind_refusals_total", { reason: outcome.reason });
+        }
+    }
+
+    private async perform(effect: ServeEffect): Promise<unknown> {
+        const { dispatcher, timer, metrics } = this.options;
+        switch (effect.kind) {
+            case ServeEffectKind.Now:
+                return timer.now();
+            case ServeEffectKind.FindRelay:
+                return this.findRelay(effect.req);
+            case ServeEffectKind.Relay:
+                return this.relay(effect.req, effect.peer);
+            case ServeEffectKind.Acquire:
+                return dispatcher.acquire(effect.want);
+            case ServeEffectKind.Attempt:
+                return this.attempt(effect);
+            case ServeEffectKind.Release:
+                dispatcher.release(effect.slot, effect.end);
+                return undefined;
+            case ServeEffectKind.SpendRetry:
+                return this.spendRetry();
+            case ServeEffectKind.CountRetry:
+                metrics.count("celerywind_retries_total", { reason: effect.reason });
+                return undefined;
+        }
+    }
+
+    private spendRetry(): boolean {
+        const granted = this.retries.spend();
+        if (!granted) {
+            this.options.metrics.count("celerywind_retries_refused_total");
+        }
+        return granted;
+    }
+
+    /** Sends to the worker unless something closed this entry since the slot was given, such as a long pause. */
+    private async attempt(
+        effect: Extract<ServeEffect, { kind: ServeEffectKind.Attempt }>,
+    ): Promise<AttemptResult> {
+        const { req, slot, timeoutMs } = effect;
+        const closed = this.options.closedFor();
+        if (closed !== undefined) {
+            return { kind: AttemptKind.Refused, cause: closed };
+        }
+        this.traces.attempt(req.id, slot.worker.vm);
+        return this.options.upstream.send(slot.worker.origin, req, timeoutMs);
+    }
+
+    private findRelay(req: Admitted): string | undefined {
+        const { dispatcher, usable, peers } = this.options;
+        if (dispatcher.runningOf(req.team) < usable(req.team)) {
+            return undefined;
+        }
+        const connected = new Set(peers.connected().map(peer => peer.vm));
+        return dispatcher.remote.withSpare(req.team).find(peer => connected.has(peer));
+    }
+
+    private async relay(req: Admitted, peer: string): Promise<Outcome> {
+        const { peers, timer, metrics } = this.options;
+        const leftMs = req.deadline - timer.now();
+        const { id, team, queue, pool, class: queueClass, idempotent, contentType, body } = req;
+        const sent: RelayBody = {
+            id,
+            team,
+            queue,
+            pool,
+            class: queueClass,
+            idempotent,
+            contentType,
+            body,
+            leftMs,
+        };
+        metrics.count("celerywind_relays_total");
+        try {
+            const outcome = await peers.ask(peer, relayTopic, sent, leftMs + relayGraceMs) as Outcome;
+            return outcome.kind === OutcomeKind.Answered
+                ? { ...outcome, body: Buffer.from(outcome.body) }
+                : outcome;
+        }
+        catch (err) {
+            const wasSent = (err as { wasSent?: boolean }).wasSent !== false;
+            return wasSent ? unknown(UnknownReason.PeerLost) : notRun(NotRunReason.NoWorker);
+        }
+    }
+
+    private serveRelayed(relayed: RelayBody): Promise<Outcome> {
+        const { leftMs, ...req } = relayed;
+        const deadline = this.options.timer.now() + leftMs;
+        return this.serve({ ...req, body: Buffer.from(req.body), deadline, isRelayed: true });
+    }
+
+    private gossip(): void {
+        const { dispatcher, versions, peers, metrics } = this.options;
+        const digest = dispatcher.digest(Object.keys(versions.state.lists.teams));
+        const text = JSON.stringify(digest);
+        this.unchanged = text === this.lastDigest ? this.unchanged + 1 : 0;
+        dispatcher.pumpAll();
+        if (this.unchanged % refreshEvery !== 0) {
+            return;
+        }
+        const entries = digest.teams.length + Object.keys(digest.spare).length
+            + Object.keys(digest.workers).length;
+        const cost = (entries + 1) * teamEntryBytes * Math.max(1, peers.connected().length);
+        if (!this.gossipBudget.take(Math.min(cost, this.options.gossipBytesPerSecond ?? 7000))) {
+            metrics.count("celerywind_gossip_skipped_total");
+            return;
+        }
+        this.lastDigest = text;
+        peers.broadcast(digestTopic, digest);
+    }
+
+    private refreshPools(): void {
+        const { fleet, dispatcher, upstream, vm } = this.options;
+        const byPool = [...workersByPool(fleet.view)];
+        const pools = byPool.map(([pool, workers]): PoolWorkers => ({
+            pool,
+            mayEject: Math.max(
+                0,
+                workers.filter(worker => worker.isOpen).length - budgetOf(fleet.view, pool),
+            ),
+            workers: workers.map(worker => ({
+                vm: worker.vm.id,
+                origin: worker.vm.address,
+                rack: worker.vm.rack,
+                zone: worker.vm.zone,
+                isOpen: worker.isOpen,
+                isHome: worker.home === vm,
+            })),
+        }));
+        dispatcher.setPools(pools);
+        upstream.retain(new Set(pools.flatMap(pool => pool.workers.map(worker => worker.origin))));
+    }
+}
--- /dev/null
+++ b/src/request/route.ts
@@ -0,0 +1,59 @@
+/** Which worker gets the next request: pure choice among candidates by the configured policy. */
+import type { Random } from "../process/random.js";
+import { SlotPolicyKind } from "../process/slots.js";
+
+/** A worker as a candidate for the next request. */
+export interface Candidate {
+    readonly vm: string;
+    /** Requests and tasks known to run there, from this entry and from gossip. */
+    readonly load: number;
+    /** Most that may run there at once. */
+    readonly capacity: number;
+    /** Whether the worker is homed at this entry. */
+    readonly isHome: boolean;
+    /** Whether the worker is in this entry's availability zone. */
+    readonly isNear: boolean;
+}
+
+/** Options of `pickWorker`. */
+export interface PickOptions {
+    readonly policy: SlotPolicyKind;
+    readonly candidates: readonly Candidate[];
+    readonly random: Random;
+}
+
+/** The worker to use, or undefined when none has a free slot as far as this entry knows. */
+export function pickWorker({ policy, candidates, random }: PickOptions): Candidate | undefined {
+    const free = candidates.filter(candidate => candidate.load < candidate.capacity);
+    switch (policy) {
+        case SlotPolicyKind.TwoChoices:
+            return twoChoices(free, random);
+        case SlotPolicyKind.Homed:
+            return leastLoaded(free.filter(candidate => candidate.isHome));
+        case SlotPolicyKind.HomeFirst:
+            return leastLoaded(free.filter(candidate => candidate.isHome)) ?? twoChoices(free, random);
+    }
+}
+
+function twoChoices(free: readonly Candidate[], random: Random): Candidate | undefined {
+    if (free.length < 2) {
+        return free[0];
+    }
+    const first = random.int(free.length);
+    const second = (first + 1 + random.int(free.length - 1)) % free.length;
+    return lighter(free[first]!, free[second]!);
+}
+
+function leastLoaded(free: readonly Candidate[]): Candidate | undefined {
+    return free.reduce<Candidate | undefined>(
+        (best, next) => best === undefined ? next : lighter(best, next),
+        undefined,
+    );
+}
+
+function lighter(a: Candidate, b: Candidate): Candidate {
+    if (a.load !== b.load) {
+        return a.load < b.load ? a : b;
+    }
+    return b.isNear && !a.isNear ? b : a;
+}
--- /dev/null
+++ b/src/request/worker-tasks.ts
@@ -0,0 +1,116 @@
+/** Calls the task interface of workers over HTTP. */
+import { z } from "zod";
+import type { Upstream } from "../connection/upstream/index.js";
+import { type Job, taskIdOf } from "./job.js";
+import { TaskStart, TaskState, type TaskStatus } from "./task.js";
+
+/** Options of `WorkerTasks.create`. */
+export interface WorkerTasksOptions {
+    readonly upstream: Upstream;
+    /** Address of a VM; undefined when it is not listed. */
+    readonly originOf: (vm: string) => string | undefined;
+    readonly leaseMs: number;
+    readonly timeoutMs?: number;
+}
+
+const statusSchema = z.object({
+    state: z.enum(TaskState).exclude(["Unreachable"]),
+    bootId: z.string(),
+    result: z.string().optional(),
+    resultType: z.string().optional(),
+    reason: z.string().optional(),
+});
+
+const statusCreated = 201;
+const statusUnavailable = 503;
+const statusConflict = 409;
+
+/** Starts, asks about, cancels and checkpoints tasks. */
+export class WorkerTasks {
+    private constructor(private readonly options: WorkerTasksOptions) {}
+
+    static create(options: WorkerTasksOptions): WorkerTasks {
+        return new WorkerTasks(options);
+    }
+
+    /** Asks the job's worker to start this attempt. */
+    async start(job: Job, payload: Buffer): Promise<TaskStart> {
+        const { team, queue, contentType, idempotent } = job;
+        const body = {
+            team,
+            queue,
+            contentType,
+            idempotent,
+            leaseMs: this.options.leaseMs,
+            payload: payload.toString("base64"),
+        };
+        try {
+            const answer = await this.call(job, "PUT", "", JSON.stringify(body));
+            switch (answer?.status) {
+                case statusCreated:
+                    return TaskStart.Started;
+                case statusUnavailable:
+                    return TaskStart.Refused;
+                case statusConflict:
+                case undefined:
+                default:
+                    return TaskStart.Unknown;
+            }
+        }
+        catch {
+            return TaskStart.Unknown;
+        }
+    }
+
+    /** Asks about a task and renews its lease. */
+    async ask(job: Job): Promise<TaskStatus> {
+        return this.status(job, "GET", `?renew=${this.options.leaseMs}`);
+    }
+
+    /** Stops a task, or forbids its start when it has not started. */
+    async cancel(job: Job): Promise<TaskStatus> {
+        return this.status(job, "DELETE", "");
+    }
+
+    /** Stops a task and returns its state so far; undefined when the worker could not. */
+    async checkpoint(job: Job): Promise<Buffer | undefined> {
+        const status = await this.status(job, "POST", "/checkpoint");
+        return status.state === TaskState.Stopped ? status.result : undefined;
+    }
+
+    /** Tells the worker that the result is stored and the task can be forgotten. */
+    async forget(job: Job): Promise<void> {
+        await this.call(job, "POST", "/forget").catch(() => undefined);
+    }
+
+    private async status(job: Job, method: "GET" | "DELETE" | "POST", suffix: string): Promise<TaskStatus> {
+        try {
+            const answer = await this.call(job, method, suffix);
+            const parsed = statusSchema.safeParse(JSON.parse(answer?.body.toString() ?? ""));
+            return parsed.success ? decodeStatus(parsed.data) : { state: TaskState.Unreachable };
+        }
+        catch {
+            return { state: TaskState.Unreachable };
+        }
+    }
+
+    private async call(job: Job, method: "GET" | "PUT" | "DELETE" | "POST", suffix: string, body?: string) {
+        const origin = job.worker === undefined ? undefined : this.options.originOf(job.worker);
+        if (origin === undefined) {
+            return undefined;
+        }
+        const path = `/tasks/${encodeURIComponent(taskIdOf(job))}${suffix}`;
+        return await this.options.upstream.call(origin, method, path, this.options.timeoutMs ?? 2000, body);
+    }
+}
+
+function decodeStatus(data: z.output<typeof statusSchema>): TaskStatus {
+    const { result, resultType, reason, state, bootId } = data;
+    return {
+        state,
+        bootId,
+        ...(result !== undefined && { result: Buffer.from(result, "base64") }),
+        ...(resultType !== undefined && { resultType }),
+        ...(reason !== undefined && { reason }),
+    };
+}
--- /dev/null
+++ b/src/version/diff.ts
@@ -0,0 +1,52 @@
+/** Differences between two versions of the lists, in words an operator can check before applying them. */
+import type { Lists } from "./schema.js";
+
+/** What happened to an entry of a list. */
+export enum DifferenceKind {
+    Added = "added",
+    Removed = "removed",
+    Changed = "changed",
+}
+
+/** One difference, at a path such as `plans.large.limit`. */
+export interface Difference {
+    readonly kind: DifferenceKind;
+    readonly path: string;
+    readonly before?: string;
+    readonly after?: string;
+}
+
+/** Lists the differences from `before` to `after`, in order of path. */
+export function diffLists(before: Lists, after: Lists): readonly Difference[] {
+    const old = flatten("", before);
+    const now = flatten("", after);
+    const paths = [...new Set([...old.keys(), ...now.keys()])].sort();
+    return paths.flatMap(path => differenceAt(path, old.get(path), now.get(path)));
+}
+
+function differenceAt(path: string, before: string | undefined, after: string | undefined): Difference[] {
+    if (before === after) {
+        return [];
+    }
+    if (before === undefined) {
+        return [{ kind: DifferenceKind.Added, path, after: after! }];
+    }
+    if (after === undefined) {
+        return [{ kind: DifferenceKind.Removed, path, before }];
+    }
+    return [{ kind: DifferenceKind.Changed, path, before, after }];
+}
+
+function flatten(prefix: string, value: object): Map<string, string> {
+    const flat = new Map<string, string>();
+    for (const [name, inner] of Object.entries(value) as [string, unknown][]) {
+        const path = prefix === "" ? name : `${prefix}.${name}`;
+        if (typeof inner === "object" && inner !== undefined && !Array.isArray(inner)) {
+            flatten(path, inner as object).forEach((text, at) => flat.set(at, text));
+        }
+        else {
+            flat.set(path, JSON.stringify(inner));
+        }
+    }
+    return flat;
+}
--- /dev/null
+++ b/src/version/log.ts
@@ -0,0 +1,136 @@
+/**
+ * The revision log in the table service: one head row and one immutable row a revision. Accepting a change is one
+ * transaction that moves the head from N-1 to N, so of two racing operators exactly one wins.
+ */
+import {
+    commit,
+    CommitOutcome,
+    getObject,
+    getRow,
+    put,
+    putObject,
+    type Row,
+    scanRows,
+    type StoreFlow,
+    StorePriority,
+} from "../process/store.js";
+import { advance, type Change, fromData, type StateData, toData, type VersionState } from "./state.js";
+
+const headKey = "lists/head";
+const snapshotKey = "lists/snapshot";
+const revisionPrefix = "lists/rev/";
+const revisionDigits = 12;
+const revisionPage = 200;
+
+/** Revisions between two snapshots. */
+export const snapshotEvery = 100;
+
+interface Head {
+    readonly revision: number;
+}
+
+/** Result of proposing a change. */
+export type Proposal =
+    | { readonly kind: ProposalKind.Accepted; readonly state: VersionState }
+    | { readonly kind: ProposalKind.Lost; readonly state: VersionState }
+    | { readonly kind: ProposalKind.Unknown; readonly state: VersionState };
+
+/** What became of a proposed change. */
+export enum ProposalKind {
+    /** It is the newest revision. */
+    Accepted = "accepted",
+    /** Another change took the revision; `state` includes it. */
+    Lost = "lost",
+    /** The store could not say; read again before proposing again. */
+    Unknown = "unknown",
+}
+
+/** Proposes `change` as the revision after `state`. */
+export function* propose(state: VersionState, change: Change): StoreFlow<Proposal> {
+    const head = yield* getRow(headKey, StorePriority.Lists);
+    if (revisionOf(head) !== state.revision) {
+        return { kind: ProposalKind.Lost, state: yield* catchUp(state) };
+    }
+    const next = advance(state, change);
+    const outcome = yield* commit([
+        put(headKey, head, { revision: next.revision } satisfies Head),
+        put(revisionKey(next.revision), undefined, change),
+    ], StorePriority.Lists);
+    switch (outcome) {
+        case CommitOutcome.Committed:
+            return { kind: ProposalKind.Accepted, state: next };
+        case CommitOutcome.Conflict:
+            return { kind: ProposalKind.Lost, state: yield* catchUp(state) };
+        case CommitOutcome.Unknown:
+            return { kind: ProposalKind.Unknown, state };
+    }
+}
+
+/** Brings `state` up to the head of the log, from a snapshot when it is far behind. */
+export function* catchUp(state: VersionState): StoreFlow<VersionState> {
+    const head = yield* getRow(headKey, StorePriority.Lists);
+    const target = revisionOf(head);
+    let current = state;
+    if (target - current.revision > snapshotEvery) {
+        current = yield* loadSnapshot(current);
+    }
+    while (current.revision < target) {
+        const before = current.revision;
+        current = yield* readPage(current);
+        if (current.revision === before) {
+            return current;
+        }
+    }
+    return current;
+}
+
+/** Stores a snapshot when the state has moved far enough past the last one; safe to run on several entries. */
+export function* saveSnapshot(state: VersionState): StoreFlow<boolean> {
+    const row = yield* getRow(snapshotKey, StorePriority.Housekeeping);
+    if (state.revision - revisionOf(row) < snapshotEvery) {
+        return false;
+    }
+    const body = Buffer.from(JSON.stringify(toData(state)));
+    yield* putObject(snapshotObject(state.revision), body, StorePriority.Housekeeping);
+    const outcome = yield* commit(
+        [put(snapshotKey, row, { revision: state.revision } satisfies Head)],
+        StorePriority.Housekeeping,
+    );
+    return outcome === CommitOutcome.Committed;
+}
+
+function* loadSnapshot(state: VersionState): StoreFlow<VersionState> {
+    const row = yield* getRow(snapshotKey, StorePriority.Lists);
+    const revision = revisionOf(row);
+    if (revision <= state.revision) {
+        return state;
+    }
+    const body = yield* getObject(snapshotObject(revision), StorePriority.Lists);
+    return body === undefined ? state : fromData(JSON.parse(body.toString()) as StateData);
+}
+
+function* readPage(state: VersionState): StoreFlow<VersionState> {
+    const rows = yield* scanRows({
+        prefix: revisionPrefix,
+        after: revisionKey(state.revision),
+        limit: revisionPage,
+        priority: StorePriority.Lists,
+    });
+    return rows.reduce(applyRow, state);
+}
+
+function applyRow(state: VersionState, row: Row): VersionState {
+    return row.key === revisionKey(state.revision + 1) ? advance(state, row.value as Change) : state;
+}
+
+function revisionOf(row: Row | undefined): number {
+    return row === undefined ? 0 : (row.value as Head).revision;
+}
+
+function revisionKey(revision: number): string {
+    return revisionPrefix + String(revision).padStart(revisionDigits, "0");
+}
+
+function snapshotObject(revision: number): string {
+    return `lists/snapshot-${revision}`;
+}
--- /dev/null
+++ b/src/version/state.ts
@@ -0,0 +1,89 @@
+/**
+ * The configuration in force: lists and keys as of one revision. A state never changes; each accepted change makes
+ * the next state.
+ */
+import { emptyLists, type Lists } from "./schema.js";
+
+/** What a revision changed. */
+export enum ChangeKind {
+    Lists = "lists",
+    KeyGiven = "key-given",
+    KeyWithdrawn = "key-withdrawn",
+}
+
+/** A stored key: never the secret, only its hash. */
+export interface KeyRecord {
+    readonly id: string;
+    readonly team: string;
+    /** SHA-256 of the secret, in hexadecimal. */
+    readonly hash: string;
+    /** Wall-clock time at which it was given, in milliseconds. */
+    readonly givenAt: number;
+}
+
+/** One accepted change. */
+export type Change =
+    | { readonly kind: ChangeKind.Lists; readonly lists: Lists }
+    | { readonly kind: ChangeKind.KeyGiven; readonly key: KeyRecord }
+    | { readonly kind: ChangeKind.KeyWithdrawn; readonly id: string };
+
+/** Lists and keys in force as of `revision`. */
+export interface VersionState {
+    readonly revision: number;
+    /** Revision that last changed the lists. */
+    readonly listsRevision: number;
+    readonly lists: Lists;
+    readonly keys: ReadonlyMap<string, KeyRecord>;
+    readonly withdrawn: ReadonlySet<string>;
+}
+
+/** The state before any change was accepted. */
+export const initialState: VersionState = {
+    revision: 0,
+    listsRevision: 0,
+    lists: emptyLists,
+    keys: new Map(),
+    withdrawn: new Set(),
+};
+
+/** The state after one more change. */
+export function advance(state: VersionState, change: Change): VersionState {
+    const next = { ...state, revision: state.revision + 1 };
+    switch (change.kind) {
+        case ChangeKind.Lists:
+            return { ...next, listsRevision: next.revision, lists: change.lists };
+        case ChangeKind.KeyGiven:
+            return { ...next, keys: new Map(state.keys).set(change.key.id, change.key) };
+        case ChangeKind.KeyWithdrawn:
+            return withdrawKey(next, change.id);
+    }
+}
+
+function withdrawKey(state: VersionState, id: string): VersionState {
+    const keys = new Map(state.keys);
+    keys.delete(id);
+    return { ...state, keys, withdrawn: new Set(state.withdrawn).add(id) };
+}
+
+/** A state as plain data, for snapshots and for peers. */
+export interface StateData {
+    readonly revision: number;
+    readonly listsRevision: number;
+    readonly lists: Lists;
+    readonly keys: readonly KeyRecord[];
+    readonly withdrawn: readonly string[];
+}
+
+/** Turns a state into plain data. */
+export function toData(state: VersionState): StateData {
+    return { ...state, keys: [...state.keys.values()], withdrawn: [...state.withdrawn] };
+}
+
+/** Turns plain data back into a state. */
+export function fromData(data: StateData): VersionState {
+    return {
+        ...data,
+        keys: new Map(data.keys.map(key => [key.id, key])),
+        withdrawn: new Set(data.withdrawn),
+    };
+}
--- /dev/null
+++ b/standin/platform.ts
@@ -0,0 +1,180 @@
+/** A stand-in platform: the embedded platform behind HTTP, with faults that can be switched on. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { EmbeddedPlatform } from "../src/connection/platform/index.js";
+import type { Vm } from "../src/process/platform.js";
+import type { Write } from "../src/process/store.js";
+
+/** Ways in which the platform misbehaves. */
+export enum PlatformFault {
+    None = "none",
+    /** Answers late. */
+    Slow = "slow",
+    /** Breaks every connection before doing anything. */
+    Down = "down",
+    /** Carries out writes and breaks the connection instead of answering. */
+    AnswerLost = "answer-lost",
+}
+
+const slowMs = 2000;
+
+/** Counts of the calls that reached the platform. */
+export interface CallCounts {
+    reads: number;
+    writes: number;
+    other: number;
+}
+
+/** The stand-in platform's HTTP server. */
+export class StandinPlatform {
+    fault = PlatformFault.None;
+    readonly counts: CallCounts = { reads: 0, writes: 0, other: 0 };
+    private server: Server | undefined;
+
+    private constructor(private readonly inner: EmbeddedPlatform) {}
+
+    static create(inner: EmbeddedPlatform): StandinPlatform {
+        return new StandinPlatform(inner);
+    }
+
+    /** Address of the server. */
+    get url(): string {
+        return `http://127.0.0.1:${(this.server!.address() as AddressInfo).port}`;
+    }
+
+    /** Begins to listen on a port of 127.0.0.1; 0 takes a free one. */
+    async start(port = 0): Promise<void> {
+        this.server = createServer((req, res) => void this.handle(req, res).catch(() => res.destroy()));
+        await new Promise<void>(resolve => this.server!.listen(port, "127.0.0.1", resolve));
+    }
+
+    /** Stops listening. */
+    async stop(): Promise<void> {
+        this.server?.closeAllConnections();
+        await new Promise(resolve => this.server?.close(resolve));
+    }
+
+    private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const body = await readAll(req);
+        if (this.fault === PlatformFault.Down && !req.url!.startsWith("/fault/")) {
+            res.destroy();
+            return;
+        }
+        if (this.fault === PlatformFault.Slow) {
+            await new Promise(resolve => setTimeout(resolve, slowMs));
+        }
+        const [status, value] = await this.route(req, body);
+        if (this.fault === PlatformFault.AnswerLost && req.method !== "GET") {
+            res.destroy();
+            return;
+        }
+        send(res, status, value);
+    }
+
+    private async route(req: IncomingMessage, body: Buffer): Promise<readonly [number, unknown]> {
+        const url = new URL(req.url ?? "/", "http://platform");
+        const [, kind = "", name = "", rest = ""] = url.pathname.split("/").map(decodeURIComponent);
+        switch (kind) {
+            case "tables":
+                return this.routeTables(name, rest, url, body);
+            case "objects":
+                return this.routeObjects(req.method ?? "", name, body);
+            case "vms":
+                return this.routeVms(name, rest, body);
+            case "usage":
+                this.counts.other++;
+                return [200, await this.inner.listUsage()];
+            case "fault":
+                this.fault = parseFault(name);
+                return [200, { fault: this.fault }];
+            default:
+                return [404, {}];
+        }
+    }
+
+    private async routeTables(
+        name: string,
+        key: string,
+        url: URL,
+        body: Buffer,
+    ): Promise<readonly [number, unknown]> {
+        if (name === "transact") {
+            this.counts.writes++;
+            const { writes } = JSON.parse(body.toString()) as { writes: readonly Write[] };
+            const result = await this.inner.transact(writes);
+            return [result.kind === "committed" ? 200 : 409, result];
+        }
+        this.counts.reads++;
+        if (key !== "") {
+            const row = await this.inner.get(key);
+            return row === undefined ? [404, {}] : [200, row];
+        }
+        const query = (name: string): string => url.searchParams.get(name) ?? "";
+        return [200, await this.inner.scan(query("prefix"), query("after"), Number(query("limit")))];
+    }
+
+    private async routeObjects(
+        method: string,
+        key: string,
+        body: Buffer,
+    ): Promise<readonly [number, unknown]> {
+        this.counts.other++;
+        switch (method) {
+            case "PUT":
+                await this.inner.putObject(key, body);
+                return [200, {}];
+            case "DELETE":
+                await this.inner.deleteObject(key);
+                return [200, {}];
+            default: {
+                const found = await this.inner.getObject(key);
+                return found === undefined ? [404, {}] : [200, found];
+            }
+        }
+    }
+
+    private async routeVms(id: string, action: string, body: Buffer): Promise<readonly [number, unknown]> {
+        this.counts.other++;
+        switch (action) {
+            case "drain":
+                await this.inner.drain(id);
+                return [200, {}];
+            case "undrain":
+                await this.inner.undrain(id);
+                return [200, {}];
+            case "reboot": {
+                const { ifBootId } = JSON.parse(body.toString()) as { ifBootId: string };
+                return [await this.inner.reboot(id, ifBootId) ? 200 : 409, {}];
+            }
+            case "move":
+                await this.inner.moveVm(id, (JSON.parse(body.toString()) as { pool: string }).pool);
+                return [200, {}];
+            case "register":
+                this.inner.putVm(JSON.parse(body.toString()) as Vm);
+                return [200, {}];
+            case "drop":
+                this.inner.dropVm(id);
+                return [200, {}];
+            default:
+                return [200, await this.inner.listVms()];
+        }
+    }
+}
+
+function parseFault(name: string): PlatformFault {
+    return Object.values(PlatformFault).find(fault => String(fault) === name) ?? PlatformFault.None;
+}
+
+function send(res: ServerResponse, status: number, value: unknown): void {
+    const body = Buffer.isBuffer(value) ? value : Buffer.from(JSON.stringify(value));
+    res.writeHead(status, { "content-length": body.length });
+    res.end(body);
+}
+
+async function readAll(req: IncomingMessage): Promise<Buffer> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of req as AsyncIterable<Buffer>) {
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks);
+}
--- /dev/null
+++ b/standin/scenario.ts
@@ -0,0 +1,177 @@
+/** The main job at one shop: a mixed load, a key withdrawn, a VM serviced meanwhile, and every promise checked. */
+import { request } from "undici";
+import { createHistogram, toMicros } from "../src/process/metrics.js";
+import { isAvailable } from "../src/process/workers.js";
+import { QueueClass } from "../src/version/schema.js";
+import { CallEnd, type Check, checkHistory, type History } from "./history.js";
+import { Load } from "./load.js";
+import { scaled, type Shop } from "./shops.js";
+import { Site } from "./site.js";
+
+/** Options of `runScenario`. */
+export interface ScenarioOptions {
+    readonly shop: Shop;
+    readonly seconds: number;
+    readonly seed: number;
+    readonly entries?: number;
+    readonly workersPerPool?: number;
+}
+
+/** Figures of one queue. */
+export interface QueueReport {
+    readonly queue: string;
+    readonly asked: number;
+    readonly answered: number;
+    readonly notRun: number;
+    readonly unknown: number;
+    readonly p50Ms: number | undefined;
+    readonly p99Ms: number | undefined;
+}
+
+/** Figures of one run. */
+export interface ScenarioReport {
+    readonly shop: string;
+    readonly queues: readonly QueueReport[];
+    readonly jobsAccepted: number;
+    readonly jobsFinished: number;
+    readonly vmsServiced: number;
+    /** Time from a key's withdrawal until every entry refused it, in milliseconds. */
+    readonly withdrawalMs: number;
+    readonly checks: readonly Check[];
+}
+
+const sampleMs = 50;
+const withdrawalBoundMs = 3000;
+const jobsSettleMs = 20_000;
+const serviceWaitMs = 15_000;
+
+/** Runs the scenario and reports. */
+export async function runScenario(options: ScenarioOptions): Promise<ScenarioReport> {
+    const { seconds, seed, entries = 3, workersPerPool = 2 } = options;
+    const shop = scaled(options.shop, workersPerPool);
+    const due = `${shop.pools[1]!.name}-0`;
+    const site = Site.create({ shop, entries, seed, due: [due] });
+    await site.start();
+    const watch = watchSite(site);
+    const keys = await giveKeys(site);
+    const load = Load.create({ site, seed, keys });
+    const loading = load.run(shop.loads, workersPerPool, seconds * 1000);
+    const withdrawal = await withdrawOne(site);
+    await loading;
+    await load.settleJobs(jobsSettleMs);
+    await site.until(() => site.drains.get(due)?.until !== Infinity && site.drains.has(due), serviceWaitMs);
+    const observed = watch();
+    await load.close();
+    await site.stop();
+    const history: History = {
+        lists: site.entries[0]!.entry.versions.state.lists,
+        calls: load.calls,
+        jobs: load.jobs,
+        runs: [...site.workers].flatMap(([worker, { records }]) => records.map(run => ({ ...run, worker }))),
+        drains: site.drains,
+        spareBudget: observed.spareBudget,
+        revisionReverts: observed.reverts,
+        withdrawnKeyUses: withdrawal.uses,
+    };
+    return {
+        shop: shop.name,
+        queues: shop.loads.map(({ queue }) => reportQueue(queue, history)).filter(report => report.asked > 0),
+        jobsAccepted: load.jobs.length,
+        jobsFinished: load.jobs.filter(job => job.state === "done").length,
+        vmsServiced: [...site.drains.values()].filter(drain => drain.until !== Infinity).length,
+        withdrawalMs: Math.round(withdrawal.ms),
+        checks: checkHistory(history),
+    };
+}
+
+async function giveKeys(site: Site): Promise<ReadonlyMap<string, string>> {
+    const teams = Object.keys(site.entries[0]!.entry.versions.state.lists.teams).filter(team =>
+        team !== "guest"
+    );
+    const keys = new Map<string, string>();
+    for (const team of teams) {
+        keys.set(team, (await site.giveKey(team)).text);
+    }
+    const last = site.entries[0]!.entry.versions.state.revision;
+    await site.until(() => site.entries.every(({ entry }) => entry.versions.state.revision >= last));
+    return keys;
+}
+
+/** Withdraws a key given for the purpose, and measures until no entry accepts it. */
+async function withdrawOne(site: Site): Promise<{ readonly ms: number; readonly uses: number }> {
+    const { teams, plans, queues } = site.entries[0]!.entry.versions.state.lists;
+    const [team = "", { plan }] = Object.entries(teams).find(([name]) => name !== "guest")!;
+    const queue = plans[plan]!.queues.find(name => queues[name]!.class === QueueClass.Interactive)!;
+    const key = await site.giveKey(team);
+    await site.until(() => site.entries.every(({ entry }) => entry.versions.state.keys.has(key.id)));
+    const startedAt = site.timer.now();
+    await site.operate("DELETE", `/v1/keys/${key.id}`);
+    for (;;) {
+        const statuses = await Promise.all(
+            site.entries.map(({ callerUrl }) => tryKey(callerUrl, queue, key.text)),
+        );
+        const ms = site.timer.now() - startedAt;
+        const accepted = statuses.filter(status => status !== 401).length;
+        if (accepted === 0 || ms > withdrawalBoundMs) {
+            return { ms, uses: accepted };
+        }
+    }
+}
+
+async function tryKey(url: string, queue: string, key: string): Promise<number> {
+    const res = await request(`${url}/v1/queues/${queue}/requests`, {
+        method: "POST",
+        headers: { authorization: `Bearer ${key}` },
+        body: "{}",
+    });
+    await res.body.dump();
+    return res.statusCode;
+}
+
+interface Observed {
+    readonly spareBudget: ReadonlyMap<string, number>;
+    readonly reverts: number;
+}
+
+/** Samples availability and revisions until the returned function is called. */
+function watchSite(site: Site): () => Observed {
+    const spareBudget = new Map<string, number>();
+    const revisions = new Map<string, number>();
+    let reverts = 0;
+    const sample = async (): Promise<void> => {
+        const { vms, pools } = await site.inner.listVms();
+        const view = { ...site.entries[0]!.entry.fleet.view, vms, pools };
+        for (const { name, budget } of pools) {
+            const available = vms.filter(vm => vm.pool === name && isAvailable(view, vm)).length;
+            spareBudget.set(name, Math.min(spareBudget.get(name) ?? Infinity, available - budget));
+        }
+        for (const { vm, entry } of site.entries) {
+            const { revision } = entry.versions.state;
+            reverts += revision < (revisions.get(vm) ?? 0) ? 1 : 0;
+            revisions.set(vm, revision);
+        }
+    };
+    const handle = setInterval(() => void sample(), sampleMs);
+    return () => {
+        clearInterval(handle);
+        return { spareBudget, reverts };
+    };
+}
+
+function reportQueue(queue: string, { calls }: History): QueueReport {
+    const own = calls.filter(call => call.queue === queue);
+    const histogram = createHistogram();
+    const answered = own.filter(call => call.end === CallEnd.Answered);
+    answered.forEach(call => histogram.recordValue(toMicros(call.ms)));
+    const percentile = (p: number): number | undefined =>
+        answered.length === 0 ? undefined : histogram.getValueAtPercentile(p) / 1000;
+    return {
+        queue,
+        asked: own.length,
+        answered: answered.length,
+        notRun: own.filter(call => call.end === CallEnd.NotRun).length,
+        unknown: own.filter(call => call.end === CallEnd.Unknown).length,
+        p50Ms: percentile(50),
+        p99Ms: percentile(99),
+    };
+}
--- /dev/null
+++ b/standin/shops.ts
@@ -0,0 +1,94 @@
+/** The two shops at today's sizes, or scaled down for a quick run. */
+
+/** One pool of a shop. */
+export interface ShopPool {
+    readonly name: string;
+    readonly workers: number;
+    readonly budget: number;
+    readonly spare: boolean;
+}
+
+/** Load on one queue. */
+export interface ShopLoad {
+    readonly queue: string;
+    readonly teams: readonly string[];
+    /** Requests a second at the mean, for a site scaled to one worker a pool. */
+    readonly rate: number;
+    /** Service time, in milliseconds. */
+    readonly serviceMs: number;
+}
+
+/** A shop: its name, zones, pools and load. */
+export interface Shop {
+    readonly name: string;
+    readonly folder: string;
+    readonly zones: readonly string[];
+    readonly pools: readonly ShopPool[];
+    readonly loads: readonly ShopLoad[];
+    readonly cores: number;
+    readonly memoryGb: number;
+}
+
+const narragansettPools = ["bench", "atelier", "studio", "bridal", "office"];
+const atlasWorkers: Readonly<Record<string, number>> = {
+    "order-desk": 8,
+    "mould-shop": 9,
+    "trade-sales": 7,
+    "finish-line": 6,
+    "admin-ledger": 6,
+};
+
+/** Narragansett Fold Workers' Co-operative. */
+export const narragansett: Shop = {
+    name: "Narragansett Fold Workers' Co-operative",
+    folder: "narragansett",
+    zones: ["ne-1", "ne-2", "ne-3", "ne-4"],
+    pools: narragansettPools.map(name => ({ name, workers: 8, budget: 6, spare: name === "office" })),
+    loads: [
+        { queue: "fold-preview", teams: ["thames-boutique", "benches"], rate: 12, serviceMs: 30 },
+        { queue: "square-price", teams: ["newport-weddings", "guest"], rate: 12, serviceMs: 20 },
+        { queue: "bench-booking", teams: ["benches", "duty-committee"], rate: 6, serviceMs: 25 },
+        { queue: "bridal-order", teams: ["bellevue-boutique", "newport-weddings"], rate: 6, serviceMs: 40 },
+        { queue: "monogram-proof", teams: ["thames-boutique", "benches"], rate: 2, serviceMs: 400 },
+        { queue: "catalogue-run", teams: ["duty-committee"], rate: 1, serviceMs: 600 },
+    ],
+    cores: 32,
+    memoryGb: 128,
+};
+
+/** Fonderie Atlas Presse-Papiers. */
+export const atlas: Shop = {
+    name: "Fonderie Atlas Presse-Papiers",
+    folder: "atlas",
+    zones: ["fes-1", "fes-2", "fes-3"],
+    pools: Object.entries(atlasWorkers).map(([name, workers]) => ({
+        name,
+        workers,
+        budget: workers - 2,
+        spare: name === "admin-ledger",
+    })),
+    loads: [
+        {
+            queue: "crest-quote",
+            teams: ["souk-rcif", "medina-gifts", "rabat-office"],
+            rate: 12,
+            serviceMs: 25,
+        },
+        { queue: "pour-plan", teams: ["mould-shop"], rate: 8, serviceMs: 35 },
+        { queue: "order-entry", teams: ["order-desk", "souk-rcif"], rate: 6, serviceMs: 30 },
+        { queue: "glaze-order", teams: ["finishing-line", "mould-shop"], rate: 4, serviceMs: 40 },
+        { queue: "curing-check", teams: ["mould-shop", "finishing-line"], rate: 2, serviceMs: 500 },
+        { queue: "ledger-run", teams: ["order-desk"], rate: 1, serviceMs: 600 },
+    ],
+    cores: 64,
+    memoryGb: 256,
+};
+
+/** Both shops. */
+export const shops: readonly Shop[] = [narragansett, atlas];
+
+/** The shop with fewer workers in each pool, and a budget that still lets one be serviced. */
+export function scaled(shop: Shop, workers: number): Shop {
+    const pools = shop.pools.map(pool => ({ ...pool, workers, budget: Math.max(0, workers - 1) }));
+    return { ...shop, pools };
+}
--- /dev/null
+++ b/standin/worker-main.ts
@@ -0,0 +1,16 @@
+/** `npm run standin:worker`: one stand-in worker as a process of its own. */
+import { parseArgs } from "node:util";
+import { StandinWorker } from "./worker.js";
+
+const { values } = parseArgs({
+    options: {
+        vm: { type: "string", default: "worker-0" },
+        port: { type: "string", default: "7200" },
+        "service-ms": { type: "string", default: "30" },
+    },
+});
+
+const worker = StandinWorker.create({ vm: values.vm, serviceMs: () => Number(values["service-ms"]) });
+await worker.start(Number(values.port));
+console.log(`worker ${values.vm} on ${worker.origin}, boot ${worker.bootId}`);
+process.once("SIGTERM", () => void worker.stop().then(() => process.exit(0)));
--- /dev/null
+++ b/test/builders.ts
@@ -0,0 +1,79 @@
+/** Small builders shared by the tests. */
+import { EmbeddedPlatform, StoreClient } from "../src/connection/platform/index.js";
+import { run } from "../src/process/flow.js";
+import { silentLog } from "../src/process/log.js";
+import { Metrics } from "../src/process/metrics.js";
+import { type Platform, type Vm, VmState } from "../src/process/platform.js";
+import { Random } from "../src/process/random.js";
+import type { Store, StoreFlow } from "../src/process/store.js";
+import type { Timer } from "../src/process/timer.js";
+import { VirtualTimer } from "../src/process/virtual.js";
+import { type Lists, parseLists } from "../src/version/schema.js";
+
+/** A store client over a platform, in virtual time. */
+export function storeOver(platform: Platform, timer: Timer = VirtualTimer.create(), seed = 1): StoreClient {
+    return StoreClient.create({
+        platform,
+        timer,
+        random: Random.create(seed),
+        metrics: Metrics.create(),
+        log: silentLog,
+    });
+}
+
+/** A store client over an empty embedded platform. */
+export function emptyStore(): StoreClient {
+    return storeOver(EmbeddedPlatform.create());
+}
+
+/** Runs a store flow. */
+export function runStore<T>(store: Store, flow: StoreFlow<T>): Promise<T> {
+    return run(flow, effect => store.perform(effect));
+}
+
+/** A VM with the given differences from a live worker. */
+export function vm(id: string, differences: Partial<Vm> = {}): Vm {
+    return {
+        id,
+        pool: "atelier",
+        rack: "rack-1",
+        zone: "zone-1",
+        address: "http://127.0.0.1:1",
+        state: VmState.Live,
+        bootId: "boot-1",
+        bootedAt: 0,
+        cores: 32,
+        memoryGb: 128,
+        accelerators: 0,
+        draining: false,
+        ...differences,
+    };
+}
+
+const plansText = `{
+    // comment
+    "queues": {
+        "fold-preview": { "service": "atelier", "class": "interactive", "idempotent": true, "timeoutMs": 2000 },
+        "bridal-order": { "service": "atelier", "class": "interactive", "idempotent": false, "timeoutMs": 2000 },
+        "square-price": { "service": "atelier", "class": "interactive", "idempotent": true, "open": true, "timeoutMs": 2000 },
+        "monogram-proof": { "service": "atelier", "class": "deferred", "idempotent": true, "timeoutMs": 60000 },
+    },
+    "plans": {
+        "large": { "queues": ["fold-preview", "bridal-order", "monogram-proof"], "share": 4, "limit": 40 },
+        "small": { "queues": ["fold-preview"], "share": 1, "limit": 3 },
+        "none": { "queues": [], "share": 1, "limit": 2 },
+    },
+}`;
+
+const teamsText = `{
+    "teams": {
+        "benches": { "customer": "Members", "plan": "large" },
+        "thames": { "customer": "Thames Street", "plan": "small" },
+        "guest": { "customer": "Passers-by", "plan": "none" },
+    },
+}`;
+
+/** Lists with three teams and four queues of one service. */
+export function sampleLists(): Lists {
+    return parseLists({ file: "plans.jsonc", text: plansText }, { file: "teams.jsonc", text: teamsText });
+}
