Reserve and deal out base grants; run whole fleets in virtual time

Cause: after new lists, entries waited for grants through up to three rounds of 1 s, and the first entry with a backlog took what the others were to have. Ruled out: relay (it found no peer with spare grants, because none had any). Change: one entry deals out the bases of a team, bases are reserved for their holders, a round is brought forward when a team waits and grants are free, peers are told of given grants. The parts without sockets moved to src/core.ts, and standin/world runs that core for a whole fleet in virtual time.

--- a/src/connection/peer/mesh.ts
+++ b/src/connection/peer/mesh.ts
@@ -7,6 +7,7 @@
 import type { Task } from "../../process/hub.js";
 import type { Log } from "../../process/log.js";
 import type { Metrics } from "../../process/metrics.js";
+import type { PeerHandler, Peers } from "../../process/peers.js";
 import type { Cancel, Timer } from "../../process/timer.js";
 import { LinkEnd } from "./auth.js";
 import { CloseReason, type Identity, Link } from "./link.js";
@@ -28,20 +29,17 @@
     readonly tls?: { readonly cert: Buffer; readonly key: Buffer };
 }
 
-/** Handles a message or question from a peer. */
-export type TopicHandler = (peer: Identity, body: unknown) => unknown;
-
 const maxFrameBytes = 72 * 1024 * 1024;
 const redialMs = 250;
 
 /** Task that owns the peer listener and all peer links. */
-export class Mesh implements Task {
+export class Mesh implements Task, Peers {
     readonly name = "peers";
     private self: Identity = { vm: "", incarnation: "" };
     private server: Server | undefined;
     private wanted: readonly PeerAddress[] = [];
     private cancelRedial: Cancel = () => undefined;
-    private readonly topics = new Map<string, TopicHandler>();
+    private readonly topics = new Map<string, PeerHandler>();
     private readonly links = new Map<string, Link>();
     private readonly dialing = new Map<string, Link>();
     private readonly all = new Set<Link>();
@@ -58,7 +56,7 @@
     }
 
     /** Registers the handler of a topic. */
-    on(topic: string, handler: TopicHandler): void {
+    on(topic: string, handler: PeerHandler): void {
         this.topics.set(topic, handler);
     }
 
@@ -148,7 +146,7 @@
         return link;
     }
 
-    private handlerOf(topic: string): TopicHandler {
+    private handlerOf(topic: string): PeerHandler {
         const handler = this.topics.get(topic);
         if (handler === undefined) {
             throw new PeerError(`unknown topic "${topic}"; run the same version on all entries`);
--- /dev/null
+++ b/src/core.ts
@@ -0,0 +1,229 @@
+/** The decisions of one entry and the tasks that hold their state, without any socket. */
+import { Contact } from "./process/contact.js";
+import { EventId, Severity } from "./process/events.js";
+import { Fleet } from "./process/fleet.js";
+import { Grants } from "./process/grant-task.js";
+import type { Publish, Task } from "./process/hub.js";
+import type { Log } from "./process/log.js";
+import type { Metrics } from "./process/metrics.js";
+import type { Peers } from "./process/peers.js";
+import type { Platform } from "./process/platform.js";
+import type { Random } from "./process/random.js";
+import { Servicing } from "./process/service-task.js";
+import type { Settings } from "./process/settings.js";
+import type { Store } from "./process/store.js";
+import type { Timer } from "./process/timer.js";
+import { Dispatcher, type DispatchView } from "./request/dispatch.js";
+import { Jobs } from "./request/jobs.js";
+import { NotRunReason } from "./request/outcome.js";
+import { Requests, type Workers } from "./request/requests.js";
+import type { TaskCalls } from "./request/task.js";
+import { limitOf, shareOf } from "./version/schema.js";
+import { Versions } from "./version/versions.js";
+
+/** The store as the core needs it. */
+export interface CoreStore extends Store {
+    /** Monotonic time of the last answer, in milliseconds. */
+    readonly lastAnswerAt: number;
+}
+
+/** Options of `Core.create`. */
+export interface CoreOptions {
+    readonly settings: Settings;
+    readonly peerUrl: string;
+    readonly store: CoreStore;
+    readonly platform: Platform;
+    readonly peers: Peers;
+    readonly workers: Workers;
+    /** Makes the calls on tasks, given the address of a VM. */
+    readonly tasks: (originOf: (vm: string) => string | undefined) => TaskCalls;
+    readonly publish: Publish;
+    readonly timer: Timer;
+    readonly random: Random;
+    readonly log: Log;
+    readonly metrics: Metrics;
+}
+
+/** The tasks of one entry. */
+export class Core {
+    readonly fleet: Fleet;
+    readonly contact: Contact;
+    readonly versions: Versions;
+    readonly grants: Grants;
+    readonly dispatcher: Dispatcher;
+    readonly requests: Requests;
+    readonly jobs: Jobs;
+    readonly servicing: Servicing;
+    /** Set when a planned stop has begun to refuse new work. */
+    isClosed = false;
+
+    private constructor(private readonly options: CoreOptions) {
+        this.fleet = this.createFleet();
+        this.contact = this.createContact();
+        this.versions = this.createVersions();
+        this.dispatcher = this.createDispatcher();
+        this.grants = this.createGrants();
+        this.requests = this.createRequests();
+        this.jobs = this.createJobs();
+        this.servicing = this.createServicing();
+    }
+
+    static create(options: CoreOptions): Core {
+        return new Core(options);
+    }
+
+    /** Every task, in the order in which they are to be started. */
+    get tasks(): readonly Task[] {
+        return [
+            this.fleet,
+            this.contact,
+            this.versions,
+            this.grants,
+            this.requests,
+            this.jobs,
+            this.servicing,
+        ];
+    }
+
+    /** Why nothing may start now, if so. */
+    closedFor(): NotRunReason | undefined {
+        if (this.isClosed) {
+            return NotRunReason.Stopping;
+        }
+        if (this.versions.state.revision === 0) {
+            return NotRunReason.NotReady;
+        }
+        return this.contact.isIsolated ? NotRunReason.Isolated : undefined;
+    }
+
+    /** Upper limit of a team across the fleet. */
+    limitOf(team: string): number {
+        return limitOf(this.versions.state.lists, team);
+    }
+
+    private get quarantineMs(): number {
+        const { isolation, longestRequest, taskLease } = this.options.settings.times;
+        return isolation + longestRequest + taskLease;
+    }
+
+    private createFleet(): Fleet {
+        const { settings, store, platform, publish, timer, log, peerUrl } = this.options;
+        const { vm, zone, times } = settings;
+        return Fleet.create({
+            store,
+            platform,
+            publish,
+            timer,
+            log,
+            vm,
+            zone,
+            peerUrl,
+            pollMs: times.vmListPoll,
+        });
+    }
+
+    private createContact(): Contact {
+        const { peers, timer, log, store, settings } = this.options;
+        const storeAt = (): number => store.lastAnswerAt;
+        return Contact.create({
+            peers,
+            fleet: this.fleet,
+            timer,
+            log,
+            storeAt,
+            boundMs: settings.times.isolation,
+        });
+    }
+
+    private createVersions(): Versions {
+        const { store, publish, timer, log, metrics, peers, settings } = this.options;
+        return Versions.create({
+            store,
+            publish,
+            timer,
+            log,
+            metrics,
+            peers,
+            pollMs: settings.times.headPoll,
+        });
+    }
+
+    private createDispatcher(): Dispatcher {
+        const { settings, timer, random, metrics, log } = this.options;
+        const { slots, limits, zone } = settings;
+        const view: DispatchView = {
+            usable: team => this.grants.usable(team),
+            limit: team => this.limitOf(team),
+            share: team => shareOf(this.versions.state.lists, team),
+            closedFor: () => this.closedFor(),
+        };
+        return Dispatcher.create({
+            timer,
+            random,
+            metrics,
+            view,
+            zone,
+            policy: slots.policy,
+            slotsPerWorker: slots.perWorker,
+            queuedRequests: limits.queuedRequests,
+            onEjected: worker => log.write(Severity.Warn, EventId.WorkerEjected, { worker }),
+        });
+    }
+
+    private createGrants(): Grants {
+        const { store, publish, timer, log, metrics, peers } = this.options;
+        const { fleet, versions, dispatcher, quarantineMs } = this;
+        const view = {
+            teams: () => Object.keys(versions.state.lists.teams),
+            limit: (team: string) => this.limitOf(team),
+            demand: (team: string) => dispatcher.demandOf(team),
+            otherDemand: (team: string) => dispatcher.remote.demandOf(team),
+        };
+        return Grants.create({ store, fleet, peers, publish, timer, log, metrics, quarantineMs, view });
+    }
+
+    private createRequests(): Requests {
+        const { workers, peers, timer, metrics, settings } = this.options;
+        const { dispatcher, fleet, versions } = this;
+        return Requests.create({
+            dispatcher,
+            fleet,
+            versions,
+            peers,
+            timer,
+            metrics,
+            upstream: workers,
+            vm: settings.vm,
+            usable: team => this.grants.usable(team),
+            closedFor: () => this.closedFor(),
+        });
+    }
+
+    private createJobs(): Jobs {
+        const { store, peers, publish, timer, log, metrics, settings } = this.options;
+        const { fleet, dispatcher } = this;
+        const tasks = this.options.tasks(vm => fleet.view.vms.find(other => other.id === vm)?.address);
+        const pollMs = settings.times.jobPoll;
+        return Jobs.create({ store, fleet, dispatcher, tasks, peers, publish, timer, log, metrics, pollMs });
+    }
+
+    private createServicing(): Servicing {
+        const { store, platform, peers, timer, random, log, metrics, settings } = this.options;
+        const { fleet, dispatcher, quarantineMs } = this;
+        const { servicePeriod, maintenanceTick } = settings.times;
+        return Servicing.create({
+            store,
+            platform,
+            fleet,
+            peers,
+            timer,
+            random,
+            log,
+            metrics,
+            quarantineMs,
+            inFlight: worker => dispatcher.onWorker(worker),
+            periodMs: servicePeriod,
+            tickMs: maintenanceTick,
+        });
+    }
+}
--- a/src/process/contact.ts
+++ b/src/process/contact.ts
@@ -4,18 +4,12 @@
 import type { Task } from "./hub.js";
 import { isIsolated, type PeerFreshness } from "./isolation.js";
 import type { Log } from "./log.js";
+import type { Peers } from "./peers.js";
 import type { Cancel, Timer } from "./timer.js";
 
-/** Peer messages that this task sends and hears. */
-export interface ContactPeers {
-    broadcast(topic: string, body: unknown): void;
-    heardAt(vm: string): number | undefined;
-    on(topic: string, handler: (peer: { readonly vm: string }, body: unknown) => unknown): void;
-}
-
 /** Options of `Contact.create`. */
 export interface ContactOptions {
-    readonly peers: ContactPeers;
+    readonly peers: Peers;
     readonly fleet: Fleet;
     readonly timer: Timer;
     readonly log: Log;
--- a/src/process/fleet.ts
+++ b/src/process/fleet.ts
@@ -4,7 +4,7 @@
  */
 import { EventId, Severity } from "./events.js";
 import { run } from "./flow.js";
-import { type Hub, type Task, Topic } from "./hub.js";
+import { type Publish, type Task, Topic } from "./hub.js";
 import type { Log } from "./log.js";
 import {
     advanceMembers,
@@ -25,7 +25,7 @@
 export interface FleetOptions {
     readonly store: Store;
     readonly platform: Platform;
-    readonly hub: Hub;
+    readonly publish: Publish;
     readonly timer: Timer;
     readonly log: Log;
     readonly vm: string;
@@ -147,7 +147,7 @@
             this.listReadAt = this.options.timer.now();
         }
         this.merge(list, rows);
-        this.options.hub.publish(Topic.FleetChanged, {});
+        this.options.publish(Topic.FleetChanged, {});
     }
 
     private merge(list: VmList | undefined, rows: readonly Row[] | undefined): void {
--- a/src/process/grant-task.ts
+++ b/src/process/grant-task.ts
@@ -2,10 +2,19 @@
 import { EventId, Severity } from "./events.js";
 import type { Fleet } from "./fleet.js";
 import { run } from "./flow.js";
-import { decideGrants, emptyGrants, type GrantRow, readGrants, usable, writeGrants } from "./grants.js";
-import { type Hub, type Task, Topic } from "./hub.js";
+import {
+    decideGrants,
+    emptyGrants,
+    type GrantRow,
+    readGrants,
+    spareOf,
+    usable,
+    writeGrants,
+} from "./grants.js";
+import { type Handlers, type Publish, type Task, Topic } from "./hub.js";
 import type { Log } from "./log.js";
 import type { Metrics } from "./metrics.js";
+import type { Peers } from "./peers.js";
 import { CommitOutcome, type Row, type Store, type StoreFlow } from "./store.js";
 import type { Cancel, Timer } from "./timer.js";
 
@@ -23,10 +32,11 @@
 export interface GrantsOptions {
     readonly store: Store;
     readonly fleet: Fleet;
-    readonly hub: Hub;
+    readonly publish: Publish;
     readonly timer: Timer;
     readonly log: Log;
     readonly metrics: Metrics;
+    readonly peers: Peers;
     readonly view: GrantView;
     /** How long a gone holder's grant stays in quarantine, in milliseconds. */
     readonly quarantineMs: number;
@@ -43,19 +53,29 @@
     readonly ceiling?: number;
 }
 
-const peakDecay = 0.9;
+const peakDecay = 0.85;
+const baseHandOutTicks = 2;
+const hurryMs = 200;
+const changedTopic = "grants.changed";
 
 /** The grants of one entry. */
 export class Grants implements Task {
     readonly name = "grants";
     private held = new Map<string, Held>();
     private readonly peaks = new Map<string, number>();
+    /** Rounds for which this entry held nothing of a team. */
+    private readonly lacking = new Map<string, number>();
     private readonly quarantinedAt = new Map<string, number>();
     private readonly cancels: Cancel[] = [];
     private isTicking = false;
     private isLeaving = false;
+    private wasPoked = false;
+    private hasGivenToOthers = false;
+    readonly handlers: Handlers = { [Topic.VersionAdopted]: () => this.poke() };
 
-    private constructor(private readonly options: GrantsOptions) {}
+    private constructor(private readonly options: GrantsOptions) {
+        options.peers.on(changedTopic, () => this.poke());
+    }
 
     static create(options: GrantsOptions): Grants {
         return new Grants(options);
@@ -75,6 +95,7 @@
     start(): Promise<void> {
         const { timer, tickMs = 1000 } = this.options;
         this.cancels.push(timer.every(tickMs, () => void this.tick()));
+        this.cancels.push(timer.every(hurryMs, () => this.hurry()));
         return Promise.resolve();
     }
 
@@ -94,13 +115,39 @@
             for (const team of this.teams()) {
                 await this.settle(team);
             }
+            this.tellOthers();
         }
         catch {
             this.options.metrics.count("celerywind_grant_ticks_failed_total");
         }
         finally {
             this.isTicking = false;
-            this.options.hub.publish(Topic.GrantsChanged, {});
+            this.options.publish(Topic.GrantsChanged, {});
+        }
+    }
+
+    /** Looks at the rows again soon. */
+    private poke(): void {
+        this.wasPoked = true;
+    }
+
+    /** Does not wait for the next round when a peer changed rows, or when a team waits for grants that nobody holds. */
+    private hurry(): void {
+        const { limit, demand } = this.options.view;
+        const isShort = (team: string): boolean => {
+            const row = this.held.get(team)?.value ?? emptyGrants;
+            return demand(team) > this.usable(team) && spareOf(row, limit(team)) > 0;
+        };
+        if (this.wasPoked || this.teams().some(isShort)) {
+            this.wasPoked = false;
+            void this.tick();
+        }
+    }
+
+    private tellOthers(): void {
+        if (this.hasGivenToOthers) {
+            this.hasGivenToOthers = false;
+            this.options.peers.broadcast(changedTopic, {});
         }
     }
 
@@ -158,33 +205,47 @@
         switch (outcome) {
             case CommitOutcome.Committed:
                 this.held.set(team, { row: nextRow(team, held.row, wanted), value: wanted });
+                this.noteGiven(held.value, wanted);
                 this.logChange(team, held.value, wanted);
                 break;
             case CommitOutcome.Conflict:
             case CommitOutcome.Unknown:
+                this.poke();
                 break;
         }
     }
 
+    private noteGiven(before: GrantRow, after: GrantRow): void {
+        const self = this.options.fleet.self!.incarnation;
+        const hasGiven = Object.entries(after.holders)
+            .some(([holder, { n }]) => holder !== self && n > (before.holders[holder]?.n ?? 0));
+        this.hasGivenToOthers ||= hasGiven;
+    }
+
     private decide(team: string, row: GrantRow): GrantRow {
         const { fleet, view } = this.options;
-        const { vm, incarnation } = fleet.self!;
+        const { incarnation } = fleet.self!;
         const demand = this.peakDemand(team);
         const wanted = decideGrants({
             team,
             row,
             self: incarnation,
-            vm,
-            vms: this.isLeaving ? [] : fleet.live.map(member => member.vm),
+            members: fleet.live,
+            takesOwnBase: (this.lacking.get(team) ?? 0) > baseHandOutTicks,
             limit: view.limit(team),
             demand,
             fleetDemand: demand + view.otherDemand(team),
             isGone: holder => fleet.isGone(holder),
             isReleased: holder => this.isReleased(team, holder),
         });
+        this.noteLack(team, wanted.holders[incarnation]?.n ?? 0);
         return this.isLeaving ? withoutHolder(row, incarnation) : wanted;
     }
 
+    private noteLack(team: string, held: number): void {
+        this.lacking.set(team, held > 0 ? 0 : (this.lacking.get(team) ?? 0) + 1);
+    }
+
     private peakDemand(team: string): number {
         const decayed = (this.peaks.get(team) ?? 0) * peakDecay;
         const peak = Math.max(decayed, this.options.view.demand(team));
--- a/src/process/grants.ts
+++ b/src/process/grants.ts
@@ -5,7 +5,7 @@
  * Safety: the sum of `weightUnder(limit)` over all holders plus the quarantine never exceeds the limit at the time
  * of a take. Only the holder lowers its own grant; the grant of an ended incarnation moves to quarantine instead.
  */
-import { rankedFor } from "./rendezvous.js";
+import { rankedFor, responsibleFor } from "./rendezvous.js";
 import {
     commit,
     type CommitOutcome,
@@ -54,16 +54,22 @@
     return limit - grants.reduce((sum, grant) => sum + weightUnder(grant, limit), 0);
 }
 
+/** An entry that can hold grants. */
+export interface Holder {
+    readonly vm: string;
+    readonly incarnation: string;
+}
+
 /** What one entry knows when it decides about one team's grants. */
 export interface GrantInput {
     readonly team: string;
     readonly row: GrantRow;
     /** This entry's incarnation. */
     readonly self: string;
-    /** This entry's VM. */
-    readonly vm: string;
-    /** VMs of all live entries. */
-    readonly vms: readonly string[];
+    /** Live entries, this one included. */
+    readonly members: readonly Holder[];
+    /** Whether to take this entry's base although another entry should hand it out. */
+    readonly takesOwnBase: boolean;
     /** The team's upper limit in force here. */
     readonly limit: number;
     /** Most that ran and waited here at once, lately. */
@@ -82,7 +88,8 @@
 export function decideGrants(input: GrantInput): GrantRow {
     const swept = sweep(input);
     const confirmed = confirm(swept, input);
-    return resize(confirmed, input);
+    const based = handOutBases(confirmed, input);
+    return resize(based, input);
 }
 
 function sweep({ row, self, isGone, isReleased }: GrantInput): GrantRow {
@@ -112,11 +119,37 @@
     return withGrant(row, self, { n: usable(mine, limit), limit });
 }
 
+/** Gives each entry that holds less than its base the rest of it, as far as the limit reaches. */
+function handOutBases(row: GrantRow, input: GrantInput): GrantRow {
+    const { team, self, members, limit, takesOwnBase } = input;
+    const home = responsibleFor(team, members.map(member => member.vm));
+    const isHome = members.some(member => member.incarnation === self && member.vm === home);
+    const entitled = members.filter(member => isHome || (takesOwnBase && member.incarnation === self));
+    let next = row;
+    for (const { vm, incarnation } of entitled) {
+        const held = next.holders[incarnation] ?? { n: 0, limit };
+        const missing = baseOf(input, vm) - held.n;
+        const given = Math.min(missing, spareOf(next, limit));
+        if (given > 0 && held.limit === limit) {
+            next = withGrant(next, incarnation, { n: held.n + given, limit });
+        }
+    }
+    return next;
+}
+
+/** Grows towards the demand, leaving the bases of the others untouched, or returns what is no longer needed. */
 function resize(row: GrantRow, input: GrantInput): GrantRow {
-    const { self, limit } = input;
+    const { self, limit, members } = input;
     const held = row.holders[self]?.n ?? 0;
     const target = targetOf(input);
-    const spare = spareOf(row, limit);
+    const reserved = members
+        .filter(member => member.incarnation !== self)
+        .reduce(
+            (sum, { vm, incarnation }) =>
+                sum + Math.max(0, baseOf(input, vm) - (row.holders[incarnation]?.n ?? 0)),
+            0,
+        );
+    const spare = spareOf(row, limit) - reserved;
     if (target > held && spare > 0) {
         return withGrant(row, self, { n: held + Math.min(spare, target - held), limit });
     }
@@ -129,15 +162,27 @@
     return { ...row, holders: { ...row.holders, [self]: grant } };
 }
 
-/** How much this entry should hold: an even part of half the limit, and of the rest what its demand calls for. */
-export function targetOf({ team, vm, vms, limit, demand, fleetDemand }: GrantInput): number {
-    const members = Math.max(1, vms.length);
-    if (limit < members) {
-        return rankedFor(team, vms, limit).includes(vm) ? 1 : 0;
+/**
+ * What an entry holds whatever its demand: an even part of half the limit, so that the limit can be used while the
+ * store is down. Of a limit below the number of entries, a few home entries hold one each.
+ */
+function baseOf({ team, members, limit }: GrantInput, vm: string): number {
+    if (limit < members.length) {
+        return rankedFor(team, members.map(member => member.vm), limit).includes(vm) ? 1 : 0;
+    }
+    return Math.floor(limit / (2 * Math.max(1, members.length)));
+}
+
+/** How much this entry should hold: its base, and of the rest what its demand calls for. */
+export function targetOf(input: GrantInput): number {
+    const { self, members, limit, demand, fleetDemand } = input;
+    const vm = members.find(member => member.incarnation === self)?.vm;
+    const base = vm === undefined ? 0 : baseOf(input, vm);
+    if (limit < members.length) {
+        return base;
     }
-    const base = Math.floor(limit / (2 * members));
     const wanted = Math.ceil(demand * headroom);
-    const contended = Math.floor((limit - members * base) * demand / Math.max(1, fleetDemand));
+    const contended = Math.floor((limit - members.length * base) * demand / Math.max(1, fleetDemand));
     const rest = fleetDemand * headroom > limit ? contended : Math.max(0, wanted - base);
     return Math.min(limit, base + rest);
 }
--- a/src/process/hub.ts
+++ b/src/process/hub.ts
@@ -35,6 +35,9 @@
     stop(): Promise<void>;
 }
 
+/** Tells the other tasks of the entry. */
+export type Publish = <T extends Topic>(topic: T, payload: TopicPayloads[T]) => void;
+
 /** The local broker of one entry. */
 export class Hub {
     private constructor(private readonly broker: ServiceBroker) {}
--- a/src/process/service-task.ts
+++ b/src/process/service-task.ts
@@ -6,6 +6,7 @@
 import type { Log } from "./log.js";
 import { type ServiceEffect, serviceRound, ServiceStep, VmEffectKind } from "./maintenance.js";
 import type { Metrics } from "./metrics.js";
+import type { Peers } from "./peers.js";
 import type { Platform } from "./platform.js";
 import type { Permit } from "./pool-rows.js";
 import type { Random } from "./random.js";
@@ -13,18 +14,12 @@
 import { type Store, StoreEffectKind } from "./store.js";
 import type { Cancel, Timer } from "./timer.js";
 
-/** Peer messages that this task sends and answers. */
-export interface ServicePeers {
-    ask(vm: string, topic: string, body: unknown, timeoutMs: number): Promise<unknown>;
-    on(topic: string, handler: (peer: { readonly vm: string }, body: unknown) => unknown): void;
-}
-
 /** Options of `Servicing.create`. */
 export interface ServicingOptions {
     readonly store: Store;
     readonly platform: Platform;
     readonly fleet: Fleet;
-    readonly peers: ServicePeers;
+    readonly peers: Peers;
     readonly timer: Timer;
     readonly random: Random;
     readonly log: Log;
--- a/src/request/jobs.ts
+++ b/src/request/jobs.ts
@@ -2,9 +2,10 @@
 import { EventId, Severity } from "../process/events.js";
 import type { Fleet } from "../process/fleet.js";
 import { run } from "../process/flow.js";
-import { type Hub, type Task, Topic } from "../process/hub.js";
+import { type Publish, type Task, Topic } from "../process/hub.js";
 import type { Log } from "../process/log.js";
 import type { Metrics } from "../process/metrics.js";
+import type { Peers } from "../process/peers.js";
 import type { Vm } from "../process/platform.js";
 import { responsibleFor } from "../process/rendezvous.js";
 import { type Store, type StoreEffect, StoreEffectKind, type StoreFlow } from "../process/store.js";
@@ -29,29 +30,19 @@
 } from "./job-store.js";
 import { type Job, JobState, shardCount, shardOf } from "./job.js";
 import { ReadyLines } from "./ready.js";
-import type { WorkerTasks } from "./worker-tasks.js";
-
-/** Peer messages that this task sends and hears. */
-export interface JobPeers {
-    broadcast(topic: string, body: unknown): void;
-    notify(vm: string, topic: string, body: unknown): boolean;
-    heardAt(vm: string): number | undefined;
-    on(topic: string, handler: (peer: { readonly vm: string }, body: unknown) => unknown): void;
-}
+import type { TaskCalls } from "./task.js";
 
 /** Options of `Jobs.create`. */
 export interface JobsOptions {
     readonly store: Store;
     readonly fleet: Fleet;
     readonly dispatcher: Dispatcher;
-    readonly tasks: WorkerTasks;
-    readonly peers: JobPeers;
-    readonly hub: Hub;
+    readonly tasks: TaskCalls;
+    readonly peers: Peers;
+    readonly publish: Publish;
     readonly timer: Timer;
     readonly log: Log;
     readonly metrics: Metrics;
-    /** Teams whose work may run. */
-    readonly teams: () => readonly string[];
     readonly pollMs?: number;
 }
 
@@ -177,10 +168,10 @@
     }
 
     private announce(shard: number): void {
-        const { fleet, peers, hub } = this.options;
+        const { fleet, peers, publish } = this.options;
         const owner = responsibleFor(`shard-${shard}`, fleet.live.map(member => member.vm));
         if (owner === fleet.self?.vm) {
-            hub.publish(Topic.JobReady, { shard });
+            publish(Topic.JobReady, { shard });
         }
         else if (owner !== undefined) {
             peers.notify(owner, readyTopic, { shard });
--- a/src/request/requests.ts
+++ b/src/request/requests.ts
@@ -1,11 +1,12 @@
 /** Task that serves requests: it performs the effects of `serve` on workers and peers, and gossips load. */
-import { AttemptKind, type AttemptResult, type Upstream } from "../connection/upstream/index.js";
+import { AttemptKind, type AttemptResult, type UpstreamRequest } from "../connection/upstream/index.js";
 import { TokenBucket } from "../process/bucket.js";
 import type { Fleet } from "../process/fleet.js";
 import { run } from "../process/flow.js";
 import type { Handlers, Task } from "../process/hub.js";
 import { Topic } from "../process/hub.js";
 import type { Metrics } from "../process/metrics.js";
+import type { Peers } from "../process/peers.js";
 import type { Cancel, Timer } from "../process/timer.js";
 import { budgetOf, workersByPool } from "../process/workers.js";
 import { QueueClass } from "../version/schema.js";
@@ -17,19 +18,18 @@
 import { type Admitted, serve, type ServeEffect, ServeEffectKind } from "./serve.js";
 import { Traces } from "./traces.js";
 
-/** Peer messages that this task sends and answers. */
-export interface RequestPeers {
-    broadcast(topic: string, body: unknown): void;
-    ask(vm: string, topic: string, body: unknown, timeoutMs: number): Promise<unknown>;
-    connected(): readonly { readonly vm: string }[];
-    on(topic: string, handler: (peer: { readonly vm: string }, body: unknown) => unknown): void;
+/** Connections to workers as this task uses them. */
+export interface Workers {
+    send(origin: string, req: UpstreamRequest, timeoutMs: number): Promise<AttemptResult>;
+    retain(origins: ReadonlySet<string>): void;
+    close(): Promise<void>;
 }
 
 /** Options of `Requests.create`. */
 export interface RequestsOptions {
     readonly dispatcher: Dispatcher;
-    readonly upstream: Upstream;
-    readonly peers: RequestPeers;
+    readonly upstream: Workers;
+    readonly peers: Peers;
     readonly fleet: Fleet;
     readonly versions: Versions;
     readonly timer: Timer;
--- a/src/request/task.ts
+++ b/src/request/task.ts
@@ -1,5 +1,7 @@
 /** The task interface of workers as the job logic sees it. */
 
+import type { Job } from "./job.js";
+
 /** What a worker says about a task. */
 export enum TaskState {
     Running = "running",
@@ -37,3 +39,17 @@
     /** It may have started. */
     Unknown = "unknown",
 }
+
+/** Calls on workers about one attempt of a job. */
+export interface TaskCalls {
+    /** Asks the job's worker to start this attempt. */
+    start(job: Job, payload: Buffer): Promise<TaskStart>;
+    /** Asks about a task and renews its lease. */
+    ask(job: Job): Promise<TaskStatus>;
+    /** Stops a task, or forbids its start when it has not started. */
+    cancel(job: Job): Promise<TaskStatus>;
+    /** Stops a task and returns its state so far; undefined when the worker could not. */
+    checkpoint(job: Job): Promise<Buffer | undefined>;
+    /** Tells the worker that the result is stored and the task can be forgotten. */
+    forget(job: Job): Promise<void>;
+}
--- a/src/request/worker-tasks.ts
+++ b/src/request/worker-tasks.ts
@@ -2,7 +2,7 @@
 import { z } from "zod";
 import type { Upstream } from "../connection/upstream/index.js";
 import { type Job, taskIdOf } from "./job.js";
-import { TaskStart, TaskState, type TaskStatus } from "./task.js";
+import { type TaskCalls, TaskStart, TaskState, type TaskStatus } from "./task.js";
 
 /** Options of `WorkerTasks.create`. */
 export interface WorkerTasksOptions {
@@ -26,7 +26,7 @@
 const statusConflict = 409;
 
 /** Starts, asks about, cancels and checkpoints tasks. */
-export class WorkerTasks {
+export class WorkerTasks implements TaskCalls {
     private constructor(private readonly options: WorkerTasksOptions) {}
 
     static create(options: WorkerTasksOptions): WorkerTasks {
--- a/src/version/versions.ts
+++ b/src/version/versions.ts
@@ -5,9 +5,10 @@
 import { OperatorError, RevisionConflictError } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
 import { run } from "../process/flow.js";
-import { type Hub, type Task, Topic } from "../process/hub.js";
+import { type Publish, type Task, Topic } from "../process/hub.js";
 import type { Log } from "../process/log.js";
 import type { Metrics } from "../process/metrics.js";
+import type { Peers } from "../process/peers.js";
 import { type Store, type StoreFlow } from "../process/store.js";
 import { type Cancel, sleep, type Timer } from "../process/timer.js";
 import { createKey } from "./keys.js";
@@ -24,22 +25,14 @@
     type VersionState,
 } from "./state.js";
 
-/** Sends messages of this task to the peers. */
-export interface VersionPeers {
-    broadcast(topic: string, body: unknown): void;
-    ask(vm: string, topic: string, body: unknown, timeoutMs: number): Promise<unknown>;
-    connected(): readonly { readonly vm: string }[];
-    on(topic: string, handler: (peer: { readonly vm: string }, body: unknown) => unknown): void;
-}
-
 /** Options of `Versions.create`. */
 export interface VersionsOptions {
     readonly store: Store;
-    readonly hub: Hub;
+    readonly publish: Publish;
     readonly timer: Timer;
     readonly log: Log;
     readonly metrics: Metrics;
-    readonly peers: VersionPeers;
+    readonly peers: Peers;
     readonly pollMs?: number;
 }
 
@@ -272,7 +265,7 @@
         [...this.pending].filter(id => next.withdrawn.has(id)).forEach(id => this.pending.delete(id));
         this.options.log.write(Severity.Info, EventId.ListsAdopted, { revision: next.revision });
         this.options.metrics.count("celerywind_versions_adopted_total");
-        this.options.hub.publish(Topic.VersionAdopted, { revision: next.revision });
+        this.options.publish(Topic.VersionAdopted, { revision: next.revision });
     }
 
     private runFlow<T>(flow: StoreFlow<T>): Promise<T> {
--- a/standin/load.ts
+++ b/standin/load.ts
@@ -73,8 +73,8 @@
         const team = this.random.pick(load.teams);
         const id = `${name}-${this.sent++}`;
         const body = JSON.stringify({ id, squares: this.random.int(20) });
-        const isJob =
-            site.entries[0]!.entry.versions.state.lists.queues[load.queue]?.class === QueueClass.Deferred;
+        const isJob = site.entries[0]!.entry.core.versions.state.lists.queues[load.queue]?.class
+            === QueueClass.Deferred;
         if (isJob) {
             await this.submit(id, team, load.queue, body);
         }
--- a/standin/scenario.ts
+++ b/standin/scenario.ts
@@ -64,7 +64,7 @@
     await load.close();
     await site.stop();
     const history: History = {
-        lists: site.entries[0]!.entry.versions.state.lists,
+        lists: site.entries[0]!.entry.core.versions.state.lists,
         calls: load.calls,
         jobs: load.jobs,
         runs: [...site.workers].flatMap(([worker, { records }]) => records.map(run => ({ ...run, worker }))),
@@ -85,25 +85,25 @@
 }
 
 async function giveKeys(site: Site): Promise<ReadonlyMap<string, string>> {
-    const teams = Object.keys(site.entries[0]!.entry.versions.state.lists.teams).filter(team =>
+    const teams = Object.keys(site.entries[0]!.entry.core.versions.state.lists.teams).filter(team =>
         team !== "guest"
     );
     const keys = new Map<string, string>();
     for (const team of teams) {
         keys.set(team, (await site.giveKey(team)).text);
     }
-    const last = site.entries[0]!.entry.versions.state.revision;
-    await site.until(() => site.entries.every(({ entry }) => entry.versions.state.revision >= last));
+    const last = site.entries[0]!.entry.core.versions.state.revision;
+    await site.until(() => site.entries.every(({ entry }) => entry.core.versions.state.revision >= last));
     return keys;
 }
 
 /** Withdraws a key given for the purpose, and measures until no entry accepts it. */
 async function withdrawOne(site: Site): Promise<{ readonly ms: number; readonly uses: number }> {
-    const { teams, plans, queues } = site.entries[0]!.entry.versions.state.lists;
+    const { teams, plans, queues } = site.entries[0]!.entry.core.versions.state.lists;
     const [team = "", { plan }] = Object.entries(teams).find(([name]) => name !== "guest")!;
     const queue = plans[plan]!.queues.find(name => queues[name]!.class === QueueClass.Interactive)!;
     const key = await site.giveKey(team);
-    await site.until(() => site.entries.every(({ entry }) => entry.versions.state.keys.has(key.id)));
+    await site.until(() => site.entries.every(({ entry }) => entry.core.versions.state.keys.has(key.id)));
     const startedAt = site.timer.now();
     await site.operate("DELETE", `/v1/keys/${key.id}`);
     for (;;) {
@@ -140,13 +140,13 @@
     let reverts = 0;
     const sample = async (): Promise<void> => {
         const { vms, pools } = await site.inner.listVms();
-        const view = { ...site.entries[0]!.entry.fleet.view, vms, pools };
+        const view = { ...site.entries[0]!.entry.core.fleet.view, vms, pools };
         for (const { name, budget } of pools) {
             const available = vms.filter(vm => vm.pool === name && isAvailable(view, vm)).length;
             spareBudget.set(name, Math.min(spareBudget.get(name) ?? Infinity, available - budget));
         }
         for (const { vm, entry } of site.entries) {
-            const { revision } = entry.versions.state;
+            const { revision } = entry.core.versions.state;
             reverts += revision < (revisions.get(vm) ?? 0) ? 1 : 0;
             revisions.set(vm, revision);
         }
--- a/standin/site.ts
+++ b/standin/site.ts
@@ -69,7 +69,7 @@
         await this.startWorkers();
         const count = this.options.entries;
         this.entries = await Promise.all(Array.from({ length: count }, (_, at) => this.startEntry(at)));
-        await this.until(() => this.entries.every(({ entry }) => entry.fleet.live.length === count));
+        await this.until(() => this.entries.every(({ entry }) => entry.core.fleet.live.length === count));
         await this.applyLists();
         await this.until(() => this.entries.every(({ entry }) => entry.notReady() === undefined));
         await this.until(() =>
--- /dev/null
+++ b/standin/world/pausable.ts
@@ -0,0 +1,69 @@
+/** A timer whose callbacks wait while its process is paused, as those of a frozen process do; its clock goes on. */
+import type { Cancel, Timer } from "../../src/process/timer.js";
+
+/** The timer of one virtual process. */
+export class PausableTimer implements Timer {
+    private held: (() => void)[] | undefined;
+    private isEnded = false;
+
+    private constructor(private readonly inner: Timer) {}
+
+    static create(inner: Timer): PausableTimer {
+        return new PausableTimer(inner);
+    }
+
+    now(): number {
+        return this.inner.now();
+    }
+
+    wall(): number {
+        return this.inner.wall();
+    }
+
+    after(ms: number, fn: () => void): Cancel {
+        let isLive = true;
+        this.inner.after(ms, () => this.whenRunning(() => isLive && fn()));
+        return () => {
+            isLive = false;
+        };
+    }
+
+    every(ms: number, fn: () => void): Cancel {
+        let cancel: Cancel = () => undefined;
+        const again = (): void => {
+            cancel = this.after(ms, again);
+            fn();
+        };
+        cancel = this.after(ms, again);
+        return () => cancel();
+    }
+
+    /** Holds every callback back until `resume`. */
+    pause(): void {
+        this.held ??= [];
+    }
+
+    /** Runs the callbacks that were held back. */
+    resume(): void {
+        const held = this.held ?? [];
+        this.held = undefined;
+        held.forEach(fn => fn());
+    }
+
+    /** Ends the process: no callback runs any more. */
+    end(): void {
+        this.isEnded = true;
+    }
+
+    private whenRunning(fn: () => void): void {
+        if (this.isEnded) {
+            return;
+        }
+        if (this.held === undefined) {
+            fn();
+        }
+        else {
+            this.held.push(fn);
+        }
+    }
+}
--- /dev/null
+++ b/standin/world/world.ts
@@ -0,0 +1,422 @@
+/**
+ * A whole fleet in virtual time: the real core of every entry, joined to small fakes of the platform, the workers and
+ * the links between entries. Every run is a function of its seed.
+ */
+import { EmbeddedPlatform, StoreClient } from "../../src/connection/platform/index.js";
+import { Core } from "../../src/core.js";
+import type { Topic, TopicPayloads } from "../../src/process/hub.js";
+import { type Log, silentLog } from "../../src/process/log.js";
+import { Metrics } from "../../src/process/metrics.js";
+import { entryPool, type Vm, VmState } from "../../src/process/platform.js";
+import { Random } from "../../src/process/random.js";
+import { parseSettings, type SettingsInput } from "../../src/process/settings.js";
+import { VirtualTimer } from "../../src/process/virtual.js";
+import { AdmissionKind, admit } from "../../src/request/admission.js";
+import type { Job } from "../../src/request/job.js";
+import { jobIdOf, JobState } from "../../src/request/job.js";
+import { notRun, type Outcome, OutcomeKind } from "../../src/request/outcome.js";
+import type { Lists } from "../../src/version/schema.js";
+import { QueueClass } from "../../src/version/schema.js";
+import { CallEnd, type CallRecord, type Drain, type JobRecord } from "../history.js";
+import { VirtualNet, type VirtualPeers } from "./net.js";
+import { PausableTimer } from "./pausable.js";
+import { calmMood, type PlatformMood, VirtualPlatform } from "./platform.js";
+import { VirtualTasks, VirtualWorker, VirtualWorkers, type WayToWorkers } from "./worker.js";
+
+/** A pool of the world. */
+export interface WorldPool {
+    readonly name: string;
+    readonly workers: number;
+    readonly budget: number;
+    readonly spare?: boolean;
+}
+
+/** Options of `World.create`. */
+export interface WorldOptions {
+    readonly seed: number;
+    readonly entries: number;
+    readonly pools: readonly WorldPool[];
+    readonly lists: Lists;
+    /** Mean service time by queue, in milliseconds. */
+    readonly meanMs: (queue: string) => number;
+    readonly settings?: Partial<SettingsInput>;
+    readonly latencyMs?: number;
+    readonly log?: Log;
+    /** Slots of each worker. */
+    readonly slots?: number;
+    /** VMs that have been up too long from the beginning. */
+    readonly isDue?: (vm: string) => boolean;
+    readonly rebootMs?: number;
+}
+
+/** One virtual entry. */
+export interface WorldEntry {
+    readonly vm: string;
+    readonly core: Core;
+    readonly timer: PausableTimer;
+    readonly peers: VirtualPeers;
+    readonly platform: VirtualPlatform;
+    readonly metrics: Metrics;
+    /** How the platform behaves towards this entry alone. */
+    readonly mood: PlatformMood;
+    isAlive: boolean;
+}
+
+const dayMs = 86_400_000;
+const workersPerRack = 4;
+const zoneCount = 3;
+const rebootDefaultMs = 5000;
+
+/** A fleet in virtual time. */
+export class World {
+    readonly timer = VirtualTimer.create();
+    readonly inner: EmbeddedPlatform;
+    readonly mood = calmMood();
+    readonly workers = new Map<string, VirtualWorker>();
+    readonly net: VirtualNet;
+    readonly random: Random;
+    readonly calls: CallRecord[] = [];
+    readonly jobs: JobRecord[] = [];
+    readonly drains = new Map<string, Drain>();
+    readonly keys = new Map<string, { readonly id: string; readonly text: string }>();
+    entries: WorldEntry[] = [];
+    private readonly silent = new Set<string>();
+    private sent = 0;
+
+    private constructor(private readonly options: WorldOptions) {
+        this.random = Random.create(options.seed);
+        this.net = VirtualNet.create(this.timer, options.latencyMs ?? 1);
+        this.inner = EmbeddedPlatform.create({
+            wall: () => this.timer.wall(),
+            restart: vm => this.restart(vm),
+            usage: vm => Promise.resolve(this.workers.get(vm.id)?.runningCount ?? 0),
+        });
+        this.createWorkers();
+        this.recordDrains();
+    }
+
+    static create(options: WorldOptions): World {
+        return new World(options);
+    }
+
+    /** Starts the entries, applies the lists and gives every team a key. */
+    async start(): Promise<void> {
+        for (let at = 0; at < this.options.entries; at++) {
+            this.addEntry(`entry-${at}`);
+        }
+        await this.advance(3000);
+        const [first] = this.entries;
+        await this.settle(first!.core.versions.applyLists(this.options.lists, 0));
+        for (const team of Object.keys(this.options.lists.teams)) {
+            this.keys.set(team, await this.settle(first!.core.versions.giveKey(team)));
+        }
+        await this.advance(3000);
+    }
+
+    /** Moves virtual time on. */
+    advance(ms: number): Promise<void> {
+        return this.timer.advance(ms);
+    }
+
+    /** Moves virtual time on until a promise settles. */
+    async settle<T>(work: Promise<T>, limitMs = 30_000): Promise<T> {
+        let isDone = false;
+        const marked = work.finally(() => isDone = true);
+        marked.catch(() => undefined);
+        for (let ms = 0; ms < limitMs && !isDone; ms += 10) {
+            await this.advance(10);
+        }
+        return marked;
+    }
+
+    /** Adds an entry VM and starts its core. */
+    addEntry(vm: string): WorldEntry {
+        const { seed, settings: extra, log = silentLog } = this.options;
+        this.inner.putVm(this.vmOf(vm, entryPool, this.entries.length, `http://${vm}`, `${vm}-boot`));
+        const settings = parseSettings(
+            "world",
+            JSON.stringify({
+                vm,
+                zone: `zone-${this.entries.length % zoneCount}`,
+                callers: { port: 1 },
+                operators: { port: 2 },
+                peers: { port: 3, secret: "a-secret-for-the-world-only" },
+                platform: { kind: "embedded" },
+                ...extra,
+            }),
+        );
+        const timer = PausableTimer.create(this.timer);
+        const mood = calmMood();
+        const platform = new VirtualPlatform(this.inner, timer, [this.mood, mood]);
+        const random = Random.create(seed * 1009 + this.entries.length + 1);
+        const metrics = Metrics.create();
+        const node = { vm, timer, isAlive: true };
+        const peers = this.net.join(node);
+        const store = StoreClient.create({ platform, timer, random, metrics, log });
+        const way = this.wayOf(vm, timer);
+        const core = Core.create({
+            settings,
+            peerUrl: vm,
+            store,
+            platform,
+            peers,
+            timer,
+            random,
+            log,
+            metrics,
+            workers: new VirtualWorkers(way),
+            tasks: originOf => new VirtualTasks(way, originOf, settings.times.taskLease),
+            publish: (topic, payload) => queueMicrotask(() => publishTo(core, topic, payload)),
+        });
+        const entry: WorldEntry = { vm, core, timer, peers, platform, metrics, mood, isAlive: true };
+        this.entries.push(entry);
+        core.tasks.forEach(task => void task.start());
+        return entry;
+    }
+
+    /** Ends an entry without warning; the platform drops it from its list after `listLagMs`. */
+    kill(vm: string, listLagMs = 2000): void {
+        const entry = this.entryOf(vm);
+        entry.isAlive = false;
+        entry.timer.end();
+        this.net.leave(vm);
+        this.entries = this.entries.filter(other => other !== entry);
+        this.timer.after(listLagMs, () => this.inner.dropVm(vm));
+    }
+
+    /** Stops an entry as planned. */
+    async stop(vm: string): Promise<void> {
+        const { core } = this.entryOf(vm);
+        core.isClosed = true;
+        await this.settle(core.jobs.leave(5000));
+        while (core.requests.activeCount > 0) {
+            await this.advance(10);
+        }
+        await this.settle(core.grants.leave().then(() => core.fleet.leave()));
+        this.kill(vm);
+    }
+
+    /** Freezes an entry for `ms` milliseconds. */
+    pause(vm: string, ms: number): void {
+        const { timer } = this.entryOf(vm);
+        timer.pause();
+        this.timer.after(ms, () => timer.resume());
+    }
+
+    /** Cuts an entry off from everything but the workers, or joins it again. */
+    setCutOff(vm: string, isCutOff: boolean): void {
+        const entry = this.entryOf(vm);
+        entry.mood.isDown = isCutOff;
+        for (const other of this.entries.filter(each => each !== entry)) {
+            if (isCutOff) {
+                this.net.cut(vm, other.vm);
+            }
+            else {
+                this.net.mend(vm, other.vm);
+            }
+        }
+    }
+
+    /** Loses all packets between an entry and a worker without telling either. */
+    setSilent(entry: string, worker: string, isSilent: boolean): void {
+        const key = `${entry}|http://${worker}`;
+        if (isSilent) {
+            this.silent.add(key);
+        }
+        else {
+            this.silent.delete(key);
+        }
+    }
+
+    /** Crashes a worker; it comes back after `downMs`. */
+    crashWorker(vm: string, downMs: number): void {
+        const worker = this.workers.get(vm)!;
+        worker.crash();
+        void this.changeVm(vm, old => ({ ...old, state: VmState.Failed }));
+        this.timer.after(downMs, () => {
+            const bootId = worker.boot();
+            void this.changeVm(
+                vm,
+                old => ({ ...old, state: VmState.Live, bootId, bootedAt: this.timer.wall() }),
+            );
+        });
+    }
+
+    /** Sends one request of a team through an entry, with the team's key, and records its outcome. */
+    async call(at: number, team: string, queue: string): Promise<Outcome> {
+        const entry = this.entries[at % this.entries.length]!;
+        const id = `call-${this.sent++}`;
+        const { core } = entry;
+        const startedAt = this.timer.now();
+        const admission = admit(core.versions.state, core.versions.pendingWithdrawals, {
+            queue,
+            authorization: `Bearer ${this.keys.get(team)?.text}`,
+            claimedTeam: undefined,
+            timeout: undefined,
+            wants: QueueClass.Interactive,
+        });
+        if (admission.kind === AdmissionKind.Refused) {
+            return this.record(id, team, queue, startedAt, notRun(admission.reason));
+        }
+        const body = Buffer.from(`body of ${id}`);
+        const outcome = await core.requests.serve({
+            id,
+            team,
+            queue,
+            body,
+            pool: admission.queue.service,
+            class: admission.queue.class,
+            idempotent: admission.queue.idempotent,
+            contentType: "text/plain",
+            deadline: startedAt + admission.timeoutMs,
+            isRelayed: false,
+        });
+        return this.record(id, team, queue, startedAt, outcome);
+    }
+
+    /** Submits a job; undefined when it was not accepted for certain. */
+    async submit(
+        at: number,
+        team: string,
+        queue: string,
+        text = "{}",
+        key = `key-${this.sent++}`,
+    ): Promise<string | undefined> {
+        const { core } = this.entries[at % this.entries.length]!;
+        const listed = core.versions.state.lists.queues[queue]!;
+        const draft: Omit<Job, "payload"> = {
+            id: jobIdOf(team, key),
+            team,
+            queue,
+            pool: listed.service,
+            idempotent: listed.idempotent,
+            contentType: "text/plain",
+            size: { cores: 1, memoryGb: 1, accelerators: 0 },
+            acceptedAt: Math.round(this.timer.wall()),
+            state: JobState.Waiting,
+            attempt: 0,
+            cancelAsked: false,
+            failures: [],
+        };
+        const result = await core.jobs.accept(draft, Buffer.from(text)).catch(() => undefined);
+        if (result === undefined || !("job" in result)) {
+            return undefined;
+        }
+        this.jobs.push({ id: result.job.id, team, queue, state: JobState.Waiting, isOwnResult: true });
+        return result.job.id;
+    }
+
+    /** Reads the row of a job straight from the platform. */
+    async readJob(id: string): Promise<Job | undefined> {
+        const row = await this.inner.get(`job/${id}`);
+        return (row?.value as { value: Job } | undefined)?.value;
+    }
+
+    /** The entry on a VM. */
+    entryOf(vm: string): WorldEntry {
+        const entry = this.entries.find(other => other.vm === vm);
+        if (entry === undefined) {
+            throw new Error(`there is no entry "${vm}"`);
+        }
+        return entry;
+    }
+
+    private record(id: string, team: string, queue: string, startedAt: number, outcome: Outcome): Outcome {
+        const ms = this.timer.now() - startedAt;
+        const isAnswer = outcome.kind === OutcomeKind.Answered && outcome.status === 200;
+        const isOwnAnswer = !isAnswer || outcome.body.toString() === `${id}|body of ${id}`;
+        const reason = outcome.kind === OutcomeKind.Answered ? String(outcome.status) : outcome.reason;
+        this.calls.push({ id, team, queue, end: endOf(outcome), ms, isOwnAnswer, reason });
+        return outcome;
+    }
+
+    private createWorkers(): void {
+        const { pools, seed, meanMs, slots = 8, isDue = () => false } = this.options;
+        let at = 0;
+        for (const { name, workers, budget, spare = false } of pools) {
+            this.inner.putPool({ name, budget, spare });
+            for (let index = 0; index < workers; index++) {
+                const vm = `${name}-${index}`;
+                const random = Random.create(seed * 7919 + at);
+                const worker = new VirtualWorker({ vm, timer: this.timer, random, slots, meanMs });
+                this.workers.set(vm, worker);
+                const listed = this.vmOf(vm, name, at++, `http://${vm}`, worker.bootId);
+                this.inner.putVm(isDue(vm) ? { ...listed, bootedAt: listed.bootedAt - 60 * dayMs } : listed);
+            }
+        }
+    }
+
+    private wayOf(vm: string, timer: PausableTimer): WayToWorkers {
+        return {
+            timer,
+            latencyMs: this.options.latencyMs ?? 1,
+            workerAt: origin => this.workers.get(origin.replace("http://", "")),
+            isSilent: origin => this.silent.has(`${vm}|${origin}`),
+        };
+    }
+
+    private vmOf(id: string, pool: string, at: number, address: string, bootId: string): Vm {
+        const rack = Math.floor(at / workersPerRack);
+        return {
+            id,
+            pool,
+            address,
+            bootId,
+            rack: `rack-${rack}`,
+            zone: `zone-${rack % zoneCount}`,
+            state: VmState.Live,
+            bootedAt: this.timer.wall() - dayMs,
+            cores: 32,
+            memoryGb: 128,
+            accelerators: 0,
+            draining: false,
+        };
+    }
+
+    private async restart(vm: Vm): Promise<string> {
+        const worker = this.workers.get(vm.id)!;
+        worker.crash();
+        await new Promise<void>(resolve =>
+            this.timer.after(this.options.rebootMs ?? rebootDefaultMs, resolve)
+        );
+        return worker.boot();
+    }
+
+    private recordDrains(): void {
+        const drain = this.inner.drain.bind(this.inner);
+        const undrain = this.inner.undrain.bind(this.inner);
+        this.inner.drain = vm => {
+            const open = this.drains.get(vm);
+            const isDraining = open !== undefined && open.until === Infinity;
+            this.drains.set(vm, isDraining ? open : { from: this.timer.now(), until: Infinity });
+            return drain(vm);
+        };
+        this.inner.undrain = vm => {
+            this.drains.set(vm, { from: this.drains.get(vm)?.from ?? 0, until: this.timer.now() });
+            return undrain(vm);
+        };
+    }
+
+    private async changeVm(id: string, edit: (vm: Vm) => Vm): Promise<void> {
+        const { vms } = await this.inner.listVms();
+        const vm = vms.find(other => other.id === id);
+        if (vm !== undefined) {
+            this.inner.putVm(edit(vm));
+        }
+    }
+}
+
+function publishTo<T extends Topic>(core: Core, topic: T, payload: TopicPayloads[T]): void {
+    core.tasks.forEach(task => task.handlers?.[topic]?.(payload));
+}
+
+function endOf(outcome: Outcome): CallEnd {
+    switch (outcome.kind) {
+        case OutcomeKind.Answered:
+            return CallEnd.Answered;
+        case OutcomeKind.NotRun:
+            return CallEnd.NotRun;
+        case OutcomeKind.Unknown:
+            return CallEnd.Unknown;
+    }
+}
