--- a/src/connection/platform/client.ts
+++ b/src/connection/platform/client.ts
@@ -40,24 +40,17 @@
 export class StoreClient implements Store {
     private readonly breaker: Breaker;
     private readonly budget: CallBudget;
-    private answeredAt: number;
 
     private constructor(private readonly options: StoreClientOptions) {
         const { timer, random, callsPerSecond = 200 } = options;
         this.breaker = Breaker.create({ now: () => timer.now(), random });
         this.budget = CallBudget.create({ timer, perSecond: callsPerSecond });
-        this.answeredAt = timer.now();
     }
 
     static create(options: StoreClientOptions): StoreClient {
         return new StoreClient(options);
     }
 
-    /** Monotonic time of the last answer, in milliseconds. */
-    get lastAnswerAt(): number {
-        return this.answeredAt;
-    }
-
     /** Sets the calls a second this entry may send. */
     setRate(perSecond: number): void {
         this.budget.setRate(perSecond);
@@ -168,7 +161,6 @@
             this.options.log.write(Severity.Info, EventId.StoreRecovered);
         }
         this.breaker.succeeded();
-        this.answeredAt = this.options.timer.now();
     }
 
     private noteFailure(): void {
--- a/src/connection/platform/embedded.ts
+++ b/src/connection/platform/embedded.ts
@@ -48,6 +48,11 @@
         this.vms.delete(id);
     }
 
+    /** The VMs as listed now. */
+    vmsNow(): readonly Vm[] {
+        return [...this.vms.values()];
+    }
+
     /** Declares a pool. */
     putPool(pool: PoolSpec): void {
         this.pools.set(pool.name, pool);
--- a/src/connection/upstream/upstream.ts
+++ b/src/connection/upstream/upstream.ts
@@ -121,6 +121,7 @@
                 "content-type": req.contentType,
                 "celerywind-request-id": req.id,
                 "celerywind-team": req.team,
+                "celerywind-timeout-ms": String(Math.ceil(timeoutMs)),
             },
         });
         const headers = plainHeaders(res.headers);
--- a/src/core.ts
+++ b/src/core.ts
@@ -1,5 +1,5 @@
 /** The decisions of one entry and the tasks that hold their state, without any socket. */
-import { Contact } from "./process/contact.js";
+import { type Configuration, Contact } from "./process/contact.js";
 import { EventId, Severity } from "./process/events.js";
 import { Fleet } from "./process/fleet.js";
 import { Grants } from "./process/grant-task.js";
@@ -21,17 +21,11 @@
 import { limitOf, shareOf } from "./version/schema.js";
 import { Versions } from "./version/versions.js";
 
-/** The store as the core needs it. */
-export interface CoreStore extends Store {
-    /** Monotonic time of the last answer, in milliseconds. */
-    readonly lastAnswerAt: number;
-}
-
 /** Options of `Core.create`. */
 export interface CoreOptions {
     readonly settings: Settings;
     readonly peerUrl: string;
-    readonly store: CoreStore;
+    readonly store: Store;
     readonly platform: Platform;
     readonly peers: Peers;
     readonly workers: Workers;
@@ -59,8 +53,8 @@
 
     private constructor(private readonly options: CoreOptions) {
         this.fleet = this.createFleet();
-        this.contact = this.createContact();
         this.versions = this.createVersions();
+        this.contact = this.createContact();
         this.dispatcher = this.createDispatcher();
         this.grants = this.createGrants();
         this.requests = this.createRequests();
@@ -123,16 +117,15 @@
     }
 
     private createContact(): Contact {
-        const { peers, timer, log, store, settings } = this.options;
-        const storeAt = (): number => store.lastAnswerAt;
-        return Contact.create({
-            peers,
-            fleet: this.fleet,
-            timer,
-            log,
-            storeAt,
-            boundMs: settings.times.isolation,
-        });
+        const { peers, timer, log, settings } = this.options;
+        const { versions, fleet } = this;
+        const configuration: Configuration = {
+            revision: () => versions.state.revision,
+            confirmedAt: () => versions.confirmedAt,
+            pending: () => [...versions.pendingWithdrawals],
+            hear: (revision, pending) => versions.hear(revision, pending),
+        };
+        return Contact.create({ peers, fleet, timer, log, configuration, boundMs: settings.times.isolation });
     }
 
     private createVersions(): Versions {
@@ -177,7 +170,11 @@
             teams: () => Object.keys(versions.state.lists.teams),
             limit: (team: string) => this.limitOf(team),
             demand: (team: string) => dispatcher.demandOf(team),
+            running: (team: string) => dispatcher.runningOf(team),
             otherDemand: (team: string) => dispatcher.remote.demandOf(team),
+            adoptedFrom: (team: string, ended: string) => dispatcher.uncoveredOf(team, ended),
+            cover: (team: string, ended: string, n: number) => dispatcher.cover(team, ended, n),
+            handedOver: (team: string) => this.jobs.handedOverOf(team),
         };
         return Grants.create({ store, fleet, peers, publish, timer, log, metrics, quarantineMs, view });
     }
--- a/src/process/grant-task.ts
+++ b/src/process/grant-task.ts
@@ -24,8 +24,16 @@
     readonly limit: (team: string) => number;
     /** Running and waiting work of a team on this entry. */
     readonly demand: (team: string) => number;
-    /** The same on the other entries, as far as known. */
+    /** Running work of a team on this entry. */
+    readonly running: (team: string) => number;
+    /** Running and waiting work of a team on the other entries, as far as known. */
     readonly otherDemand: (team: string) => number;
+    /** Running tasks of a team that the grant of an ended incarnation still covers. */
+    readonly adoptedFrom: (team: string, incarnation: string) => number;
+    /** Notes that part of that grant was moved here. */
+    readonly cover: (team: string, incarnation: string, n: number) => void;
+    /** Tasks of a team that were handed over to other entries at a planned stop. */
+    readonly handedOver: (team: string) => number;
 }
 
 /** Options of `Grants.create`. */
@@ -206,6 +214,7 @@
             case CommitOutcome.Committed:
                 this.held.set(team, { row: nextRow(team, held.row, wanted), value: wanted });
                 this.noteGiven(held.value, wanted);
+                this.noteCovered(team, held.value, wanted);
                 this.logChange(team, held.value, wanted);
                 break;
             case CommitOutcome.Conflict:
@@ -215,6 +224,15 @@
         }
     }
 
+    private noteCovered(team: string, before: GrantRow, after: GrantRow): void {
+        for (const [ended, grant] of Object.entries(before.quarantine)) {
+            const moved = grant.n - (after.quarantine[ended]?.n ?? grant.n);
+            if (moved > 0) {
+                this.options.view.cover(team, ended, moved);
+            }
+        }
+    }
+
     private noteGiven(before: GrantRow, after: GrantRow): void {
         const self = this.options.fleet.self!.incarnation;
         const hasGiven = Object.entries(after.holders)
@@ -234,12 +252,14 @@
             takesOwnBase: (this.lacking.get(team) ?? 0) > baseHandOutTicks,
             limit: view.limit(team),
             demand,
+            running: view.running(team),
             fleetDemand: demand + view.otherDemand(team),
+            adoptedFrom: ended => view.adoptedFrom(team, ended),
             isGone: holder => fleet.isGone(holder),
             isReleased: holder => this.isReleased(team, holder),
         });
         this.noteLack(team, wanted.holders[incarnation]?.n ?? 0);
-        return this.isLeaving ? withoutHolder(row, incarnation) : wanted;
+        return this.isLeaving ? withoutHolder(row, incarnation, view.handedOver(team)) : wanted;
     }
 
     private noteLack(team: string, held: number): void {
@@ -279,13 +299,17 @@
     }
 }
 
-function withoutHolder(row: GrantRow, incarnation: string): GrantRow {
-    if (row.holders[incarnation] === undefined) {
+/** The row without a leaving holder; what covers tasks it handed over stays in quarantine for their new holders. */
+function withoutHolder(row: GrantRow, incarnation: string, handedOver: number): GrantRow {
+    const grant = row.holders[incarnation];
+    if (grant === undefined) {
         return row;
     }
     const holders = { ...row.holders };
     delete holders[incarnation];
-    return { ...row, holders };
+    const n = Math.min(handedOver, grant.n);
+    const quarantine = n > 0 ? { ...row.quarantine, [incarnation]: { ...grant, n } } : row.quarantine;
+    return { holders, quarantine };
 }
 
 function nextRow(team: string, read: Row | undefined, value: GrantRow): Row {
--- a/src/process/grants.ts
+++ b/src/process/grants.ts
@@ -22,6 +22,8 @@
 export interface Grant {
     readonly n: number;
     readonly limit: number;
+    /** Work that was running when the grant was lowered below it; it counts until it has ended. */
+    readonly busy?: number;
 }
 
 /** Value of a team's grant row. */
@@ -44,8 +46,9 @@
 }
 
 /** Most that a holder can count as its own under any limit up to `limit`, given what it last confirmed. */
-function weightUnder(grant: Grant, limit: number): number {
-    return grant.limit >= limit ? grant.n : Math.ceil(grant.n * limit / Math.max(1, grant.limit));
+function weightUnder({ n, limit: confirmed, busy = 0 }: Grant, limit: number): number {
+    const weight = confirmed >= limit ? n : Math.ceil(n * limit / Math.max(1, confirmed));
+    return Math.max(weight, busy);
 }
 
 /** How much of the limit nobody holds. Negative after the limit was lowered, until the holders have scaled down. */
@@ -74,8 +77,12 @@
     readonly limit: number;
     /** Most that ran and waited here at once, lately. */
     readonly demand: number;
+    /** Work of the team that runs here now. */
+    readonly running: number;
     /** The same for all entries together, this one included. */
     readonly fleetDemand: number;
+    /** Tasks that run here and are covered by the grant of an ended incarnation. */
+    readonly adoptedFrom: (incarnation: string) => number;
     readonly isGone: (incarnation: string) => boolean;
     /** Whether a quarantined grant has been observed for the whole quarantine time. */
     readonly isReleased: (incarnation: string) => boolean;
@@ -88,8 +95,24 @@
 export function decideGrants(input: GrantInput): GrantRow {
     const swept = sweep(input);
     const confirmed = confirm(swept, input);
-    const based = handOutBases(confirmed, input);
-    return resize(based, input);
+    const adopted = takeOver(confirmed, input);
+    const based = handOutBases(adopted, input);
+    return noteBusy(resize(based, input), input);
+}
+
+/** Keeps count of work that still runs above a lowered grant, so that nobody takes its place before it has ended. */
+function noteBusy(row: GrantRow, { self, running }: GrantInput): GrantRow {
+    const mine = row.holders[self];
+    if (mine === undefined) {
+        return row;
+    }
+    const isOver = running > mine.n;
+    const isNoted = mine.busy !== undefined && mine.busy >= running;
+    if (isOver === (mine.busy !== undefined) && (!isOver || isNoted)) {
+        return row;
+    }
+    const { n, limit } = mine;
+    return withGrant(row, self, isOver ? { n, limit, busy: running } : { n, limit });
 }
 
 function sweep({ row, self, isGone, isReleased }: GrantInput): GrantRow {
@@ -119,6 +142,20 @@
     return withGrant(row, self, { n: usable(mine, limit), limit });
 }
 
+/** Moves the part of a quarantined grant that covers tasks adopted here to this entry. */
+function takeOver(row: GrantRow, { self, limit, adoptedFrom }: GrantInput): GrantRow {
+    let next = row;
+    for (const [ended, grant] of Object.entries(row.quarantine)) {
+        const moved = Math.min(adoptedFrom(ended), usable(grant, limit));
+        const mine = next.holders[self] ?? { n: 0, limit };
+        if (moved > 0 && mine.limit === limit) {
+            const quarantine = { ...next.quarantine, [ended]: { n: usable(grant, limit) - moved, limit } };
+            next = withGrant({ ...next, quarantine }, self, { n: mine.n + moved, limit });
+        }
+    }
+    return next;
+}
+
 /** Gives each entry that holds less than its base the rest of it, as far as the limit reaches. */
 function handOutBases(row: GrantRow, input: GrantInput): GrantRow {
     const { team, self, members, limit, takesOwnBase } = input;
--- a/src/process/isolation.ts
+++ b/src/process/isolation.ts
@@ -3,36 +3,42 @@
  * nothing. Judged on the monotonic clock at each start, so that a process that was paused notices before it sends.
  */
 
-/** When a peer was last heard, and how fresh its own view of the store is. */
-export interface PeerFreshness {
-    /** Monotonic time at which the peer was last heard here, in milliseconds. */
+/** What a peer said about its configuration, and when. */
+export interface PeerWord {
+    /** Age that its configuration had when it spoke: time since it was last confirmed as the newest, in milliseconds. */
+    readonly ageMs: number;
+    readonly revision: number;
+    /** Monotonic time at which it was heard here, in milliseconds. */
     readonly heardAt: number;
-    /** Age of the peer's last answer from the store when it told us, in milliseconds. */
-    readonly storeAgeMs: number;
-    /** Monotonic time at which it told us, in milliseconds. */
-    readonly toldAt: number;
 }
 
 /** Inputs of `isIsolated`. */
 export interface IsolationInput {
     readonly now: number;
     readonly boundMs: number;
-    /** Monotonic time of this entry's own last answer from the store, in milliseconds. */
-    readonly storeAt: number;
-    readonly peers: readonly PeerFreshness[];
+    /** Monotonic time at which this entry's configuration was last confirmed by the store, in milliseconds. */
+    readonly confirmedAt: number;
+    /** Revision in force here. */
+    readonly revision: number;
+    readonly peers: readonly PeerWord[];
     /** Registered entries, this one included. */
     readonly members: number;
 }
 
-/** Whether the entry must not start work. */
-export function isIsolated({ now, boundMs, storeAt, peers, members }: IsolationInput): boolean {
-    if (now - storeAt <= boundMs) {
+/**
+ * Whether the entry must not start work. It may while the store, or a peer that the store confirmed, vouches for its
+ * revision. When a majority answers and the store confirms nobody, the store is down for all, and it may as well.
+ */
+export function isIsolated({ now, boundMs, confirmedAt, revision, peers, members }: IsolationInput): boolean {
+    if (now - confirmedAt <= boundMs) {
         return false;
     }
-    const reachable = peers.filter(peer => now - peer.heardAt <= boundMs);
-    if (reachable.some(peer => peer.storeAgeMs + now - peer.toldAt <= boundMs)) {
-        return false;
+    const recent = peers.filter(peer => now - peer.heardAt <= boundMs);
+    const isBehind = recent.some(peer => peer.revision > revision);
+    if (isBehind) {
+        return true;
     }
-    const isMajority = (reachable.length + 1) * 2 > members;
-    return !(isMajority && (reachable.length > 0 || members <= 1));
+    const isVouchedFor = recent.some(peer => peer.ageMs + now - peer.heardAt <= boundMs);
+    const isMajority = (recent.length + 1) * 2 > members && (recent.length > 0 || members <= 1);
+    return !isVouchedFor && !isMajority;
 }
--- a/src/request/dispatch.ts
+++ b/src/request/dispatch.ts
@@ -55,6 +55,8 @@
     readonly worker: Worker;
     /** Monotonic time at which the slot was given, in milliseconds. */
     readonly since: number;
+    /** Ended incarnation whose grant covers this work until it is moved here. */
+    readonly adoptedFrom?: string;
 }
 
 /** Result of asking for a slot. */
@@ -127,6 +129,7 @@
     private readonly byTeam = Tally.create();
     private readonly byPoolTeam = Tally.create();
     private readonly byWorker = Tally.create();
+    private readonly uncovered = Tally.create();
     private readonly fullUntil = new Map<string, number>();
     private readonly times = ServiceTimes.create();
 
@@ -166,29 +169,52 @@
         return new Promise(resolve => this.enqueue(want, resolve));
     }
 
-    /** Gives a slot back. */
-    release(slot: Slot, end: SlotEnd): void {
-        const elapsed = this.options.timer.now() - slot.since;
-        const mean = this.times.mean(slot.queue);
+    /**
+     * Gives a slot back. Work that may still be running counts until `mayRunUntil`, a monotonic time in milliseconds;
+     * a fast failure holds the worker's slot for the mean service time, so that failing fast attracts no load.
+     */
+    release(slot: Slot, end: SlotEnd, mayRunUntil = 0): void {
+        const { timer } = this.options;
+        const elapsed = timer.now() - slot.since;
+        const holdMs = end === SlotEnd.Bad ? this.times.mean(slot.queue) - elapsed : 0;
+        const lingerMs = mayRunUntil - timer.now();
         this.learn(slot, end, elapsed);
-        const holdMs = end === SlotEnd.Bad ? Math.max(0, mean - elapsed) : 0;
-        this.freeTeam(slot);
-        if (holdMs > 0) {
-            this.options.timer.after(holdMs, () => this.freeWorker(slot));
-        }
-        else {
-            this.freeWorker(slot);
-        }
+        afterAtLeast(timer, lingerMs, () => this.freeTeam(slot));
+        afterAtLeast(timer, Math.max(holdMs, lingerMs), () => this.freeWorker(slot));
     }
 
-    /** Takes a slot for a task that already runs on a worker; the caller has checked the team's grant. */
-    adopt(want: Want, worker: Worker): Slot {
+    /** Takes a slot for a task that already runs on a worker, covered by the grant of an ended incarnation. */
+    adopt(want: Want, worker: Worker, adoptedFrom: string): Slot {
         const { pool, team, queue, class: queueClass } = want;
-        const slot: Slot = { pool, team, queue, class: queueClass, worker, since: this.options.timer.now() };
+        const slot: Slot = {
+            pool,
+            team,
+            queue,
+            class: queueClass,
+            worker,
+            since: this.options.timer.now(),
+            adoptedFrom,
+        };
         this.occupy(slot);
+        this.uncovered.add(adoptedKey(team, adoptedFrom), 1);
         return slot;
     }
 
+    /** Work of a team that runs here under the grant of an ended incarnation. */
+    uncoveredOf(team: string, from: string): number {
+        return this.uncovered.of(adoptedKey(team, from));
+    }
+
+    /** Notes that `n` of the grant of an ended incarnation were moved here. */
+    cover(team: string, from: string, n: number): void {
+        this.uncovered.add(adoptedKey(team, from), -Math.min(n, this.uncoveredOf(team, from)));
+    }
+
+    /** Whether a team may start one more here. */
+    canStart(team: string): boolean {
+        return this.byTeam.of(team) < this.options.view.usable(team);
+    }
+
     /** Serves the lines of all pools as far as slots and grants allow. */
     pumpAll(): void {
         this.remote.expire(this.options.timer.now() - remoteMaxAgeMs);
@@ -331,7 +357,7 @@
         const view = {
             running: (team: string) => this.runningIn(pool, team),
             share: this.options.view.share,
-            canStart: (team: string) => this.byTeam.of(team) < this.options.view.usable(team),
+            canStart: (team: string) => this.canStart(team),
             now: this.options.timer.now(),
         };
         for (const classes of classChoices) {
@@ -406,6 +432,9 @@
     }
 
     private freeTeam(slot: Slot): void {
+        if (slot.adoptedFrom !== undefined) {
+            this.cover(slot.team, slot.adoptedFrom, 1);
+        }
         this.byTeam.add(slot.team, -1);
         this.byPoolTeam.add(poolTeamKey(slot.pool, slot.team), -1);
     }
@@ -443,6 +472,19 @@
     [QueueClass.Deferred],
 ] as const;
 
+function adoptedKey(team: string, from: string): string {
+    return `${team}\n${from}`;
+}
+
+function afterAtLeast(timer: Timer, ms: number, fn: () => void): void {
+    if (ms > 0) {
+        timer.after(ms, fn);
+    }
+    else {
+        fn();
+    }
+}
+
 function waitingIn(state: PoolState, team: string): number {
     return state.line.waitingOf(QueueClass.Interactive, team)
         + state.line.waitingOf(QueueClass.Deferred, team);
--- a/src/request/jobs.ts
+++ b/src/request/jobs.ts
@@ -29,6 +29,7 @@
     type ReadyJob,
 } from "./job-store.js";
 import { type Job, JobState, shardCount, shardOf } from "./job.js";
+import { Tally } from "./load.js";
 import { ReadyLines } from "./ready.js";
 import type { TaskCalls } from "./task.js";
 
@@ -48,6 +49,7 @@
 
 const readyTopic = "job.ready";
 const cancelTopic = "job.cancel";
+const offerTopic = "job.offer";
 const claimWaitMs = 20_000;
 const maxClaimsAtOnce = 48;
 const recoverEvery = 3;
@@ -61,6 +63,7 @@
     private readonly claiming = new Set<string>();
     private readonly watching = new Map<string, Job>();
     private readonly cancelAsked = new Set<string>();
+    private readonly handedOver = Tally.create();
     private readonly cancels: Cancel[] = [];
     private isLeaving = false;
     private isPolling = false;
@@ -69,6 +72,7 @@
     private constructor(private readonly options: JobsOptions) {
         const { peers } = options;
         peers.on(readyTopic, (_, body) => this.poke((body as { shard: number }).shard));
+        peers.on(offerTopic, (_, body) => this.receiveOffer((body as { id: string }).id));
         peers.on(cancelTopic, (_, body) => void this.cancelAsked.add((body as { id: string }).id));
     }
 
@@ -81,6 +85,11 @@
         return this.watching.size;
     }
 
+    /** Running tasks of a team that were handed over to other entries. */
+    handedOverOf(team: string): number {
+        return this.handedOver.of(team);
+    }
+
     start(): Promise<void> {
         const { timer, pollMs = 1000 } = this.options;
         this.cancels.push(timer.every(pollMs, () => void this.poll()));
@@ -195,16 +204,36 @@
             if (ready === undefined) {
                 return;
             }
-            this.claiming.add(ready.id);
-            void this.runReady(ready).catch(() => undefined).finally(() => {
-                this.claiming.delete(ready.id);
-                this.claimSome();
-            });
+            if (!this.offerToPeer(ready)) {
+                this.claimSoon(ready.id);
+            }
         }
     }
 
-    private async runReady(ready: ReadyJob): Promise<void> {
-        const read = await this.runFlow(readJob(ready.id));
+    private claimSoon(id: string): void {
+        this.claiming.add(id);
+        void this.runReady(id).catch(() => undefined).finally(() => {
+            this.claiming.delete(id);
+            this.claimSome();
+        });
+    }
+
+    /** Offers a job to a peer that holds unused grants of its team, when this entry has none. */
+    private offerToPeer({ id, team }: ReadyJob): boolean {
+        const { dispatcher, peers } = this.options;
+        const peer = dispatcher.canStart(team) ? undefined : dispatcher.remote.withSpare(team)[0];
+        return peer !== undefined && peers.notify(peer, offerTopic, { id });
+    }
+
+    private receiveOffer(id: string): void {
+        const isKnown = this.claiming.has(id) || this.watching.has(id);
+        if (!isKnown && !this.isLeaving && this.options.fleet.self !== undefined) {
+            this.claimSoon(id);
+        }
+    }
+
+    private async runReady(id: string): Promise<void> {
+        const read = await this.runFlow(readJob(id));
         if (read === undefined || read.job.state !== JobState.Waiting || this.isLeaving) {
             return;
         }
@@ -243,6 +272,7 @@
             this.cancelAsked.delete(id);
             this.options.dispatcher.release(slot, slotEndOf(end));
             this.options.metrics.count("celerywind_job_runs_total", { end });
+            this.handedOver.add(read.job.team, end === RunEnd.HandedOver ? 1 : 0);
         }
         this.options.log.write(Severity.Info, EventId.JobFinished, { job: id, end });
     }
@@ -293,6 +323,9 @@
         if (read === undefined || read.job.state !== JobState.Running || read.job.holder !== incarnation) {
             return;
         }
+        if (!fleet.isGone(incarnation) && !dispatcher.canStart(read.job.team)) {
+            return;
+        }
         const adopted = incarnation === self ? read : await this.runFlow(adoptJob(read, self));
         if (adopted === undefined) {
             return;
@@ -301,7 +334,7 @@
         const { worker = "" } = adopted.job;
         const known = dispatcher.workerOf(adopted.job.pool, worker)
             ?? { vm: worker, origin: "", rack: "", zone: "", isOpen: false, isHome: false };
-        const slot = dispatcher.adopt(this.wantOf(adopted.job), known);
+        const slot = dispatcher.adopt(this.wantOf(adopted.job), known, incarnation);
         void this.look(adopted, slot, watchJob(adopted)).catch(() => undefined);
     }
 
--- a/src/request/requests.ts
+++ b/src/request/requests.ts
@@ -146,7 +146,7 @@
             case ServeEffectKind.Attempt:
                 return this.attempt(effect);
             case ServeEffectKind.Release:
-                dispatcher.release(effect.slot, effect.end);
+                dispatcher.release(effect.slot, effect.end, effect.mayRunUntil);
                 return undefined;
             case ServeEffectKind.SpendRetry:
                 return this.spendRetry();
--- a/src/request/serve.ts
+++ b/src/request/serve.ts
@@ -49,7 +49,13 @@
         readonly slot: Slot;
         readonly timeoutMs: number;
     }
-    | { readonly kind: ServeEffectKind.Release; readonly slot: Slot; readonly end: SlotEnd }
+    | {
+        readonly kind: ServeEffectKind.Release;
+        readonly slot: Slot;
+        readonly end: SlotEnd;
+        /** Monotonic time until which the worker may still be running the request, in milliseconds. */
+        readonly mayRunUntil: number;
+    }
     | { readonly kind: ServeEffectKind.SpendRetry }
     | { readonly kind: ServeEffectKind.CountRetry; readonly reason: AttemptKind | RetryCause };
 
@@ -66,6 +72,7 @@
 const minAttemptMs = 50;
 const firstServerError = 500;
 const refusedRetryAfterMs = 200;
+const lingerGraceMs = 250;
 
 /** Serves one request to its outcome. */
 export function* serve(req: Admitted): ServeFlow<Outcome> {
@@ -82,8 +89,9 @@
         }
         const { slot } = acquired;
         exclude.push(slot.worker.vm);
-        const result = yield* send(req, slot, attempt);
-        yield { kind: ServeEffectKind.Release, slot, end: endOf(result) };
+        const { result, endsBy } = yield* send(req, slot, attempt);
+        const mayRunUntil = mayStillRun(result) ? endsBy : 0;
+        yield { kind: ServeEffectKind.Release, slot, end: endOf(result), mayRunUntil };
         known = combine(known, result);
         if (isFinal(req, result) || !(yield* mayRetry(result))) {
             return known;
@@ -118,12 +126,19 @@
     return (yield { kind: ServeEffectKind.Acquire, want }) as Acquired;
 }
 
-function* send(req: Admitted, slot: Slot, attempt: number): ServeFlow<AttemptResult> {
+interface Sent {
+    readonly result: AttemptResult;
+    /** Monotonic time by which the worker has ended the request, as it was told the timeout, in milliseconds. */
+    readonly endsBy: number;
+}
+
+function* send(req: Admitted, slot: Slot, attempt: number): ServeFlow<Sent> {
     const now = (yield { kind: ServeEffectKind.Now }) as number;
     const left = Math.max(1, req.deadline - now);
     const canRetry = req.idempotent && attempt < maxAttempts;
     const timeoutMs = canRetry ? Math.min(left, Math.max(minAttemptMs, left * firstAttemptPart)) : left;
-    return (yield { kind: ServeEffectKind.Attempt, req, slot, timeoutMs }) as AttemptResult;
+    const result = (yield { kind: ServeEffectKind.Attempt, req, slot, timeoutMs }) as AttemptResult;
+    return { result, endsBy: now + timeoutMs + lingerGraceMs };
 }
 
 function* mayRetry(result: AttemptResult): ServeFlow<boolean> {
@@ -174,6 +189,10 @@
     }
 }
 
+function mayStillRun({ kind }: AttemptResult): boolean {
+    return kind === AttemptKind.Broken || kind === AttemptKind.TimedOut;
+}
+
 function endOf(result: AttemptResult): SlotEnd {
     switch (result.kind) {
         case AttemptKind.Whole:
--- a/src/version/versions.ts
+++ b/src/version/versions.ts
@@ -66,6 +66,7 @@
     private isPolling = false;
     private isPushing = false;
     private snapshotAt = 0;
+    private confirmed = -Infinity;
 
     private constructor(private readonly options: VersionsOptions) {
         const { peers } = options;
@@ -86,6 +87,11 @@
         return this.current;
     }
 
+    /** Monotonic time at which the store last confirmed this version as the newest, in milliseconds. */
+    get confirmedAt(): number {
+        return this.confirmed;
+    }
+
     /** Withdrawn key ids that are in force here but not stored yet. */
     get pendingWithdrawals(): ReadonlySet<string> {
         return this.pending;
@@ -108,8 +114,10 @@
             return;
         }
         this.isPolling = true;
+        const startedAt = this.options.timer.now();
         try {
             this.adopt(await this.runFlow(catchUp(this.current)));
+            this.confirmed = startedAt;
             await this.storePending();
             await this.saveSnapshot();
         }
@@ -155,6 +163,14 @@
         return { id, isStored: await isStored, inForce: await inForce };
     }
 
+    /** Takes in the revision and the pending withdrawals of a peer. */
+    hear(revision: number, pending: readonly string[]): void {
+        this.receiveWithdrawal(pending);
+        if (revision > this.current.revision) {
+            void this.poll();
+        }
+    }
+
     private async confirmWithdrawal(id: string): Promise<number> {
         const { peers } = this.options;
         const asked = peers.connected().map(peer =>
--- a/standin/worker.ts
+++ b/standin/worker.ts
@@ -180,11 +180,13 @@
                 this.answer(res, { id, queue, worker: this.options.vm, echo: body.toString("base64") });
             }
         };
-        if (this.fault !== Fault.Hang) {
-            this.timer.after(this.fault === Fault.BlackHole ? 1 : ms, finish);
+        const timeoutMs = Number(req.headers["celerywind-timeout-ms"] ?? Infinity);
+        res.once("close", () => this.end(record));
+        if (this.fault === Fault.Hang || ms > timeoutMs) {
+            this.timer.after(timeoutMs, () => this.end(record));
         }
         else {
-            res.once("close", () => this.end(record));
+            this.timer.after(this.fault === Fault.BlackHole ? 1 : ms, finish);
         }
     }
 
--- a/standin/world/pausable.ts
+++ b/standin/world/pausable.ts
@@ -38,6 +38,11 @@
         return () => cancel();
     }
 
+    /** Whether the process is frozen. */
+    get isPaused(): boolean {
+        return this.held !== undefined;
+    }
+
     /** Holds every callback back until `resume`. */
     pause(): void {
         this.held ??= [];
--- a/standin/world/worker.ts
+++ b/standin/world/worker.ts
@@ -73,8 +73,8 @@
         return this.bootId;
     }
 
-    /** Runs one request; calls back with the answer, unless the worker never answers. */
-    serve(req: UpstreamRequest, answer: (result: AttemptResult) => void): void {
+    /** Runs one request for `timeoutMs` at most; calls back with the answer, unless the worker never answers. */
+    serve(req: UpstreamRequest, timeoutMs: number, answer: (result: AttemptResult) => void): void {
         const { timer } = this.options;
         if (this.running >= (this.options.slots ?? 8)) {
             this.refusals++;
@@ -83,13 +83,14 @@
         }
         const run = this.begin(req.id, req.team, req.queue, false);
         const boot = this.boots;
-        if (this.fault === Fault.Hang) {
-            timer.after(60_000, () => this.end(run));
-            return;
-        }
-        timer.after(this.fault === Fault.BlackHole ? 1 : this.duration(req.queue), () => {
-            if (this.isUp && boot === this.boots) {
-                this.end(run);
+        const neededMs = this.fault === Fault.BlackHole ? 1 : this.duration(req.queue);
+        const isCutShort = this.fault === Fault.Hang || neededMs > timeoutMs;
+        timer.after(Math.min(neededMs, timeoutMs), () => {
+            if (!this.isUp || boot !== this.boots) {
+                return;
+            }
+            this.end(run);
+            if (!isCutShort) {
                 answer(this.resultOf(req));
             }
         });
@@ -235,7 +236,10 @@
 
 /** How one entry reaches the workers. */
 export interface WayToWorkers {
+    /** Timer of the entry's process. */
     readonly timer: Timer;
+    /** Timer of the network, which goes on while the process is paused. */
+    readonly net: Timer;
     readonly latencyMs: number;
     readonly workerAt: (origin: string) => VirtualWorker | undefined;
     /** Whether packets between this entry and a worker are lost without either noticing. */
@@ -247,10 +251,11 @@
     constructor(private readonly way: WayToWorkers) {}
 
     send(origin: string, req: UpstreamRequest, timeoutMs: number): Promise<AttemptResult> {
-        const { timer, latencyMs, workerAt, isSilent } = this.way;
-        return new Promise(resolve => {
+        const { timer, net, latencyMs, workerAt, isSilent } = this.way;
+        return new Promise(settle => {
+            const resolve = (result: AttemptResult): void => void timer.after(0, () => settle(result));
             timer.after(timeoutMs, () => resolve({ kind: AttemptKind.TimedOut, cause: "no answer in time" }));
-            timer.after(latencyMs, () => {
+            net.after(latencyMs, () => {
                 const worker = workerAt(origin);
                 if (worker?.isUp !== true) {
                     resolve({ kind: AttemptKind.NotSent, cause: "connection refused" });
@@ -261,7 +266,8 @@
                 }
                 worker.serve(
                     req,
-                    result => timer.after(latencyMs, () => !isSilent(origin) && resolve(result)),
+                    timeoutMs,
+                    result => net.after(latencyMs, () => !isSilent(origin) && resolve(result)),
                 );
             });
         });
@@ -308,10 +314,10 @@
     }
 
     private call<T>(job: Job, act: (worker: VirtualWorker) => T, lost: T): Promise<T> {
-        const { timer, latencyMs, workerAt, isSilent } = this.way;
+        const { timer, net, latencyMs, workerAt, isSilent } = this.way;
         const origin = this.originOf(job.worker ?? "") ?? "";
         return new Promise(resolve => {
-            timer.after(latencyMs, () => {
+            net.after(latencyMs, () => {
                 const worker = workerAt(origin);
                 if (worker?.isUp !== true || isSilent(origin)) {
                     timer.after(latencyMs, () => resolve(lost));
--- a/standin/world/world.ts
+++ b/standin/world/world.ts
@@ -10,8 +10,9 @@
 import { entryPool, type Vm, VmState } from "../../src/process/platform.js";
 import { Random } from "../../src/process/random.js";
 import { parseSettings, type SettingsInput } from "../../src/process/settings.js";
+import { sleep } from "../../src/process/timer.js";
 import { VirtualTimer } from "../../src/process/virtual.js";
-import { AdmissionKind, admit } from "../../src/request/admission.js";
+import { AdmissionKind, admit, identify } from "../../src/request/admission.js";
 import type { Job } from "../../src/request/job.js";
 import { jobIdOf, JobState } from "../../src/request/job.js";
 import { notRun, type Outcome, OutcomeKind } from "../../src/request/outcome.js";
@@ -62,6 +63,17 @@
     isAlive: boolean;
 }
 
+/** A key as it was given. */
+export interface GivenKey {
+    readonly id: string;
+    readonly text: string;
+}
+
+/** A key with the virtual time at which its withdrawal was asked for, in milliseconds. */
+export interface WithdrawnKey extends GivenKey {
+    readonly withdrawnAt: number;
+}
+
 const dayMs = 86_400_000;
 const workersPerRack = 4;
 const zoneCount = 3;
@@ -79,6 +91,9 @@
     readonly jobs: JobRecord[] = [];
     readonly drains = new Map<string, Drain>();
     readonly keys = new Map<string, { readonly id: string; readonly text: string }>();
+    /** Keys given to be withdrawn, and those that were. */
+    readonly spareKeys: GivenKey[] = [];
+    readonly withdrawn: WithdrawnKey[] = [];
     entries: WorldEntry[] = [];
     private readonly silent = new Set<string>();
     private sent = 0;
@@ -196,6 +211,52 @@
         this.kill(vm);
     }
 
+    /** Stops an entry as planned while virtual time goes on by other means. */
+    async stopInBackground(vm: string): Promise<void> {
+        const entry = this.entryOf(vm);
+        const { core, timer } = entry;
+        this.entries = this.entries.filter(other => other !== entry);
+        core.isClosed = true;
+        await core.jobs.leave(5000);
+        while (core.requests.activeCount > 0) {
+            await sleep(timer, 20);
+        }
+        await core.grants.leave().catch(() => undefined);
+        await core.fleet.leave().catch(() => undefined);
+        timer.end();
+        this.net.leave(vm);
+    }
+
+    /** Gives a team keys that can be withdrawn later. */
+    async giveSpareKeys(team: string, count: number): Promise<void> {
+        for (let given = 0; given < count; given++) {
+            this.spareKeys.push(await this.settle(this.entries[0]!.core.versions.giveKey(team)));
+        }
+        await this.advance(2000);
+    }
+
+    /** Number of entries that would start work for a key now. */
+    acceptingEntries(key: string): number {
+        return this.entries.filter(({ core, timer }) => {
+            const { state, pendingWithdrawals } = core.versions;
+            const call = { authorization: `Bearer ${key}`, claimedTeam: undefined };
+            const isKnown = identify(state, pendingWithdrawals, call, false).kind === AdmissionKind.Admitted;
+            return isKnown && core.closedFor() === undefined && !timer.isPaused;
+        }).length;
+    }
+
+    /** Available VMs of each pool less its budget, leaving aside VMs that are down without a permit. */
+    plannedSpare(): ReadonlyMap<string, number> {
+        const spare = new Map<string, number>();
+        for (const { name, budget } of this.poolSpecs()) {
+            const vms = this.vmsOf(name);
+            const unplanned = vms.filter(vm => vm.state !== VmState.Live && !vm.draining).length;
+            const available = vms.filter(vm => vm.state === VmState.Live && !vm.draining).length;
+            spare.set(name, unplanned > 0 && available === vms.length - unplanned ? 0 : available - budget);
+        }
+        return spare;
+    }
+
     /** Freezes an entry for `ms` milliseconds. */
     pause(vm: string, ms: number): void {
         const { timer } = this.entryOf(vm);
@@ -283,7 +344,10 @@
         key = `key-${this.sent++}`,
     ): Promise<string | undefined> {
         const { core } = this.entries[at % this.entries.length]!;
-        const listed = core.versions.state.lists.queues[queue]!;
+        const listed = core.versions.state.lists.queues[queue];
+        if (listed === undefined || core.closedFor() !== undefined) {
+            return undefined;
+        }
         const draft: Omit<Job, "payload"> = {
             id: jobIdOf(team, key),
             team,
@@ -349,6 +413,7 @@
     private wayOf(vm: string, timer: PausableTimer): WayToWorkers {
         return {
             timer,
+            net: this.timer,
             latencyMs: this.options.latencyMs ?? 1,
             workerAt: origin => this.workers.get(origin.replace("http://", "")),
             isSilent: origin => this.silent.has(`${vm}|${origin}`),
@@ -397,6 +462,14 @@
         };
     }
 
+    private poolSpecs(): readonly WorldPool[] {
+        return this.options.pools;
+    }
+
+    private vmsOf(pool: string): readonly Vm[] {
+        return this.inner.vmsNow().filter(vm => vm.pool === pool);
+    }
+
     private async changeVm(id: string, edit: (vm: Vm) => Vm): Promise<void> {
         const { vms } = await this.inner.listVms();
         const vm = vms.find(other => other.id === id);
--- /dev/null
+++ b/test/faults.test.ts
@@ -0,0 +1,61 @@
+import { describe, expect, test } from "vitest";
+import { FaultKind, type ScheduledFault } from "../bench/faults/fault.js";
+import { runFaults } from "../bench/faults/run.js";
+
+function fault(kind: FaultKind, atMs: number, forMs: number, target = 0, other = 1): ScheduledFault {
+    return { kind, atMs, forMs, target, other };
+}
+
+async function violationsUnder(
+    seed: number,
+    schedule: readonly ScheduledFault[],
+): Promise<readonly string[]> {
+    const { checks, calls, jobs } = await runFaults({ seed, schedule, spanMs: 8000 });
+    expect(calls).toBeGreaterThan(300);
+    expect(jobs).toBeGreaterThan(5);
+    return checks.filter(check => check.violations > 0).map(check => check.invariant);
+}
+
+describe("a fleet keeps every promise", () => {
+    test("without faults, for a team whose limit is below the number of entries too", async () => {
+        expect(await violationsUnder(3, [])).toEqual([]);
+    });
+
+    test("when a key is withdrawn as an entry is cut off, which then rejoins", async () => {
+        const schedule = [
+            fault(FaultKind.WithdrawKey, 1000, 0, 1),
+            fault(FaultKind.CutOffEntry, 1000, 3051, 0),
+        ];
+        expect(await violationsUnder(2, schedule)).toEqual([]);
+    });
+
+    test("when entries are replaced while a small team's tasks run on them", async () => {
+        const schedule = [
+            fault(FaultKind.KillEntry, 2000, 4000, 1),
+            fault(FaultKind.RestartEntry, 5000, 0, 0),
+        ];
+        expect(await violationsUnder(15, schedule)).toEqual([]);
+    });
+
+    test("when the store loses answers while an entry is frozen", async () => {
+        const schedule = [
+            fault(FaultKind.StoreLosesAnswers, 500, 6000),
+            fault(FaultKind.PauseEntry, 2000, 4000, 2),
+        ];
+        expect(await violationsUnder(4, schedule)).toEqual([]);
+    });
+
+    test("when the store is down while workers crash and links go silent", async () => {
+        const schedule = [
+            fault(FaultKind.StoreDown, 1000, 5000),
+            fault(FaultKind.CrashWorker, 2000, 3000, 5),
+            fault(FaultKind.SilentLink, 2500, 4000, 1),
+        ];
+        expect(await violationsUnder(5, schedule)).toEqual([]);
+    });
+
+    test.each([21, 22, 23])("under a schedule drawn from seed %i", async seed => {
+        const { checks } = await runFaults({ seed, faults: 5, spanMs: 10_000 });
+        expect(checks.filter(check => check.violations > 0)).toEqual([]);
+    });
+});
--- a/test/grants.test.ts
+++ b/test/grants.test.ts
@@ -22,7 +22,9 @@
         takesOwnBase: true,
         limit: 40,
         demand: 0,
+        running: 0,
         fleetDemand: 0,
+        adoptedFrom: () => 0,
         isGone: () => false,
         isReleased: () => false,
         ...differences,
@@ -85,6 +87,19 @@
         expect(heldBy(released, 1)).toBe(40);
     });
 
+    test("that are lowered below what still runs count as held until that has ended", () => {
+        const full = settle(emptyGrants, 2, [40, 0], 40);
+        const lowered = decideGrants(
+            input({ row: full, members: members(2), running: 30, demand: 0, fleetDemand: 40 }),
+        );
+        expect(heldBy(lowered, 0)).toBe(10);
+        expect(spareOf(lowered, 40)).toBe(0);
+        const ended = decideGrants(
+            input({ row: lowered, members: members(2), running: 4, demand: 0, fleetDemand: 40 }),
+        );
+        expect(spareOf(ended, 40)).toBe(20);
+    });
+
     test("scale down by themselves when the limit is lowered", () => {
         const row = settle(emptyGrants, 4, [10, 10, 10, 10], 40);
         const usableNow = [0, 1, 2, 3].map(at => usable(row.holders[`entry-${at}#1`], 10));
