Start a task only on the boot it was claimed for

Cause: with the platform's list stale, a job was claimed for a worker that had rebooted meanwhile. Ruled out: grants, which read 1 and 1 throughout. Change: the start names the boot id; a worker with another answers 412, which counts as refused.

--- a/src/request/worker-tasks.ts
+++ b/src/request/worker-tasks.ts
@@ -23,7 +23,7 @@
 
 const statusCreated = 201;
 const statusUnavailable = 503;
-const statusConflict = 409;
+const statusOtherBoot = 412;
 
 /** Starts, asks about, cancels and checkpoints tasks. */
 export class WorkerTasks implements TaskCalls {
@@ -33,32 +33,29 @@
         return new WorkerTasks(options);
     }
 
-    /** Asks the job's worker to start this attempt. */
+    /** Asks the job's worker to start this attempt, if it is still the boot that the job was claimed for. */
     async start(job: Job, payload: Buffer): Promise<TaskStart> {
-        const { team, queue, contentType, idempotent } = job;
-        const body = {
+        const { team, queue, contentType, idempotent, workerBoot: ifBootId } = job;
+        const { leaseMs } = this.options;
+        const task = {
             team,
             queue,
             contentType,
             idempotent,
-            leaseMs: this.options.leaseMs,
+            ifBootId,
+            leaseMs,
             payload: payload.toString("base64"),
         };
-        try {
-            const answer = await this.call(job, "PUT", "", JSON.stringify(body));
-            switch (answer?.status) {
-                case statusCreated:
-                    return TaskStart.Started;
-                case statusUnavailable:
-                    return TaskStart.Refused;
-                case statusConflict:
-                case undefined:
-                default:
-                    return TaskStart.Unknown;
-            }
-        }
-        catch {
-            return TaskStart.Unknown;
+        const answer = await this.call(job, "PUT", "", JSON.stringify(task)).catch(() => undefined);
+        switch (answer?.status) {
+            case statusCreated:
+                return TaskStart.Started;
+            case statusUnavailable:
+            case statusOtherBoot:
+                return TaskStart.Refused;
+            case undefined:
+            default:
+                return TaskStart.Unknown;
         }
     }
 
--- a/standin/worker.ts
+++ b/standin/worker.ts
@@ -60,6 +60,7 @@
     readonly queue: string;
     readonly leaseMs: number;
     readonly payload: string;
+    readonly ifBootId?: string;
 }
 
 const slowFactor = 10;
@@ -244,7 +245,15 @@
         }
     }
 
-    private startTask(id: string, res: ServerResponse, { team, queue, leaseMs, payload }: TaskBody): void {
+    private startTask(
+        id: string,
+        res: ServerResponse,
+        { team, queue, leaseMs, payload, ifBootId }: TaskBody,
+    ): void {
+        if (ifBootId !== undefined && ifBootId !== this.bootId) {
+            send(res, 412, { bootId: this.bootId });
+            return;
+        }
         const known = this.tasks.get(id);
         if (known !== undefined) {
             send(res, known.state === "tombstone" ? 409 : 201, {});
--- a/standin/world/worker.ts
+++ b/standin/world/worker.ts
@@ -99,6 +99,9 @@
     /** Starts a task. */
     startTask(job: Job, payload: Buffer, leaseMs: number): TaskStart {
         const id = taskIdOf(job);
+        if (job.workerBoot !== this.bootId) {
+            return TaskStart.Refused;
+        }
         const known = this.tasks.get(id);
         if (known !== undefined) {
             return known.state === TaskState.Tombstone ? TaskStart.Unknown : TaskStart.Started;
