--- a/bench/faults/fault.ts
+++ b/bench/faults/fault.ts
@@ -147,10 +147,6 @@
 function withdrawOne(world: World, vm: string): void {
     const spare = world.spareKeys.pop();
     if (spare !== undefined) {
-        const withdrawnAt = world.timer.now();
-        void world.entryOf(vm).core.versions.withdrawKey(spare.id).then(
-            () => world.withdrawn.push({ ...spare, withdrawnAt }),
-            () => undefined,
-        );
+        world.withdraw(vm, spare);
     }
 }
--- a/src/core.ts
+++ b/src/core.ts
@@ -191,7 +191,6 @@
             metrics,
             upstream: workers,
             vm: settings.vm,
-            usable: team => this.grants.usable(team),
             closedFor: () => this.closedFor(),
         });
     }
--- a/src/process/contact.ts
+++ b/src/process/contact.ts
@@ -35,16 +35,23 @@
     readonly ageMs: number;
     readonly revision: number;
     readonly pending: readonly string[];
+    readonly isSettled: boolean;
 }
 
 const contactTopic = "contact.word";
+const unheardGraceMs = 3000;
 
 /** Knows whether this entry is cut off. */
 export class Contact implements Task {
     readonly name = "contact";
     private readonly words = new Map<string, PeerWord>();
     private readonly cancels: Cancel[] = [];
+    private readonly heardSince = new Set<string>();
     private wasIsolated = false;
+    /** Monotonic time at which the entry was last seen not to be cut off, in milliseconds. */
+    private connectedAt = -Infinity;
+    /** Monotonic time since which it is connected again but may miss withdrawals that are not stored yet. */
+    private unsettledSince: number | undefined;
 
     private constructor(private readonly options: ContactOptions) {
         options.peers.on(contactTopic, (peer, body) => this.hear(peer.vm, body as Word));
@@ -56,15 +63,17 @@
 
     /** Whether this entry must not start work now. */
     get isIsolated(): boolean {
-        const { timer, configuration, boundMs, fleet } = this.options;
-        return isIsolated({
-            now: timer.now(),
-            boundMs,
-            confirmedAt: configuration.confirmedAt(),
-            revision: configuration.revision(),
-            peers: [...this.words.values()],
-            members: Math.max(1, fleet.live.length),
-        });
+        const { timer, boundMs } = this.options;
+        const now = timer.now();
+        if (this.isCutOff(now)) {
+            return true;
+        }
+        if (now - this.connectedAt > boundMs) {
+            this.unsettledSince = now;
+            this.heardSince.clear();
+        }
+        this.connectedAt = now;
+        return !this.isSettled(now);
     }
 
     start(): Promise<void> {
@@ -78,17 +87,56 @@
         return Promise.resolve();
     }
 
-    private hear(vm: string, { ageMs, revision, pending }: Word): void {
+    private isCutOff(now: number): boolean {
+        const { boundMs, configuration, fleet } = this.options;
+        return isIsolated({
+            now,
+            boundMs,
+            confirmedAt: configuration.confirmedAt(),
+            revision: configuration.revision(),
+            peers: [...this.words.values()],
+            members: Math.max(1, fleet.live.length),
+        });
+    }
+
+    /**
+     * After a start or a cut the store may not have the newest withdrawals yet. The entry has them once a settled peer
+     * or every live peer has spoken, or when the others have had time to store them.
+     */
+    private isSettled(now: number): boolean {
+        if (this.unsettledSince === undefined) {
+            return true;
+        }
+        const { fleet } = this.options;
+        const others = fleet.live.filter(member => member.incarnation !== fleet.self?.incarnation);
+        const hasHeardAll = fleet.self !== undefined
+            && others.every(member => this.heardSince.has(member.vm));
+        if (hasHeardAll || now - this.unsettledSince > unheardGraceMs) {
+            this.unsettledSince = undefined;
+        }
+        return this.unsettledSince === undefined;
+    }
+
+    private hear(vm: string, { ageMs, revision, pending, isSettled }: Word): void {
         this.words.set(vm, { ageMs, revision, heardAt: this.options.timer.now() });
         this.options.configuration.hear(revision, pending);
+        this.heardSince.add(vm);
+        if (isSettled) {
+            this.unsettledSince = undefined;
+        }
     }
 
     private tell(): void {
         const { peers, timer, configuration, log } = this.options;
         const ageMs = Math.round(timer.now() - configuration.confirmedAt());
-        const word: Word = { ageMs, revision: configuration.revision(), pending: configuration.pending() };
-        peers.broadcast(contactTopic, word);
         const isIsolatedNow = this.isIsolated;
+        const word: Word = {
+            ageMs,
+            revision: configuration.revision(),
+            pending: configuration.pending(),
+            isSettled: !isIsolatedNow,
+        };
+        peers.broadcast(contactTopic, word);
         if (isIsolatedNow !== this.wasIsolated) {
             this.wasIsolated = isIsolatedNow;
             const event = isIsolatedNow ? EventId.EntryIsolated : EventId.EntryRejoined;
--- a/src/process/rendezvous.ts
+++ b/src/process/rendezvous.ts
@@ -15,6 +15,33 @@
         .map(scored => scored.member);
 }
 
+/**
+ * Assigns every key to one member so that the members' counts differ by one at most. Each key goes to its best member
+ * that still has room, keys in order of their own hash, so that few keys move when a member comes or goes.
+ */
+export function assignEvenly(
+    keys: readonly string[],
+    members: readonly string[],
+): ReadonlyMap<string, string> {
+    const evenPart = Math.floor(keys.length / Math.max(1, members.length));
+    const room = new Map(members.map(member => [member, evenPart]));
+    const assigned = new Map<string, string>();
+    const ordered = keys
+        .map(key => ({ key, score: scoreOf(key, "") }))
+        .sort((a, b) => a.score - b.score || (a.key < b.key ? -1 : 1));
+    for (const [at, { key }] of ordered.entries()) {
+        if (at === evenPart * members.length) {
+            members.forEach(member => room.set(member, 1));
+        }
+        const member = rankedFor(key, members, members.length).find(ranked => room.get(ranked)! > 0);
+        if (member !== undefined) {
+            room.set(member, room.get(member)! - 1);
+            assigned.set(key, member);
+        }
+    }
+    return assigned;
+}
+
 function scoreOf(key: string, member: string): number {
     return createHash("sha1").update(key).update("\0").update(member).digest().readUInt32BE(0);
 }
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -83,7 +83,7 @@
         vmMoves: weight.default(1),
     }).prefault({}),
     slots: z.strictObject({
-        policy: z.enum(SlotPolicyKind).default(SlotPolicyKind.HomeFirst),
+        policy: z.enum(SlotPolicyKind).default(SlotPolicyKind.Homed),
         perWorker: z.int().min(1).max(1024).default(8),
         connectionsPerWorker: z.int().min(1).max(4096).default(64),
     }).prefault({}),
--- a/src/process/slots.ts
+++ b/src/process/slots.ts
@@ -4,7 +4,10 @@
 export enum SlotPolicyKind {
     /** Of two random workers, the one with the lower known load. */
     TwoChoices = "two-choices",
-    /** Only workers homed at this entry by rendezvous hashing. */
+    /**
+     * Workers homed at this entry; requests beyond their slots are relayed to an entry with free ones. An entry without
+     * any home worker in a pool makes two random choices.
+     */
     Homed = "homed",
     /** Workers homed at this entry first, then two random choices among the rest. */
     HomeFirst = "home-first",
--- a/src/process/workers.ts
+++ b/src/process/workers.ts
@@ -1,7 +1,7 @@
 /** The workers of each pool as routing needs them, derived from the fleet view. */
 import type { FleetView } from "./fleet.js";
 import { entryPool, type Vm, VmState } from "./platform.js";
-import { responsibleFor } from "./rendezvous.js";
+import { assignEvenly } from "./rendezvous.js";
 
 /** A worker VM with its effective pool and whether it may get new work. */
 export interface WorkerVm {
@@ -29,10 +29,17 @@
     const pools = new Map<string, WorkerVm[]>(view.pools.map(pool => [pool.name, []]));
     for (const vm of view.vms.filter(other => other.pool !== entryPool)) {
         const pool = poolOf(view, vm);
-        const worker = { vm, pool, isOpen: isAvailable(view, vm), home: responsibleFor(vm.id, entries) };
+        const worker = { vm, pool, isOpen: isAvailable(view, vm), home: undefined };
         pools.set(pool, [...(pools.get(pool) ?? []), worker]);
     }
-    return pools;
+    return new Map([...pools].map(([pool, workers]) => [pool, withHomes(workers, entries)]));
+}
+
+/** Homes open workers evenly at the entries, pool by pool; closed ones get no new work and need no home. */
+function withHomes(workers: readonly WorkerVm[], entries: readonly string[]): readonly WorkerVm[] {
+    const open = workers.filter(worker => worker.isOpen).map(worker => worker.vm.id);
+    const homes = assignEvenly(open, entries);
+    return workers.map(worker => ({ ...worker, home: homes.get(worker.vm.id) }));
 }
 
 /** Fewest available VMs a pool must keep. */
--- a/src/request/dispatch.ts
+++ b/src/request/dispatch.ts
@@ -55,6 +55,8 @@
     readonly worker: Worker;
     /** Monotonic time at which the slot was given, in milliseconds. */
     readonly since: number;
+    /** Time that the work most likely needs, in milliseconds; 0 when it is not known. */
+    readonly likelyMs: number;
     /** Ended incarnation whose grant covers this work until it is moved here. */
     readonly adoptedFrom?: string;
 }
@@ -186,15 +188,8 @@
     /** Takes a slot for a task that already runs on a worker, covered by the grant of an ended incarnation. */
     adopt(want: Want, worker: Worker, adoptedFrom: string): Slot {
         const { pool, team, queue, class: queueClass } = want;
-        const slot: Slot = {
-            pool,
-            team,
-            queue,
-            class: queueClass,
-            worker,
-            since: this.options.timer.now(),
-            adoptedFrom,
-        };
+        const since = this.options.timer.now();
+        const slot: Slot = { pool, team, queue, class: queueClass, worker, since, likelyMs: 0, adoptedFrom };
         this.occupy(slot);
         this.uncovered.add(adoptedKey(team, adoptedFrom), 1);
         return slot;
@@ -241,6 +236,23 @@
         return this.byTeam.of(team) + this.waitingOf(team);
     }
 
+    /**
+     * A peer that can serve a request sooner than this entry: one with unused grants of the team when this entry has
+     * none, or under homed slots one with free slots when this entry has none.
+     */
+    findRelay(want: Pick<Want, "pool" | "team">): string | undefined {
+        const { pool, team } = want;
+        const { policy = SlotPolicyKind.Homed } = this.options;
+        if (!this.canStart(team)) {
+            return this.remote.withFree(pool, team)[0] ?? this.remote.withSpare(team)[0];
+        }
+        const state = this.stateOf(pool);
+        const isFull = state.line.size > 0 || this.freeHomeSlots(state) <= 0;
+        return policy === SlotPolicyKind.Homed && isFull
+            ? this.remote.withFree(pool, team)[0]
+            : undefined;
+    }
+
     /** The worker with this VM id in a pool. */
     workerOf(pool: string, vm: string): Worker | undefined {
         return this.pools.get(pool)?.workers.find(worker => worker.vm === vm);
@@ -264,16 +276,26 @@
         const spare = teams.map(team =>
             [team, Math.max(0, this.options.view.usable(team) - this.byTeam.of(team))] as const
         );
+        const free = [...this.pools].map(([pool, state]) => [pool, this.freeHomeSlots(state)] as const);
         const away = [...this.pools.values()]
             .flatMap(state => state.workers.filter(worker => !worker.isHome))
             .map(worker => [worker.vm, this.byWorker.of(worker.vm)] as const);
         return {
             teams: loads.filter(load => load.running > 0 || load.waiting > 0),
             spare: Object.fromEntries(spare.filter(([, n]) => n > 0)),
+            free: Object.fromEntries(free.filter(([, n]) => n > 0)),
             workers: Object.fromEntries(away.filter(([, n]) => n > 0)),
         };
     }
 
+    /** Slots that are free on the workers homed here, less the requests that wait for them. */
+    private freeHomeSlots(state: PoolState): number {
+        const { slotsPerWorker = 8 } = this.options;
+        const home = state.workers.filter(worker => worker.isHome && worker.isOpen);
+        const used = home.reduce((sum, worker) => sum + this.byWorker.of(worker.vm), 0);
+        return home.length * slotsPerWorker - used - state.line.size;
+    }
+
     private refusalFor(want: Want): Acquired | undefined {
         const { view, queuedRequests = 2000 } = this.options;
         const closed = view.closedFor();
@@ -292,7 +314,7 @@
         }
         const wait = this.estimateWait(want);
         const left = want.deadline - this.options.timer.now();
-        if (wait + this.times.mean(want.queue) > left && state.line.size > 0) {
+        if (wait + this.neededMs(want) > left && state.line.size > 0) {
             const isAtLimit = this.byTeam.of(want.team) >= view.usable(want.team);
             return refuse(isAtLimit ? NotRunReason.OverLimit : NotRunReason.WaitTooLong, wait);
         }
@@ -323,13 +345,9 @@
     private enqueue(want: Want, settle: (acquired: Acquired) => void): void {
         const { timer } = this.options;
         const state = this.stateOf(want.pool);
-        const expire = (reason: NotRunReason): void => {
-            if (state.line.remove(ticket)) {
-                ticket.cancel();
-                settle(refuse(reason, this.estimateWait(want)));
-            }
-        };
-        const cancel = timer.after(want.deadline - timer.now(), () => expire(NotRunReason.DeadlinePassed));
+        const expire = (reason: NotRunReason): void => this.expire(state, ticket, reason);
+        const lastStart = want.deadline - this.neededMs(want);
+        const cancel = timer.after(lastStart - timer.now(), () => expire(NotRunReason.DeadlinePassed));
         const ticket: Ticket = {
             team: want.team,
             class: want.class,
@@ -343,6 +361,23 @@
         this.pump(want.pool);
     }
 
+    private expire(state: PoolState, ticket: Ticket, reason: NotRunReason): void {
+        if (state.line.remove(ticket)) {
+            ticket.cancel();
+            ticket.settle(refuse(reason, this.estimateWait(ticket.want)));
+        }
+    }
+
+    /** Whether a request that started now would most likely miss its deadline. */
+    private isTooLate(want: Want): boolean {
+        return want.deadline - this.options.timer.now() < this.neededMs(want);
+    }
+
+    /** Time that a request most likely needs once it has started, in milliseconds. */
+    private neededMs({ queue, class: queueClass }: Want): number {
+        return queueClass === QueueClass.Interactive ? this.times.likelyMost(queue) : 0;
+    }
+
     private pump(pool: string): void {
         const state = this.stateOf(pool);
         while (state.line.size > 0) {
@@ -363,6 +398,10 @@
         for (const classes of classChoices) {
             const ticket = state.line.next(view, classes);
             const worker = ticket === undefined ? undefined : this.pick(state, ticket.want);
+            if (ticket !== undefined && this.isTooLate(ticket.want)) {
+                this.expire(state, ticket, NotRunReason.WaitTooLong);
+                return true;
+            }
             if (ticket !== undefined && worker !== undefined) {
                 this.start(state, ticket, worker);
                 return true;
@@ -377,14 +416,15 @@
         state.line.remove(ticket);
         state.line.noteStart();
         ticket.cancel();
-        const slot: Slot = { pool, team, queue, class: queueClass, worker, since: timer.now() };
+        const likelyMs = this.neededMs(ticket.want);
+        const slot: Slot = { pool, team, queue, class: queueClass, worker, since: timer.now(), likelyMs };
         this.occupy(slot);
         metrics.observe("celerywind_queue_wait_ms", timer.now() - ticket.since, { class: queueClass });
         ticket.settle({ kind: AcquiredKind.Slot, slot });
     }
 
     private pick(state: PoolState, want: Want): Worker | undefined {
-        const { policy = SlotPolicyKind.HomeFirst, random } = this.options;
+        const { policy = SlotPolicyKind.Homed, random } = this.options;
         const usable = state.workers.filter(worker => this.isUsable(state, worker, want));
         const candidates = usable.map(worker => this.candidate(state, worker, want.class));
         const picked = pickWorker({ policy, candidates, random });
--- a/src/request/job-store.ts
+++ b/src/request/job-store.ts
@@ -98,8 +98,8 @@
     }
 }
 
-function indexEntry(job: Job): { readonly id: string; readonly queue: string } {
-    return { id: job.id, queue: job.queue };
+function indexEntry({ id, pool }: Job): IndexEntry {
+    return { id, pool };
 }
 
 /** Who claims a job and where it is to run. */
@@ -262,12 +262,14 @@
     return rows.map(row => row.key.slice(prefix.length));
 }
 
-/** A waiting job as the index names it. */
-export interface ReadyJob {
+interface IndexEntry {
     readonly id: string;
+    readonly pool: string;
+}
+
+/** A waiting job as the index names it. */
+export interface ReadyJob extends IndexEntry {
     readonly team: string;
-    readonly queue: string;
-    readonly key: string;
 }
 
 /** Waiting jobs of a shard after a key, oldest first within each team. */
@@ -275,9 +277,8 @@
     const prefix = readyPrefix(shard);
     const rows = yield* scanRows({ prefix, after, limit, priority: StorePriority.Claim });
     return rows.map(row => ({
-        key: row.key,
         team: row.key.split("/")[2]!,
-        ...row.value as { id: string; queue: string },
+        ...row.value as IndexEntry,
     }));
 }
 
--- a/src/request/jobs.ts
+++ b/src/request/jobs.ts
@@ -218,10 +218,13 @@
         });
     }
 
-    /** Offers a job to a peer that holds unused grants of its team, when this entry has none. */
-    private offerToPeer({ id, team }: ReadyJob): boolean {
+    /** Offers a job to a peer that can run it sooner. */
+    private offerToPeer({ id, team, pool }: ReadyJob): boolean {
         const { dispatcher, peers } = this.options;
-        const peer = dispatcher.canStart(team) ? undefined : dispatcher.remote.withSpare(team)[0];
+        const peer = dispatcher.findRelay({ team, pool });
+        if (peer !== undefined) {
+            dispatcher.remote.noteRelayed(peer, pool, team);
+        }
         return peer !== undefined && peers.notify(peer, offerTopic, { id });
     }
 
--- a/src/request/load.ts
+++ b/src/request/load.ts
@@ -13,6 +13,8 @@
     readonly teams: readonly TeamLoad[];
     /** Grants the entry holds and does not use, by team. */
     readonly spare: Readonly<Record<string, number>>;
+    /** Free slots on workers homed at the sender, by pool. */
+    readonly free: Readonly<Record<string, number>>;
     /** Requests and tasks on each worker that is not homed at the sender. */
     readonly workers: Readonly<Record<string, number>>;
 }
@@ -48,6 +50,13 @@
         return this.counts.get(key) ?? 0;
     }
 
+    /** Returns the counts of every key that starts with a prefix to zero. */
+    clear(prefix: string): void {
+        [...this.counts.keys()].filter(key => key.startsWith(`${prefix}\n`)).forEach(key =>
+            this.counts.delete(key)
+        );
+    }
+
     /** All counts that are not zero. */
     entries(): IterableIterator<[string, number]> {
         return this.counts.entries();
@@ -61,6 +70,7 @@
     private readonly byTeam = Tally.create();
     private readonly byWorker = Tally.create();
     private readonly waitingByTeam = Tally.create();
+    private readonly relayed = Tally.create();
 
     static create(): RemoteLoad {
         return new RemoteLoad();
@@ -79,6 +89,7 @@
         if (old !== undefined) {
             this.tally(old.digest, -1);
             this.heard.delete(peer);
+            this.relayed.clear(peer);
         }
     }
 
@@ -104,10 +115,30 @@
 
     /** Peers that hold unused grants of a team, most first. */
     withSpare(team: string): readonly string[] {
-        return [...this.heard]
-            .filter(([, { digest }]) => (digest.spare[team] ?? 0) > 0)
-            .sort((a, b) => b[1].digest.spare[team]! - a[1].digest.spare[team]!)
-            .map(([peer]) => peer);
+        return [...this.heard.keys()]
+            .filter(peer => this.spareOf(peer, team) > 0)
+            .sort((a, b) => this.spareOf(b, team) - this.spareOf(a, team));
+    }
+
+    /** Peers with free slots in a pool and unused grants of a team, most free slots first. */
+    withFree(pool: string, team: string): readonly string[] {
+        return [...this.heard.keys()]
+            .filter(peer => this.freeOf(peer, pool) > 0 && this.spareOf(peer, team) > 0)
+            .sort((a, b) => this.freeOf(b, pool) - this.freeOf(a, pool));
+    }
+
+    /** Counts a request relayed to a peer against what it said was free, until it speaks again. */
+    noteRelayed(peer: string, pool: string, team: string): void {
+        this.relayed.add(relayedKey(peer, pool), 1);
+        this.relayed.add(relayedKey(peer, team), 1);
+    }
+
+    private spareOf(peer: string, team: string): number {
+        return (this.heard.get(peer)?.digest.spare[team] ?? 0) - this.relayed.of(relayedKey(peer, team));
+    }
+
+    private freeOf(peer: string, pool: string): number {
+        return (this.heard.get(peer)?.digest.free[pool] ?? 0) - this.relayed.of(relayedKey(peer, pool));
     }
 
     private tally(digest: Digest, sign: number): void {
@@ -120,6 +151,10 @@
     }
 }
 
+function relayedKey(peer: string, name: string): string {
+    return `${peer}\n${name}`;
+}
+
 /** Key of a team's counts in one pool. */
 export function poolTeamKey(pool: string, team: string): string {
     return `${pool}\n${team}`;
--- a/src/request/requests.ts
+++ b/src/request/requests.ts
@@ -35,7 +35,6 @@
     readonly timer: Timer;
     readonly metrics: Metrics;
     readonly vm: string;
-    readonly usable: (team: string) => number;
     readonly closedFor: () => NotRunReason | undefined;
     readonly gossipMs?: number;
     readonly gossipBytesPerSecond?: number;
@@ -178,16 +177,13 @@
     }
 
     private findRelay(req: Admitted): string | undefined {
-        const { dispatcher, usable, peers } = this.options;
-        if (dispatcher.runningOf(req.team) < usable(req.team)) {
-            return undefined;
-        }
-        const connected = new Set(peers.connected().map(peer => peer.vm));
-        return dispatcher.remote.withSpare(req.team).find(peer => connected.has(peer));
+        const { dispatcher, peers } = this.options;
+        const peer = dispatcher.findRelay(req);
+        return peers.connected().some(connected => connected.vm === peer) ? peer : undefined;
     }
 
     private async relay(req: Admitted, peer: string): Promise<Outcome> {
-        const { peers, timer, metrics } = this.options;
+        const { peers, timer, metrics, dispatcher } = this.options;
         const leftMs = req.deadline - timer.now();
         const { id, team, queue, pool, class: queueClass, idempotent, contentType, body } = req;
         const sent: RelayBody = {
@@ -202,6 +198,7 @@
             leftMs,
         };
         metrics.count("celerywind_relays_total");
+        dispatcher.remote.noteRelayed(peer, pool, team);
         try {
             const outcome = await peers.ask(peer, relayTopic, sent, leftMs + relayGraceMs) as Outcome;
             return outcome.kind === OutcomeKind.Answered
--- a/src/request/route.ts
+++ b/src/request/route.ts
@@ -29,7 +29,9 @@
         case SlotPolicyKind.TwoChoices:
             return twoChoices(free, random);
         case SlotPolicyKind.Homed:
-            return leastLoaded(free.filter(candidate => candidate.isHome));
+            return candidates.some(candidate => candidate.isHome)
+                ? leastLoaded(free.filter(candidate => candidate.isHome))
+                : twoChoices(free, random);
         case SlotPolicyKind.HomeFirst:
             return leastLoaded(free.filter(candidate => candidate.isHome)) ?? twoChoices(free, random);
     }
--- a/src/request/serve.ts
+++ b/src/request/serve.ts
@@ -70,6 +70,7 @@
 const maxAttempts = 4;
 const firstAttemptPart = 0.5;
 const minAttemptMs = 50;
+const patienceFactor = 2;
 const firstServerError = 500;
 const refusedRetryAfterMs = 200;
 const lingerGraceMs = 250;
@@ -136,7 +137,8 @@
     const now = (yield { kind: ServeEffectKind.Now }) as number;
     const left = Math.max(1, req.deadline - now);
     const canRetry = req.idempotent && attempt < maxAttempts;
-    const timeoutMs = canRetry ? Math.min(left, Math.max(minAttemptMs, left * firstAttemptPart)) : left;
+    const firstMs = Math.max(minAttemptMs, left * firstAttemptPart, slot.likelyMs * patienceFactor);
+    const timeoutMs = canRetry ? Math.min(left, firstMs) : left;
     const result = (yield { kind: ServeEffectKind.Attempt, req, slot, timeoutMs }) as AttemptResult;
     return { result, endsBy: now + timeoutMs + lingerGraceMs };
 }
--- a/src/request/service-time.ts
+++ b/src/request/service-time.ts
@@ -1,10 +1,17 @@
-/** Learned run times: a moving mean a key, used for estimated waits and for holding the slots of fast failures. */
+/** Learned run times by key: moving mean and deviation, for estimated waits and for starts that would be too late. */
 
 const smoothing = 0.05;
+const likelyDeviations = 2;
 
-/** Moving means of durations by key. */
+interface Estimate {
+    readonly meanMs: number;
+    /** Mean absolute deviation from the mean. */
+    readonly deviationMs: number;
+}
+
+/** Moving estimates of durations by key. */
 export class ServiceTimes {
-    private readonly means = new Map<string, number>();
+    private readonly estimates = new Map<string, Estimate>();
 
     private constructor(private readonly initialMs: number) {}
 
@@ -14,12 +21,20 @@
 
     /** Records a duration in milliseconds. */
     record(key: string, ms: number): void {
-        const mean = this.means.get(key);
-        this.means.set(key, mean === undefined ? ms : mean + smoothing * (ms - mean));
+        const old = this.estimates.get(key) ?? { meanMs: ms, deviationMs: 0 };
+        const meanMs = old.meanMs + smoothing * (ms - old.meanMs);
+        const deviationMs = old.deviationMs + smoothing * (Math.abs(ms - old.meanMs) - old.deviationMs);
+        this.estimates.set(key, { meanMs, deviationMs });
     }
 
     /** The mean of a key in milliseconds. */
     mean(key: string): number {
-        return this.means.get(key) ?? this.initialMs;
+        return this.estimates.get(key)?.meanMs ?? this.initialMs;
+    }
+
+    /** A duration in milliseconds that most runs of a key stay below; 0 while nothing was recorded. */
+    likelyMost(key: string): number {
+        const estimate = this.estimates.get(key);
+        return estimate === undefined ? 0 : estimate.meanMs + likelyDeviations * estimate.deviationMs;
     }
 }
--- a/standin/world/world.ts
+++ b/standin/world/world.ts
@@ -78,6 +78,7 @@
 const workersPerRack = 4;
 const zoneCount = 3;
 const rebootDefaultMs = 5000;
+const storedCheckMs = 50;
 
 /** A fleet in virtual time. */
 export class World {
@@ -235,6 +236,32 @@
         await this.advance(2000);
     }
 
+    /**
+     * Withdraws a key through an entry. It counts as withdrawn from the request on when every entry confirmed it or it
+     * was stored, else from when it is stored: the operator was told that it is not in force everywhere.
+     */
+    withdraw(vm: string, key: GivenKey): void {
+        const withdrawnAt = this.timer.now();
+        const entries = this.entries.length;
+        this.entryOf(vm).core.versions.withdrawKey(key.id).then(({ isStored, inForce }) => {
+            if (isStored || inForce >= entries) {
+                this.withdrawn.push({ ...key, withdrawnAt });
+            }
+            else {
+                this.noteWhenStored(key);
+            }
+        }, () => undefined);
+    }
+
+    private noteWhenStored(key: GivenKey): void {
+        const cancel = this.timer.every(storedCheckMs, () => {
+            if (this.entries.some(({ core }) => core.versions.state.withdrawn.has(key.id))) {
+                cancel();
+                this.withdrawn.push({ ...key, withdrawnAt: this.timer.now() });
+            }
+        });
+    }
+
     /** Number of entries that would start work for a key now. */
     acceptingEntries(key: string): number {
         return this.entries.filter(({ core, timer }) => {
