Share clocks with slow correction; compact digests within the byte budget

Cause: ordering the line by fleet-wide running counts swung from team to team with each gossip period. Digests sent each name again in every row and were charged by a guess; idle shards and pools were read every second. Change: each entry keeps a clock a team and pool, and corrects the weights slowly from fleet-wide use. Digests carry each name once and rows as numbers, are checked on receipt, and are charged by their real size. Shards without waiting jobs are read every fourth round; pools at rest are not read.

--- a/bench/flow.ts
+++ b/bench/flow.ts
@@ -8,6 +8,8 @@
     readonly queue: string;
     /** Requests a second at a virtual time since the load began, in milliseconds. */
     readonly rate: (atMs: number) => number;
+    /** Sends to the first so many entries only; to all when left out. */
+    readonly entries?: number;
     /** Highest rate at any time. */
     readonly peak: number;
 }
@@ -17,7 +19,7 @@
 /** Starts the sources; each request goes to a random entry. They stop by themselves after `forMs`. */
 export function startLoad(world: World, sources: readonly Source[], forMs: number, seed: number): void {
     const startedAt = world.timer.now();
-    sources.forEach(({ team, queue, rate, peak }, at) => {
+    sources.forEach(({ team, queue, rate, peak, entries = entryRange }, at) => {
         const random = Random.create(seed * 131 + at);
         const next = (): void => {
             const atMs = world.timer.now() - startedAt;
@@ -25,7 +27,7 @@
                 return;
             }
             if (random.chance(rate(atMs) / peak)) {
-                void world.call(random.int(entryRange), team, queue);
+                void world.call(random.int(entries), team, queue);
             }
             world.timer.after(random.exponential(1000 / peak), next);
         };
--- a/bench/measures/shares.ts
+++ b/bench/measures/shares.ts
@@ -39,10 +39,15 @@
     );
 }
 
-async function allSaturate(seed: number): Promise<number> {
+/** All teams saturate; those named in `uneven` reach only half of the entries. */
+async function allSaturate(seed: number, uneven: readonly string[]): Promise<number> {
     const world = await createFleet({ seed, entries, workersPerPool, queues: [queue], teams });
     const start = world.timer.now();
-    await runLoad(world, teams.map(team => source(team.name, capacity / 2)), settleMs + windowMs, seed, 0);
+    const sources = teams.map(({ name }) => {
+        const even = source(name, capacity / 2);
+        return uneven.includes(name) ? { ...even, entries: entries / 2 } : even;
+    });
+    await runLoad(world, sources, settleMs + windowMs, seed, 0);
     return worstDistance(world, start + settleMs, start + settleMs + windowMs, teams.map(team => team.name));
 }
 
@@ -89,7 +94,8 @@
     name: "shares",
     isVirtual: true,
     run: async ({ seed }) => ({
-        worst_distance_all_saturate: round(await allSaturate(seed)),
+        worst_distance_all_saturate: round(await allSaturate(seed, [])),
+        worst_distance_uneven_entries: round(await allSaturate(seed, ["a", "b", "c"])),
         ...await oneFloods(seed),
         idle_team_back_at_share_ms: await idleReturns(seed),
     }),
--- a/src/connection/peer/message.ts
+++ b/src/connection/peer/message.ts
@@ -61,6 +61,11 @@
     return packr.pack(value);
 }
 
+/** Size in bytes of a message with this topic and body on a link. */
+export function noticeBytes(topic: string, body: unknown): number {
+    return encodeFrame({ kind: FrameKind.Notice, topic, body }).length;
+}
+
 /** Decodes and checks a frame; undefined when it is malformed. */
 export function decodeFrame(bytes: Buffer): Frame | undefined {
     try {
--- a/src/process/maintenance.ts
+++ b/src/process/maintenance.ts
@@ -62,6 +62,9 @@
 
 /** Runs one round for one pool: moves every permit on, then takes new ones as far as the budget allows. */
 export function* serviceRound(options: RoundOptions): ServiceFlow<void> {
+    if (!hasWork(options)) {
+        return;
+    }
     const key = poolKey(options.pool);
     let row = yield* getRow(key, StorePriority.Claim);
     for (const permit of Object.values(rowValue(row).permits)) {
@@ -77,6 +80,12 @@
     }
 }
 
+/** Whether the view shows any permit or any VM to take out; saves reading the row of a pool at rest. */
+function hasWork(options: RoundOptions): boolean {
+    const known = options.view.poolRows.get(options.pool) ?? emptyPoolRow;
+    return Object.keys(known.permits).length > 0 || nextVms(options, known).length > 0;
+}
+
 function rowValue(row: Row | undefined): PoolRow {
     return row === undefined ? emptyPoolRow : row.value as PoolRow;
 }
--- a/src/request/dispatch.ts
+++ b/src/request/dispatch.ts
@@ -13,6 +13,8 @@
 import { Outliers, Standing } from "./outlier.js";
 import { type Candidate, pickWorker } from "./route.js";
 import { ServiceTimes } from "./service-time.js";
+import { ShareClock } from "./share-clock.js";
+import { UsageBook, usageFadeMs } from "./usage.js";
 
 /** A worker as the dispatcher sees it. */
 export interface Worker {
@@ -57,6 +59,8 @@
     readonly since: number;
     /** Time that the work most likely needs, in milliseconds; 0 when it is not known. */
     readonly likelyMs: number;
+    /** Slot time that was counted as used at the start, in milliseconds. */
+    readonly countedMs: number;
     /** Ended incarnation whose grant covers this work until it is moved here. */
     readonly adoptedFrom?: string;
 }
@@ -115,6 +119,7 @@
 interface PoolState {
     readonly line: FairLine<Ticket>;
     readonly outliers: Outliers;
+    readonly clock: ShareClock;
     workers: readonly Worker[];
     mayEject: number;
 }
@@ -134,8 +139,11 @@
     private readonly uncovered = Tally.create();
     private readonly fullUntil = new Map<string, number>();
     private readonly times = ServiceTimes.create();
+    private readonly usage: UsageBook;
 
-    private constructor(private readonly options: DispatcherOptions) {}
+    private constructor(private readonly options: DispatcherOptions) {
+        this.usage = UsageBook.create(() => options.timer.now());
+    }
 
     static create(options: DispatcherOptions): Dispatcher {
         return new Dispatcher(options);
@@ -189,7 +197,17 @@
     adopt(want: Want, worker: Worker, adoptedFrom: string): Slot {
         const { pool, team, queue, class: queueClass } = want;
         const since = this.options.timer.now();
-        const slot: Slot = { pool, team, queue, class: queueClass, worker, since, likelyMs: 0, adoptedFrom };
+        const slot: Slot = {
+            pool,
+            team,
+            queue,
+            class: queueClass,
+            worker,
+            since,
+            likelyMs: 0,
+            countedMs: 0,
+            adoptedFrom,
+        };
         this.occupy(slot);
         this.uncovered.add(adoptedKey(team, adoptedFrom), 1);
         return slot;
@@ -216,6 +234,18 @@
         [...this.pools.keys()].forEach(pool => this.pump(pool));
     }
 
+    /** Corrects the weights of the teams from their use across the fleet; call at a steady pace. */
+    correctShares(teams: readonly string[]): void {
+        for (const [pool, state] of this.pools) {
+            state.clock.correct(teams.map(team => ({
+                team,
+                share: this.options.view.share(team),
+                use: this.useOf(pool, team),
+                isWaiting: waitingIn(state, team) + this.remote.waitingIn(pool, team) > 0,
+            })));
+        }
+    }
+
     /** Running work of a team on this entry. */
     runningOf(team: string): number {
         return this.byTeam.of(team);
@@ -271,6 +301,7 @@
                 pool,
                 running: this.byPoolTeam.of(poolTeamKey(pool, team)),
                 waiting: waitingIn(state, team),
+                used: Math.round(this.usage.of(poolTeamKey(pool, team))),
             }))
         );
         const spare = teams.map(team =>
@@ -357,6 +388,9 @@
             cancel,
         };
         want.signal?.addEventListener("abort", () => expire(NotRunReason.CallerGone), { once: true });
+        if (waitingIn(state, want.team) === 0) {
+            state.clock.activate(want.team);
+        }
         state.line.add(ticket);
         this.pump(want.pool);
     }
@@ -390,8 +424,7 @@
 
     private startNext(pool: string, state: PoolState): boolean {
         const view = {
-            running: (team: string) => this.runningIn(pool, team),
-            share: this.options.view.share,
+            position: (team: string) => state.clock.position(team),
             canStart: (team: string) => this.canStart(team),
             now: this.options.timer.now(),
         };
@@ -410,6 +443,11 @@
         return false;
     }
 
+    /** Slots that a team used lately in a pool, on all entries as far as known. */
+    private useOf(pool: string, team: string): number {
+        return (this.usage.of(poolTeamKey(pool, team)) + this.remote.usedIn(pool, team)) / usageFadeMs;
+    }
+
     private start(state: PoolState, ticket: Ticket, worker: Worker): void {
         const { timer, metrics } = this.options;
         const { pool, team, queue, class: queueClass } = ticket.want;
@@ -417,8 +455,20 @@
         state.line.noteStart();
         ticket.cancel();
         const likelyMs = this.neededMs(ticket.want);
-        const slot: Slot = { pool, team, queue, class: queueClass, worker, since: timer.now(), likelyMs };
+        const countedMs = this.times.mean(queue);
+        const slot: Slot = {
+            pool,
+            team,
+            queue,
+            class: queueClass,
+            worker,
+            since: timer.now(),
+            likelyMs,
+            countedMs,
+        };
         this.occupy(slot);
+        state.clock.serve(team);
+        this.charge(slot, countedMs);
         metrics.observe("celerywind_queue_wait_ms", timer.now() - ticket.since, { class: queueClass });
         ticket.settle({ kind: AcquiredKind.Slot, slot });
     }
@@ -472,6 +522,8 @@
     }
 
     private freeTeam(slot: Slot): void {
+        const usedMs = this.options.timer.now() - slot.since;
+        this.charge(slot, usedMs - slot.countedMs);
         if (slot.adoptedFrom !== undefined) {
             this.cover(slot.team, slot.adoptedFrom, 1);
         }
@@ -490,6 +542,11 @@
         this.byWorker.add(slot.worker.vm, 1);
     }
 
+    private charge({ pool, team }: Slot, ms: number): void {
+        this.usage.add(poolTeamKey(pool, team), ms);
+        this.stateOf(pool).clock.charge(team, ms, this.options.view.share(team));
+    }
+
     private waitingOf(team: string): number {
         return [...this.pools.values()].reduce((sum, state) => sum + waitingIn(state, team), 0);
     }
@@ -499,7 +556,13 @@
         if (state === undefined) {
             const { timer } = this.options;
             const outliers = Outliers.create({ now: () => timer.now() });
-            state = { line: FairLine.create(), outliers, workers: [], mayEject: 0 };
+            state = {
+                line: FairLine.create(),
+                outliers,
+                clock: ShareClock.create(),
+                workers: [],
+                mayEject: 0,
+            };
             this.pools.set(pool, state);
         }
         return state;
--- a/src/request/fair.ts
+++ b/src/request/fair.ts
@@ -1,6 +1,6 @@
 /**
- * The waiting line of one pool: interactive work before deferred, and within a class the team that runs least for
- * its share first.
+ * The waiting line of one pool: interactive work before deferred, and within a class the team whose share clock
+ * is furthest behind first.
  */
 import { QueueClass } from "../version/schema.js";
 
@@ -14,9 +14,8 @@
 
 /** What the order of service depends on. */
 export interface FairView {
-    /** Running across the fleet in this pool, by team. */
-    readonly running: (team: string) => number;
-    readonly share: (team: string) => number;
+    /** Position of a team's clock; the team furthest behind is served first. */
+    readonly position: (team: string) => number;
     /** Whether the team may start one more here. */
     readonly canStart: (team: string) => boolean;
     readonly now: number;
@@ -111,12 +110,12 @@
 
     private bestOf(queueClass: QueueClass, view: FairView): W | undefined {
         let best: W | undefined;
-        let bestScore = Infinity;
+        let bestPosition = Infinity;
         for (const [team, line] of this.lines.get(queueClass)!) {
-            const score = view.running(team) / view.share(team);
-            if (score < bestScore && view.canStart(team)) {
+            const position = view.position(team);
+            if (position < bestPosition && view.canStart(team)) {
                 best = line[0];
-                bestScore = score;
+                bestPosition = position;
             }
         }
         return best;
--- a/src/request/jobs.ts
+++ b/src/request/jobs.ts
@@ -53,6 +53,7 @@
 const claimWaitMs = 20_000;
 const maxClaimsAtOnce = 48;
 const recoverEvery = 3;
+const readAllEvery = 4;
 const silentHolderMs = 3000;
 
 /** The job task of one entry. */
@@ -192,8 +193,10 @@
         void this.poll();
     }
 
+    /** Reads the shards that were poked or had waiting jobs when last read; all of them from time to time. */
     private async refill(shards: readonly number[]): Promise<void> {
-        for (const shard of shards) {
+        const isFull = this.polls % readAllEvery === 0;
+        for (const shard of shards.filter(each => isFull || this.lines.isActive(each))) {
             await this.runFlow(this.lines.refill(shard));
         }
     }
--- a/src/request/load.ts
+++ b/src/request/load.ts
@@ -6,6 +6,8 @@
     readonly pool: string;
     readonly running: number;
     readonly waiting: number;
+    /** Slot time used lately, faded, in milliseconds. */
+    readonly used: number;
 }
 
 /** What one entry tells its peers about its load. */
@@ -67,6 +69,8 @@
 export class RemoteLoad {
     private readonly heard = new Map<string, HeardDigest>();
     private readonly byPoolTeam = Tally.create();
+    private readonly usedByPoolTeam = Tally.create();
+    private readonly waitingByPoolTeam = Tally.create();
     private readonly byTeam = Tally.create();
     private readonly byWorker = Tally.create();
     private readonly waitingByTeam = Tally.create();
@@ -98,6 +102,16 @@
         [...this.heard].filter(([, heard]) => heard.at < at).forEach(([peer]) => this.forget(peer));
     }
 
+    /** Slot time that a team used lately in a pool on other entries, as they last said, in milliseconds. */
+    usedIn(pool: string, team: string): number {
+        return this.usedByPoolTeam.of(poolTeamKey(pool, team));
+    }
+
+    /** Waiting work of a team in a pool on other entries. */
+    waitingIn(pool: string, team: string): number {
+        return this.waitingByPoolTeam.of(poolTeamKey(pool, team));
+    }
+
     /** Running work of a team in a pool on other entries. */
     runningIn(pool: string, team: string): number {
         return this.byPoolTeam.of(poolTeamKey(pool, team));
@@ -142,7 +156,9 @@
     }
 
     private tally(digest: Digest, sign: number): void {
-        for (const { team, pool, running, waiting } of digest.teams) {
+        for (const { team, pool, running, waiting, used } of digest.teams) {
+            this.waitingByPoolTeam.add(poolTeamKey(pool, team), sign * waiting);
+            this.usedByPoolTeam.add(poolTeamKey(pool, team), sign * used);
             this.byPoolTeam.add(poolTeamKey(pool, team), sign * running);
             this.byTeam.add(team, sign * running);
             this.waitingByTeam.add(team, sign * waiting);
--- a/src/request/ready.ts
+++ b/src/request/ready.ts
@@ -14,6 +14,8 @@
     readonly teams: Map<string, ReadyJob[]>;
     /** Where the next refill goes on. */
     cursor: string;
+    /** Jobs may wait in the shard. */
+    isActive: boolean;
 }
 
 /** Lines of waiting jobs by shard and team. */
@@ -34,7 +36,12 @@
 
     /** Notes that a job became ready in a shard. */
     poke(shard: number): void {
-        this.linesOf(shard).cursor = "";
+        Object.assign(this.linesOf(shard), { cursor: "", isActive: true });
+    }
+
+    /** Whether jobs may wait in a shard. */
+    isActive(shard: number): boolean {
+        return this.linesOf(shard).isActive;
     }
 
     /** Number of jobs held in memory. */
@@ -51,9 +58,11 @@
             const page = yield* readReady(shard, lines.cursor, lineLength);
             const first = page[0];
             if (first === undefined) {
+                lines.isActive = lines.cursor !== "" || team > 0;
                 lines.cursor = "";
                 return;
             }
+            lines.isActive = true;
             const same = page.filter(ready => ready.team === first.team);
             lines.teams.set(first.team, same);
             lines.cursor = readyTeamPrefix(shard, first.team) + lastSuffix;
@@ -77,7 +86,7 @@
     private linesOf(shard: number): ShardLines {
         let lines = this.shards.get(shard);
         if (lines === undefined) {
-            lines = { teams: new Map(), cursor: "" };
+            lines = { teams: new Map(), cursor: "", isActive: true };
             this.shards.set(shard, lines);
         }
         return lines;
--- a/src/request/requests.ts
+++ b/src/request/requests.ts
@@ -1,4 +1,5 @@
 /** Task that serves requests: it performs the effects of `serve` on workers and peers, and gossips load. */
+import { noticeBytes } from "../connection/peer/index.js";
 import { AttemptKind, type AttemptResult, type UpstreamRequest } from "../connection/upstream/index.js";
 import { TokenBucket } from "../process/bucket.js";
 import type { Fleet } from "../process/fleet.js";
@@ -11,8 +12,8 @@
 import { budgetOf, workersByPool } from "../process/workers.js";
 import { QueueClass } from "../version/schema.js";
 import type { Versions } from "../version/versions.js";
+import { packDigest, unpackDigest } from "./digest-wire.js";
 import type { Dispatcher, PoolWorkers } from "./dispatch.js";
-import type { Digest } from "./load.js";
 import { notRun, NotRunReason, type Outcome, OutcomeKind, unknown, UnknownReason } from "./outcome.js";
 import { RetryBudget } from "./retry.js";
 import { type Admitted, serve, type ServeEffect, ServeEffectKind } from "./serve.js";
@@ -56,7 +57,7 @@
 const digestTopic = "request.digest";
 const relayTopic = "request.relay";
 const relayGraceMs = 200;
-const teamEntryBytes = 28;
+const defaultGossipBytes = 5500;
 const refreshEvery = 4;
 
 /** The request task of one entry. */
@@ -76,10 +77,10 @@
     private unchanged = 0;
 
     private constructor(private readonly options: RequestsOptions) {
-        const { peers, timer, gossipBytesPerSecond = 7000 } = options;
+        const { peers, timer, gossipBytesPerSecond = defaultGossipBytes } = options;
         const perSecond = gossipBytesPerSecond;
         this.gossipBudget = TokenBucket.create({ perSecond, burst: perSecond, now: () => timer.now() });
-        peers.on(digestTopic, (peer, body) => options.dispatcher.hear(peer.vm, body as Digest));
+        peers.on(digestTopic, (peer, body) => this.hear(peer.vm, body));
         peers.on(relayTopic, (_, body) => this.serveRelayed(body as RelayBody));
     }
 
@@ -218,23 +219,34 @@
     }
 
     private gossip(): void {
-        const { dispatcher, versions, peers, metrics } = this.options;
-        const digest = dispatcher.digest(Object.keys(versions.state.lists.teams));
-        const text = JSON.stringify(digest);
+        const { dispatcher, versions, peers, metrics, gossipBytesPerSecond = defaultGossipBytes } =
+            this.options;
+        const teams = Object.keys(versions.state.lists.teams);
+        const digest = dispatcher.digest(teams);
+        dispatcher.correctShares(teams);
+        const wire = packDigest(digest);
+        const text = JSON.stringify(wire);
         this.unchanged = text === this.lastDigest ? this.unchanged + 1 : 0;
         dispatcher.pumpAll();
         if (this.unchanged % refreshEvery !== 0) {
             return;
         }
-        const entries = digest.teams.length + Object.keys(digest.spare).length
-            + Object.keys(digest.workers).length;
-        const cost = (entries + 1) * teamEntryBytes * Math.max(1, peers.connected().length);
-        if (!this.gossipBudget.take(Math.min(cost, this.options.gossipBytesPerSecond ?? 7000))) {
+        const cost = noticeBytes(digestTopic, wire) * peers.connected().length;
+        if (!this.gossipBudget.take(Math.min(cost, gossipBytesPerSecond))) {
             metrics.count("celerywind_gossip_skipped_total");
             return;
         }
         this.lastDigest = text;
-        peers.broadcast(digestTopic, digest);
+        peers.broadcast(digestTopic, wire);
+    }
+
+    private hear(peer: string, body: unknown): void {
+        const digest = unpackDigest(body);
+        if (digest === undefined) {
+            this.options.metrics.count("celerywind_peer_bodies_refused_total", { topic: digestTopic });
+            return;
+        }
+        this.options.dispatcher.hear(peer, digest);
     }
 
     private refreshPools(): void {
--- a/standin/world/net.ts
+++ b/standin/world/net.ts
@@ -1,8 +1,8 @@
 /** Links between virtual entries: delays, cuts and silence, in virtual time. */
+import { noticeBytes } from "../../src/connection/peer/index.js";
 import { PeerError } from "../../src/process/errors.js";
 import type { Peer, PeerHandler, Peers } from "../../src/process/peers.js";
 import type { Timer } from "../../src/process/timer.js";
-import { encode } from "./pack.js";
 
 /** One end of the network. */
 export interface NetNode {
@@ -153,9 +153,8 @@
     }
 
     private count(topic: string, body: unknown): unknown {
-        const packed = encode({ topic, body });
         this.sent.messages++;
-        this.sent.bytes += packed.length;
+        this.sent.bytes += noticeBytes(topic, body);
         return body;
     }
 }
