--- a/standin/world/platform.ts
+++ b/standin/world/platform.ts
@@ -9,8 +9,8 @@
 export interface PlatformMood {
     isDown: boolean;
     latencyMs: number;
-    /** Decides for each call whether its answer is lost after the call took effect. */
-    losesAnswer: () => boolean;
+    /** Decides for each call, given the row, prefix or object it is about, whether its answer is lost after its effect. */
+    losesAnswer: (about: string) => boolean;
 }
 
 /** Counts of table calls. */
@@ -36,62 +36,62 @@
 
     get(key: string): Promise<Row | undefined> {
         this.calls.reads++;
-        return this.pass(() => this.inner.get(key));
+        return this.pass(key, () => this.inner.get(key));
     }
 
     scan(prefix: string, after: string, limit: number): Promise<readonly Row[]> {
         this.calls.reads++;
-        return this.pass(() => this.inner.scan(prefix, after, limit));
+        return this.pass(prefix, () => this.inner.scan(prefix, after, limit));
     }
 
     transact(writes: readonly Write[]): Promise<TransactResult> {
         this.calls.writes++;
-        return this.pass(() => this.inner.transact(writes));
+        return this.pass(writes[0]?.key ?? "", () => this.inner.transact(writes));
     }
 
     putObject(key: string, body: Buffer): Promise<void> {
-        return this.pass(() => this.inner.putObject(key, body));
+        return this.pass(key, () => this.inner.putObject(key, body));
     }
 
     getObject(key: string): Promise<Buffer | undefined> {
-        return this.pass(() => this.inner.getObject(key));
+        return this.pass(key, () => this.inner.getObject(key));
     }
 
     deleteObject(key: string): Promise<void> {
-        return this.pass(() => this.inner.deleteObject(key));
+        return this.pass(key, () => this.inner.deleteObject(key));
     }
 
     listVms(): Promise<VmList> {
-        return this.pass(() => this.inner.listVms());
+        return this.pass("listVms", () => this.inner.listVms());
     }
 
     listUsage(): Promise<readonly Usage[]> {
-        return this.pass(() => this.inner.listUsage());
+        return this.pass("listUsage", () => this.inner.listUsage());
     }
 
     drain(vm: string): Promise<void> {
-        return this.pass(() => this.inner.drain(vm));
+        return this.pass("drain", () => this.inner.drain(vm));
     }
 
     undrain(vm: string): Promise<void> {
-        return this.pass(() => this.inner.undrain(vm));
+        return this.pass("undrain", () => this.inner.undrain(vm));
     }
 
     reboot(vm: string, ifBootId: string): Promise<boolean> {
-        return this.pass(() => this.inner.reboot(vm, ifBootId));
+        return this.pass("reboot", () => this.inner.reboot(vm, ifBootId));
     }
 
     moveVm(vm: string, pool: string): Promise<void> {
-        return this.pass(() => this.inner.moveVm(vm, pool));
+        return this.pass("moveVm", () => this.inner.moveVm(vm, pool));
     }
 
-    private async pass<T>(call: () => Promise<T>): Promise<T> {
+    private async pass<T>(about: string, call: () => Promise<T>): Promise<T> {
         const latencyMs = Math.max(...this.moods.map(mood => mood.latencyMs));
         await sleep(this.timer, latencyMs / 2);
         this.failIf(mood => mood.isDown);
         const value = await call();
         await sleep(this.timer, latencyMs / 2);
-        this.failIf(mood => mood.isDown || mood.losesAnswer());
+        this.failIf(mood => mood.isDown || mood.losesAnswer(about));
         return value;
     }
 
--- a/standin/world/world.ts
+++ b/standin/world/world.ts
@@ -142,6 +142,9 @@
         for (let ms = 0; ms < limitMs && !isDone; ms += 10) {
             await this.advance(10);
         }
+        if (!isDone) {
+            throw new Error(`nothing came of the work within ${limitMs} ms of virtual time`);
+        }
         return marked;
     }
 
