Claim jobs that wait too long in another entry's shard

Ruled out: grants and the index, which were right; the peers simply never heard of the jobs. The fake had left the links of a replaced entry cut, which the real network can do as well; it now mends them, and a worker that boots twice loses its tasks in the fake too. Change: every second round an entry reads one foreign shard and claims what has waited for 10 s there. Conclusion: ownership of a shard is a hint in both directions now.

--- a/bench/faults/fault.ts
+++ b/bench/faults/fault.ts
@@ -70,7 +70,8 @@
             break;
         case FaultKind.CutOffEntry:
             world.setCutOff(entry.vm, true);
-            world.timer.after(forMs, () => world.entries.includes(entry) && world.setCutOff(entry.vm, false));
+            world.timer.after(forMs, () => world.mendLinks(entry.vm));
+            world.timer.after(forMs, () => entry.mood.isDown = false);
             break;
         case FaultKind.CutPeers: {
             const peer = world.entries[other % world.entries.length]!;
--- a/src/request/job-store.ts
+++ b/src/request/job-store.ts
@@ -270,6 +270,8 @@
 /** A waiting job as the index names it. */
 export interface ReadyJob extends IndexEntry {
     readonly team: string;
+    /** Wall-clock time, in milliseconds. */
+    readonly acceptedAt: number;
 }
 
 /** Waiting jobs of a shard after a key, oldest first within each team. */
@@ -278,6 +280,7 @@
     const rows = yield* scanRows({ prefix, after, limit, priority: StorePriority.Claim });
     return rows.map(row => ({
         team: row.key.split("/")[2]!,
+        acceptedAt: Number.parseInt(row.key.split("/")[3]!, 10),
         ...row.value as IndexEntry,
     }));
 }
--- a/src/request/jobs.ts
+++ b/src/request/jobs.ts
@@ -26,6 +26,7 @@
     loadBlob,
     readActive,
     readJob,
+    readReady,
     type ReadyJob,
 } from "./job-store.js";
 import { type Job, JobState, shardCount, shardOf } from "./job.js";
@@ -54,6 +55,10 @@
 const maxClaimsAtOnce = 48;
 const recoverEvery = 3;
 const readAllEvery = 4;
+const helpEvery = 2;
+const helpPage = 20;
+const helpAtOnce = 4;
+const helpAfterMs = 10_000;
 const silentHolderMs = 3000;
 
 /** The job task of one entry. */
@@ -158,6 +163,9 @@
             this.lines.retain(shards);
             await this.refill(shards);
             this.claimSome();
+            if (this.polls % helpEvery === 0) {
+                await this.help(shards);
+            }
             if (this.polls++ % recoverEvery === 0) {
                 await this.recover();
             }
@@ -201,6 +209,21 @@
         }
     }
 
+    /** Claims jobs that have waited too long in a shard of another entry, which may lack grants, slots or peers. */
+    private async help(ownShards: readonly number[]): Promise<void> {
+        const shard = this.polls / helpEvery % shardCount;
+        if (ownShards.includes(shard)) {
+            return;
+        }
+        const { dispatcher, timer } = this.options;
+        const page = await this.runFlow(readReady(shard, "", helpPage));
+        page
+            .filter(ready => timer.wall() - ready.acceptedAt > helpAfterMs && dispatcher.canStart(ready.team))
+            .filter(ready => !this.claiming.has(ready.id) && !this.watching.has(ready.id))
+            .slice(0, helpAtOnce)
+            .forEach(ready => this.claimSoon(ready.id));
+    }
+
     private claimSome(): void {
         while (this.claiming.size < maxClaimsAtOnce) {
             const ready = this.lines.next(id => this.claiming.has(id) || this.watching.has(id));
--- a/standin/world/worker.ts
+++ b/standin/world/worker.ts
@@ -68,6 +68,7 @@
 
     /** Comes back with a new boot id. */
     boot(): string {
+        this.crash();
         this.boots++;
         this.isUp = true;
         return this.bootId;
--- a/standin/world/world.ts
+++ b/standin/world/world.ts
@@ -308,6 +308,11 @@
         }
     }
 
+    /** Repairs the links of a VM to all entries, whatever runs on it now. */
+    mendLinks(vm: string): void {
+        this.entries.forEach(other => this.net.mend(vm, other.vm));
+    }
+
     /** Loses all packets between an entry and a worker without telling either. */
     setSilent(entry: string, worker: string, isSilent: boolean): void {
         const key = `${entry}|http://${worker}`;
--- a/test/jobs.test.ts
+++ b/test/jobs.test.ts
@@ -162,6 +162,25 @@
         expect(runsOf(world, id)).toBe(1);
     });
 
+    test("is run by another entry when its own reaches the store but no peer, and holds no grant", async () => {
+        const world = World.create({
+            seed: 1,
+            entries: 4,
+            pools: [{ name: "bridal", workers: 4, budget: 1 }],
+            lists: listsOf(queues, [{ name: "benches", share: 1, limit: 1 }]),
+            meanMs: () => 200,
+        });
+        await world.start();
+        const alone = world.entries.find(entry => entry.core.grants.usable("benches") === 0)!;
+        world.entries.filter(entry => entry !== alone).forEach(entry => world.net.cut(alone.vm, entry.vm));
+        const submitted = Array.from({ length: 16 }, (_, at) => world.submit(at, "benches", "proof"));
+        const ids = (await world.settle(Promise.all(submitted))).filter(id => id !== undefined);
+        expect(ids.length).toBeGreaterThan(8);
+        for (const id of ids) {
+            expect((await untilEnded(world, id)).state).toBe(JobState.Done);
+        }
+    });
+
     test("that waits is cancelled at once, and one that runs is stopped", async () => {
         const world = await createWorld(1, 3, 1);
         const submitted = Array.from({ length: 12 }, (_, at) => world.submit(at, "benches", "proof"));
