Plan when to service VMs; lend and take back spare VMs

Cause: VMs were taken out as soon as the budget allowed, also in the middle of a burst, and a pool at its budget was never serviced. Change: a pure planner chooses between taking out, lending a spare VM and waiting, by policy or by the weights of the settings; moves as one transaction on the VM and both pools; the platform is told again until its list agrees. A pool at its budget is now serviced.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,10 +7,11 @@
 import { control } from "./measures/control.js";
 import { overload } from "./measures/overload.js";
 import { routing } from "./measures/routing.js";
+import { service } from "./measures/service.js";
 import { shares } from "./measures/shares.js";
 import { workers } from "./measures/workers.js";
 
-const measures: readonly Measure[] = [routing, shares, overload, config, control, workers];
+const measures: readonly Measure[] = [routing, shares, overload, config, control, workers, service];
 
 const { values } = parseArgs({
     options: {
--- a/src/connection/platform/embedded.ts
+++ b/src/connection/platform/embedded.ts
@@ -53,6 +53,11 @@
         return [...this.vms.values()];
     }
 
+    /** Rows with keys that start with a prefix. */
+    rowsUnder(prefix: string): readonly Row[] {
+        return [...this.rows.values()].filter(row => row.key.startsWith(prefix));
+    }
+
     /** Declares a pool. */
     putPool(pool: PoolSpec): void {
         this.pools.set(pool.name, pool);
--- a/src/process/maintenance.ts
+++ b/src/process/maintenance.ts
@@ -4,6 +4,7 @@
  */
 import type { FleetView } from "./fleet.js";
 import type { Flow } from "./flow.js";
+import { isCurrent } from "./moves.js";
 import { type Vm, VmState } from "./platform.js";
 import { emptyPoolRow, type Permit, PermitPhase, poolKey, type PoolRow } from "./pool-rows.js";
 import { commit, CommitOutcome, getRow, put, type Row, type StoreEffect, StorePriority } from "./store.js";
@@ -54,8 +55,8 @@
     readonly returnMs?: number;
     /** Makes permit ids. */
     readonly nextId: () => string;
-    /** Whether now is a good moment to take more VMs out; running services go on regardless. */
-    readonly isGoodMoment?: boolean;
+    /** Whether to take more VMs out now; running services go on regardless. */
+    readonly mayTakeOut?: boolean;
 }
 
 const defaultReturnMs = 120_000;
@@ -97,10 +98,10 @@
 
 /** VMs to take out of service now, longest-running first; empty while the pool has trouble or no room. */
 export function nextVms(options: RoundOptions, row: PoolRow): readonly Vm[] {
-    const { view, pool, now, periodMs, isGoodMoment = true } = options;
+    const { view, pool, now, periodMs, mayTakeOut = true } = options;
     const vms = vmsOfPool(view, pool);
     const permits = Object.values(row.permits);
-    if (!isGoodMoment || hasTrouble(options, vms, row)) {
+    if (!mayTakeOut || hasTrouble(options, vms, row)) {
         return [];
     }
     const available = vms.filter(vm => isAvailable(view, vm) && row.permits[vm.id] === undefined);
@@ -123,7 +124,7 @@
 function* takePermit(options: RoundOptions, row: Row | undefined, vm: Vm): ServiceFlow<boolean> {
     const { pool, now, nextId } = options;
     const value = rowValue(row);
-    if (!nextVms(options, value).some(other => other.id === vm.id)) {
+    if (!isCurrent(options.view, pool, value) || !nextVms(options, value).some(other => other.id === vm.id)) {
         return false;
     }
     const { id, rack, bootId } = vm;
--- a/src/process/pool-rows.ts
+++ b/src/process/pool-rows.ts
@@ -25,6 +25,8 @@
 export interface PoolRow {
     /** Permits by VM id. */
     readonly permits: Readonly<Record<string, Permit>>;
+    /** Number of VMs that were moved into or out of the pool so far. */
+    readonly moves?: number;
 }
 
 /** A pool without permits. */
--- a/src/process/service-task.ts
+++ b/src/process/service-task.ts
@@ -4,15 +4,25 @@
 import { run } from "./flow.js";
 import type { Task } from "./hub.js";
 import type { Log } from "./log.js";
-import { type ServiceEffect, serviceRound, ServiceStep, VmEffectKind } from "./maintenance.js";
+import {
+    nextVms,
+    type ServiceEffect,
+    serviceRound,
+    ServiceStep,
+    VmEffectKind,
+    vmsOfPool,
+} from "./maintenance.js";
 import type { Metrics } from "./metrics.js";
+import { borrowedBy, lendableTo, type Move, moveVm } from "./moves.js";
 import type { Peers } from "./peers.js";
+import { decideMove, ServiceMove, ServicePolicy, type Weights } from "./planner.js";
 import type { Platform } from "./platform.js";
-import type { Permit } from "./pool-rows.js";
+import { emptyPoolRow, type Permit } from "./pool-rows.js";
 import type { Random } from "./random.js";
 import { responsibleFor } from "./rendezvous.js";
-import { type Store, StoreEffectKind } from "./store.js";
+import { type Store, type StoreEffect, StoreEffectKind } from "./store.js";
 import type { Cancel, Timer } from "./timer.js";
+import { budgetOf, isAvailable } from "./workers.js";
 
 /** Options of `Servicing.create`. */
 export interface ServicingOptions {
@@ -29,19 +39,26 @@
     readonly quarantineMs: number;
     readonly periodMs: number;
     readonly tickMs?: number;
-    /** Whether a pool is in a trough, when taking VMs out costs least. */
-    readonly isGoodMoment?: (pool: string) => boolean;
+    readonly weights: Weights;
+    readonly policy?: ServicePolicy;
+    /** Slots in use in a pool on all entries, as a part of those of its available VMs. */
+    readonly useOf: (pool: string) => number;
 }
 
 const quietTopic = "service.quiet";
 const askTimeoutMs = 1000;
 const idRange = 0x7fffffff;
 const idRadix = 36;
+const sampleMs = 500;
+const peakFade = 0.998;
 
 /** The servicing task of one entry. */
 export class Servicing implements Task {
     readonly name = "servicing";
     private readonly cancels: Cancel[] = [];
+    private readonly peaks = new Map<string, number>();
+    /** Monotonic time since which a pool has had a VM to take out, in milliseconds. */
+    private readonly dueSince = new Map<string, number>();
     private isTicking = false;
 
     private constructor(private readonly options: ServicingOptions) {
@@ -58,6 +75,7 @@
     start(): Promise<void> {
         const { timer, tickMs = 1000 } = this.options;
         this.cancels.push(timer.every(tickMs, () => void this.tick()));
+        this.cancels.push(timer.every(sampleMs, () => this.sampleUse()));
         return Promise.resolve();
     }
 
@@ -86,6 +104,14 @@
         }
     }
 
+    /** Follows the peaks of use, which fade over some minutes. */
+    private sampleUse(): void {
+        for (const { name } of this.options.fleet.view.pools) {
+            const faded = (this.peaks.get(name) ?? 0) * peakFade;
+            this.peaks.set(name, Math.max(faded, this.options.useOf(name)));
+        }
+    }
+
     private ownPools(): readonly string[] {
         const { fleet } = this.options;
         const vms = fleet.live.map(member => member.vm);
@@ -95,16 +121,89 @@
     }
 
     private async round(pool: string): Promise<void> {
-        const { fleet, timer, random, periodMs, isGoodMoment = () => true } = this.options;
-        const flow = serviceRound({
+        const { fleet, timer, random, periodMs } = this.options;
+        const base = {
             pool,
             view: fleet.view,
             now: timer.wall(),
             periodMs,
             nextId: () => random.int(idRange).toString(idRadix),
-            isGoodMoment: isGoodMoment(pool),
-        });
-        await run(flow, effect => this.perform(effect));
+        };
+        const due = nextVms(base, fleet.view.poolRows.get(pool) ?? emptyPoolRow);
+        const isDue = due.length > 0 || this.isDueWithoutRoom(pool);
+        const move = isDue ? this.decide(pool) : ServiceMove.Wait;
+        if (move === ServiceMove.Lend) {
+            await this.lendTo(pool);
+        }
+        await run(
+            serviceRound({ ...base, mayTakeOut: move === ServiceMove.TakeOut }),
+            effect => this.perform(effect),
+        );
+        await this.bringBack(pool, isDue);
+        await this.tellPlatform(pool);
+    }
+
+    private isDueWithoutRoom(pool: string): boolean {
+        const { fleet, timer, periodMs } = this.options;
+        const { view } = fleet;
+        return vmsOfPool(view, pool).some(vm =>
+            isAvailable(view, vm) && timer.wall() - vm.bootedAt > periodMs
+        );
+    }
+
+    private decide(pool: string): ServiceMove {
+        const { fleet, timer, useOf, weights, policy = ServicePolicy.Weighed } = this.options;
+        const { view } = fleet;
+        const dueSince = this.dueSince.get(pool) ?? timer.now();
+        this.dueSince.set(pool, dueSince);
+        const move = decideMove(policy, {
+            available: vmsOfPool(view, pool).filter(vm => isAvailable(view, vm)).length,
+            budget: budgetOf(view, pool),
+            useNow: useOf(pool),
+            usePeak: this.peaks.get(pool) ?? 0,
+            lendable: lendableTo(view, pool) === undefined ? 0 : 1,
+            borrowed: borrowedBy(view, pool).length,
+            waitedMs: timer.now() - dueSince,
+        }, weights);
+        if (move === ServiceMove.TakeOut) {
+            this.dueSince.delete(pool);
+        }
+        return move;
+    }
+
+    private async lendTo(pool: string): Promise<void> {
+        const move = lendableTo(this.options.fleet.view, pool);
+        if (move !== undefined) {
+            await this.move(move);
+        }
+    }
+
+    /** Returns lent VMs once the pool has nothing left to service. */
+    private async bringBack(pool: string, isDue: boolean): Promise<void> {
+        const { view } = this.options.fleet;
+        const isAtWork = Object.keys(view.poolRows.get(pool)?.permits ?? {}).length > 0;
+        const [borrowed] = borrowedBy(view, pool);
+        if (!isDue && !isAtWork && borrowed !== undefined) {
+            await this.move(borrowed);
+        }
+    }
+
+    private async move(move: Move): Promise<void> {
+        const { fleet, store, log, metrics, platform } = this.options;
+        const flow = moveVm(fleet.view, move);
+        if (await run(flow, (effect: StoreEffect) => store.perform(effect))) {
+            log.write(Severity.Info, EventId.VmMoved, { vm: move.vm, from: move.from, to: move.to });
+            metrics.count("celerywind_vm_moves_total");
+            await platform.moveVm(move.vm, move.to);
+        }
+    }
+
+    /** Repeats what the platform may not have heard: a crash can come between the transaction and the call. */
+    private async tellPlatform(pool: string): Promise<void> {
+        const { fleet, platform } = this.options;
+        const { vms, vmRows } = fleet.view;
+        const unheard = vms.filter(vm => vmRows.get(vm.id)?.pool === pool && vm.pool !== pool);
+        await Promise.all(unheard.map(vm => platform.moveVm(vm.id, pool)));
     }
 
     private async perform(effect: ServiceEffect): Promise<unknown> {
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -1,6 +1,7 @@
 /** Daemon settings: schema with defaults, and loading with messages that name the path and what is allowed. */
 import { z } from "zod";
 import { parseJsonc } from "./jsonc.js";
+import { ServicePolicy } from "./planner.js";
 import { VmState } from "./platform.js";
 import { SlotPolicyKind } from "./slots.js";
 
@@ -82,6 +83,8 @@
         rollOutTime: weight.default(1),
         vmMoves: weight.default(1),
     }).prefault({}),
+    /** How the service of a VM begins; by the weights unless one way is to be used always. */
+    servicing: z.enum(ServicePolicy).default(ServicePolicy.Weighed),
     slots: z.strictObject({
         policy: z.enum(SlotPolicyKind).default(SlotPolicyKind.Homed),
         perWorker: z.int().min(1).max(1024).default(8),
--- a/src/request/dispatch.ts
+++ b/src/request/dispatch.ts
@@ -135,6 +135,7 @@
     private readonly pools = new Map<string, PoolState>();
     private readonly byTeam = Tally.create();
     private readonly byPoolTeam = Tally.create();
+    private readonly byPool = Tally.create();
     private readonly byWorker = Tally.create();
     private readonly uncovered = Tally.create();
     private readonly fullUntil = new Map<string, number>();
@@ -283,6 +284,14 @@
             : undefined;
     }
 
+    /** Slots in use in a pool on all entries, as a part of the slots of its open workers. */
+    useOfPool(pool: string): number {
+        const { slotsPerWorker = 8 } = this.options;
+        const open = this.stateOf(pool).workers.filter(worker => worker.isOpen).length;
+        const running = this.byPool.of(pool) + this.remote.runningInPool(pool);
+        return open === 0 ? 1 : running / (open * slotsPerWorker);
+    }
+
     /** The worker with this VM id in a pool. */
     workerOf(pool: string, vm: string): Worker | undefined {
         return this.pools.get(pool)?.workers.find(worker => worker.vm === vm);
@@ -529,6 +538,7 @@
         }
         this.byTeam.add(slot.team, -1);
         this.byPoolTeam.add(poolTeamKey(slot.pool, slot.team), -1);
+        this.byPool.add(slot.pool, -1);
     }
 
     private freeWorker(slot: Slot): void {
@@ -539,6 +549,7 @@
     private occupy(slot: Slot): void {
         this.byTeam.add(slot.team, 1);
         this.byPoolTeam.add(poolTeamKey(slot.pool, slot.team), 1);
+        this.byPool.add(slot.pool, 1);
         this.byWorker.add(slot.worker.vm, 1);
     }
 
--- a/src/request/load.ts
+++ b/src/request/load.ts
@@ -69,6 +69,7 @@
 export class RemoteLoad {
     private readonly heard = new Map<string, HeardDigest>();
     private readonly byPoolTeam = Tally.create();
+    private readonly byPool = Tally.create();
     private readonly usedByPoolTeam = Tally.create();
     private readonly waitingByPoolTeam = Tally.create();
     private readonly byTeam = Tally.create();
@@ -107,6 +108,11 @@
         return this.usedByPoolTeam.of(poolTeamKey(pool, team));
     }
 
+    /** Running work in a pool on other entries. */
+    runningInPool(pool: string): number {
+        return this.byPool.of(pool);
+    }
+
     /** Waiting work of a team in a pool on other entries. */
     waitingIn(pool: string, team: string): number {
         return this.waitingByPoolTeam.of(poolTeamKey(pool, team));
@@ -159,6 +165,7 @@
         for (const { team, pool, running, waiting, used } of digest.teams) {
             this.waitingByPoolTeam.add(poolTeamKey(pool, team), sign * waiting);
             this.usedByPoolTeam.add(poolTeamKey(pool, team), sign * used);
+            this.byPool.add(pool, sign * running);
             this.byPoolTeam.add(poolTeamKey(pool, team), sign * running);
             this.byTeam.add(team, sign * running);
             this.waitingByTeam.add(team, sign * waiting);
--- a/standin/world/world.ts
+++ b/standin/world/world.ts
@@ -338,6 +338,11 @@
         });
     }
 
+    /** Makes a VM overdue for service. */
+    makeDue(vm: string): void {
+        void this.changeVm(vm, old => ({ ...old, bootedAt: old.bootedAt - 60 * dayMs }));
+    }
+
     /** Sends one request of a team through an entry, with the team's key, and records its outcome. */
     async call(at: number, team: string, queue: string): Promise<Outcome> {
         const entry = this.entries[at % this.entries.length]!;
