Hash with xxhash, deal out homes only on change; measure latency and slopes

Cause: at two-year numbers one round of grants took 115 ms and dealing out homes 670 ms of processor time every second, nearly all of it SHA-1; each request made a signal that the runtime tracks weakly. Change: rendezvous scores by xxhash-wasm; homes are kept until workers or entries change; a plain timer a request. Bench: latency against direct calls in interleaved rounds, and slopes by entries, teams and workers (bench/slopes.json).

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,13 +5,25 @@
 import type { Figures, Measure } from "./measure.js";
 import { config } from "./measures/config.js";
 import { control } from "./measures/control.js";
+import { latency } from "./measures/latency.js";
 import { overload } from "./measures/overload.js";
 import { routing } from "./measures/routing.js";
 import { service } from "./measures/service.js";
 import { shares } from "./measures/shares.js";
+import { slopes } from "./measures/slopes.js";
 import { workers } from "./measures/workers.js";
 
-const measures: readonly Measure[] = [routing, shares, overload, config, control, workers, service];
+const measures: readonly Measure[] = [
+    routing,
+    shares,
+    overload,
+    config,
+    control,
+    workers,
+    service,
+    latency,
+    slopes,
+];
 
 const { values } = parseArgs({
     options: {
--- a/src/connection/upstream/upstream.ts
+++ b/src/connection/upstream/upstream.ts
@@ -52,16 +52,20 @@
 
     /** Sends one request and classifies what came of it; never rejects. */
     async send(origin: string, req: UpstreamRequest, timeoutMs: number): Promise<AttemptResult> {
-        const abort = AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)));
+        const abort = new AbortController();
+        const timer = setTimeout(() => abort.abort(), Math.max(1, Math.ceil(timeoutMs)));
         try {
-            const answer = await this.exchange(origin, req, timeoutMs, abort);
+            const answer = await this.exchange(origin, req, timeoutMs, abort.signal);
             return classifyAnswer(answer);
         }
         catch (err) {
-            const result = classifyError(err, abort.aborted);
+            const result = classifyError(err, abort.signal.aborted);
             this.options.metrics.count("celerywind_upstream_errors_total", { kind: result.kind });
             return result;
         }
+        finally {
+            clearTimeout(timer);
+        }
     }
 
     /** Calls a worker's task interface; rejects when no whole answer arrives. */
@@ -161,7 +165,6 @@
     for await (const chunk of res.body as AsyncIterable<Buffer>) {
         size += chunk.length;
         if (size > limit) {
-            res.body.destroy();
             throw new Error(`the answer is larger than ${limit} bytes`);
         }
         chunks.push(chunk);
--- a/src/process/rendezvous.ts
+++ b/src/process/rendezvous.ts
@@ -1,9 +1,20 @@
 /** Rendezvous hashing: which member of a set is responsible for a key. A hint against contention, never authority. */
-import { createHash } from "node:crypto";
+import xxhash from "xxhash-wasm";
+
+const hasher = await xxhash();
 
 /** The member with the highest score for `key`; undefined for an empty set. */
 export function responsibleFor(key: string, members: readonly string[]): string | undefined {
-    return rankedFor(key, members, 1)[0];
+    let best: string | undefined;
+    let bestScore = -1;
+    for (const member of members) {
+        const score = scoreOf(key, member);
+        if (score > bestScore || (score === bestScore && best !== undefined && member < best)) {
+            best = member;
+            bestScore = score;
+        }
+    }
+    return best;
 }
 
 /** The `count` members with the highest scores for `key`, best first. */
@@ -43,5 +54,5 @@
 }
 
 function scoreOf(key: string, member: string): number {
-    return createHash("sha1").update(key).update("\0").update(member).digest().readUInt32BE(0);
+    return hasher.h32(`${key}\u0000${member}`);
 }
--- a/src/process/workers.ts
+++ b/src/process/workers.ts
@@ -32,13 +32,41 @@
         const worker = { vm, pool, isOpen: isAvailable(view, vm), home: undefined };
         pools.set(pool, [...(pools.get(pool) ?? []), worker]);
     }
-    return new Map([...pools].map(([pool, workers]) => [pool, withHomes(workers, entries)]));
+    return new Map([...pools].map(([pool, workers]) => [pool, withHomes(pool, workers, entries)]));
+}
+
+/** Homes of one pool's workers, with the workers and entries that they were dealt for. */
+interface DealtHomes {
+    readonly key: string;
+    readonly homes: ReadonlyMap<string, string>;
+}
+
+const dealtHomes = new Map<string, DealtHomes>();
+
+/** Deals out homes again only when the pool's open workers or the entries have changed. */
+function homesOf(
+    pool: string,
+    open: readonly string[],
+    entries: readonly string[],
+): ReadonlyMap<string, string> {
+    const key = `${open.join(" ")}|${entries.join(" ")}`;
+    const known = dealtHomes.get(pool);
+    if (known?.key === key) {
+        return known.homes;
+    }
+    const homes = assignEvenly(open, entries);
+    dealtHomes.set(pool, { key, homes });
+    return homes;
 }
 
 /** Homes open workers evenly at the entries, pool by pool; closed ones get no new work and need no home. */
-function withHomes(workers: readonly WorkerVm[], entries: readonly string[]): readonly WorkerVm[] {
+function withHomes(
+    pool: string,
+    workers: readonly WorkerVm[],
+    entries: readonly string[],
+): readonly WorkerVm[] {
     const open = workers.filter(worker => worker.isOpen).map(worker => worker.vm.id);
-    const homes = assignEvenly(open, entries);
+    const homes = homesOf(pool, open, entries);
     return workers.map(worker => ({ ...worker, home: homes.get(worker.vm.id) }));
 }
 
--- a/standin/worker.ts
+++ b/standin/worker.ts
@@ -183,7 +183,10 @@
         };
         const timeoutMs = Number(req.headers["celerywind-timeout-ms"] ?? Infinity);
         res.once("close", () => this.end(record));
-        if (this.fault === Fault.Hang || ms > timeoutMs) {
+        if (ms === 0) {
+            finish();
+        }
+        else if (this.fault === Fault.Hang || ms > timeoutMs) {
             this.timer.after(timeoutMs, () => this.end(record));
         }
         else {
