Operators' pages, catalogue of events and metrics, glossary, design notes

Cause: operators had no page on what an event, refusal or figure means and what to do about it. Change: OPERATING, EVENTS, METRICS, GLOSSARY and notes on store, links and clashes of brief and style; a failed or uncertain job has its own event; tests compare the pages with the code and check the examples and bad settings.

--- a/src/connection/peer/mesh.ts
+++ b/src/connection/peer/mesh.ts
@@ -174,6 +174,9 @@
         else if (reason === CloseReason.Rejected) {
             this.options.log.write(Severity.Warn, EventId.PeerRejected, { reason });
         }
+        if (reason === CloseReason.Malformed) {
+            this.options.log.write(Severity.Warn, EventId.PeerFrameInvalid, { reason });
+        }
     }
 
     private forgetDial(link: Link): void {
--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -28,7 +28,6 @@
     GrantQuarantined = 1602,
     GrantReleased = 1603,
     WorkerEjected = 1701,
-    WorkerReturned = 1702,
     JobAccepted = 1801,
     JobFinished = 1802,
     JobRecovered = 1803,
--- a/src/request/job-run.ts
+++ b/src/request/job-run.ts
@@ -14,6 +14,8 @@
     Forget = "forget",
     Sleep = "sleep",
     Look = "look",
+    /** Tells that a run ended, after the row says so. */
+    Note = "note",
 }
 
 /** What the holder knows about a job's surroundings. */
@@ -38,7 +40,8 @@
     | { readonly kind: TaskEffectKind.Checkpoint; readonly job: Job }
     | { readonly kind: TaskEffectKind.Forget; readonly job: Job }
     | { readonly kind: TaskEffectKind.Sleep; readonly ms: number }
-    | { readonly kind: TaskEffectKind.Look; readonly job: Job };
+    | { readonly kind: TaskEffectKind.Look; readonly job: Job }
+    | { readonly kind: TaskEffectKind.Note; readonly job: Job; readonly end: JobEndKind };
 
 type JobFlow<T> = Flow<JobEffect, T>;
 
@@ -180,6 +183,7 @@
     if (!isMine) {
         return RunEnd.Lost;
     }
+    yield { kind: TaskEffectKind.Note, job: read.job, end: end.kind };
     yield { kind: TaskEffectKind.Forget, job: read.job };
     return runEnd;
 }
--- a/src/request/jobs.ts
+++ b/src/request/jobs.ts
@@ -22,6 +22,7 @@
     adoptJob,
     cancelJob,
     claimJob,
+    JobEndKind,
     type JobRead,
     loadBlob,
     readActive,
@@ -303,7 +304,6 @@
             this.options.metrics.count("celerywind_job_runs_total", { end });
             this.handedOver.add(read.job.team, end === RunEnd.HandedOver ? 1 : 0);
         }
-        this.options.log.write(Severity.Info, EventId.JobFinished, { job: id, end });
     }
 
     private async recover(): Promise<void> {
@@ -407,6 +407,8 @@
                 return tasks.forget(effect.job);
             case TaskEffectKind.Sleep:
                 return sleep(timer, effect.ms);
+            case TaskEffectKind.Note:
+                return Promise.resolve(this.noteEnd(effect.job, effect.end));
             case TaskEffectKind.Look:
                 return Promise.resolve(this.surroundings(effect.job));
             case StoreEffectKind.Get:
@@ -419,6 +421,25 @@
         }
     }
 
+    private noteEnd(job: Job, end: JobEndKind): void {
+        const { log, metrics } = this.options;
+        const fields = { job: job.id, team: job.team, queue: job.queue, end };
+        metrics.count("celerywind_job_ends_total", { end });
+        switch (end) {
+            case JobEndKind.Done:
+            case JobEndKind.Cancelled:
+            case JobEndKind.Again:
+                log.write(Severity.Info, EventId.JobFinished, fields);
+                break;
+            case JobEndKind.Failed:
+                log.write(Severity.Warn, EventId.JobFailed, fields);
+                break;
+            case JobEndKind.Uncertain:
+                log.write(Severity.Error, EventId.JobUncertain, fields);
+                break;
+        }
+    }
+
     private surroundings(job: Job): Surroundings {
         const { view } = this.options.fleet;
         const vm = view.vms.find(other => other.id === job.worker);
--- /dev/null
+++ b/test/docs.test.ts
@@ -0,0 +1,70 @@
+import { readdir, readFile } from "node:fs/promises";
+import { describe, expect, test } from "vitest";
+import { EventId } from "../src/process/events.js";
+import { parseSettings } from "../src/process/settings.js";
+import { parseLists } from "../src/version/schema.js";
+
+const read = (path: string): Promise<string> => readFile(new URL(`../${path}`, import.meta.url), "utf8");
+
+describe("the pages for operators", () => {
+    test("list every log event with its number and name, and no other", async () => {
+        const page = await read("docs/EVENTS.md");
+        const listed = [...page.matchAll(/^\| (\d{4}) \| (\w+) \|/gm)].map(([, number, name]) =>
+            `${number} ${name}`
+        );
+        const known = Object.entries(EventId)
+            .filter(([, number]) => typeof number === "number")
+            .map(([name, number]) => `${number} ${name}`);
+        expect(listed.sort()).toEqual(known.sort());
+    });
+
+    test("list every metric, and no other", async () => {
+        const page = await read("docs/METRICS.md");
+        const listed = [...page.matchAll(/^\| (celerywind_\w+) \|/gm)].map(([, name]) => name);
+        const files = (await readdir(new URL("../src", import.meta.url), { recursive: true })).filter(file =>
+            file.endsWith(".ts")
+        );
+        const sources = await Promise.all(files.map(file => read(`src/${file}`)));
+        const used = sources.flatMap(source =>
+            [...source.matchAll(/"(celerywind_\w+)"/g)].map(([, name]) => name)
+        );
+        expect([...new Set(listed)].sort()).toEqual([...new Set(used)].sort());
+    });
+});
+
+describe("the examples", () => {
+    test.each(["narragansett", "atlas"])("of %s pass their checks", async shop => {
+        const [plans, teams] = await Promise.all(["plans", "teams"].map(async list => {
+            const file = `examples/${shop}/${list}.jsonc`;
+            return { file, text: await read(file) };
+        }));
+        expect(Object.keys(parseLists(plans!, teams!).teams)).toHaveLength(6);
+    });
+
+    test("of settings pass their check", async () => {
+        expect(parseSettings("examples/celerywind.jsonc", await read("examples/celerywind.jsonc")).vm).toBe(
+            "entry-0",
+        );
+    });
+});
+
+describe("bad settings", () => {
+    const base = {
+        vm: "entry-0",
+        zone: "z",
+        callers: { port: 1 },
+        operators: { port: 2 },
+        peers: { port: 3, secret: "0123456789abcdef" },
+        platform: { kind: "embedded" },
+    };
+
+    test.each([
+        [{ callers: { port: 70_000 } }, /callers\.port: found 70000;/],
+        [{ peers: { port: 3, secret: "short" } }, /peers\.secret: found "short"; give the shared secret/],
+        [{ platform: { kind: "other" } }, /platform.*; give a platform with kind/],
+        [{ zone: undefined }, /zone: found nothing; give this VM's availability zone/],
+        [{ colour: "red" }, /colour/],
+    ])("%o are refused with path, finding and remedy", (difference, message) => {
+        expect(() => parseSettings("s.jsonc", JSON.stringify({ ...base, ...difference }))).toThrow(message);
+    });
+});
