--- a/src/request/outlier.ts
+++ b/src/request/outlier.ts
@@ -65,7 +65,7 @@
         }
         record.bad++;
         if (record.isProbing) {
-            this.eject(record);
+            this.failProbe(record);
             return false;
         }
         const shouldEject = this.isOutlier(record) && this.ejectedCount() < mayEject;
@@ -104,6 +104,13 @@
         }
     }
 
+    /** Ejects again after a failed probe; what was in flight when the worker was ejected does not count. */
+    private failProbe(record: WorkerRecord): void {
+        if (this.options.now() >= record.ejectedUntil) {
+            this.eject(record);
+        }
+    }
+
     private isOutlier(record: WorkerRecord): boolean {
         const results = record.good + record.bad;
         const rate = record.bad / results;
