--- a/src/connection/platform/embedded.ts
+++ b/src/connection/platform/embedded.ts
@@ -27,7 +27,7 @@
     private readonly objects = new Map<string, Buffer>();
     private readonly vms = new Map<string, Vm>();
     private readonly pools = new Map<string, PoolSpec>();
-    private sortedKeys: readonly string[] | undefined;
+    private readonly sortedKeys: string[] = [];
 
     private constructor(private readonly options: EmbeddedOptions) {
         options.vms?.forEach(vm => this.putVm(vm));
@@ -68,7 +68,7 @@
     }
 
     scan(prefix: string, after: string, limit: number): Promise<readonly Row[]> {
-        const keys = this.keysInOrder();
+        const keys = this.sortedKeys;
         const page: Row[] = [];
         for (let at = firstAtOrAfter(keys, after > prefix ? after : prefix); at < keys.length; at++) {
             const key = keys[at]!;
@@ -158,21 +158,17 @@
         switch (write.kind) {
             case WriteKind.Put:
                 if (!this.rows.has(key)) {
-                    this.sortedKeys = undefined;
+                    this.sortedKeys.splice(firstAtOrAfter(this.sortedKeys, key), 0, key);
                 }
                 this.rows.set(key, { key, version: ifVersion + 1, value: write.value });
                 break;
             case WriteKind.Remove:
-                this.rows.delete(key);
-                this.sortedKeys = undefined;
+                if (this.rows.delete(key)) {
+                    this.sortedKeys.splice(firstAtOrAfter(this.sortedKeys, key), 1);
+                }
                 break;
         }
     }
-
-    private keysInOrder(): readonly string[] {
-        this.sortedKeys ??= [...this.rows.keys()].sort();
-        return this.sortedKeys;
-    }
 }
 
 function firstAtOrAfter(keys: readonly string[], key: string): number {
--- a/src/request/caller-api.ts
+++ b/src/request/caller-api.ts
@@ -62,6 +62,7 @@
         "POST /v1/queues/:queue/jobs": (req, res) => api.submit(req, res),
         "GET /v1/jobs/:id": (req, res) => api.showJob(req, res),
         "GET /v1/jobs/:id/result": (req, res) => api.showResult(req, res),
+        "DELETE /v1/queues/:queue/jobs": (req, res) => api.cancelAll(req, res),
         "DELETE /v1/jobs/:id": (req, res) => api.cancelJob(req, res),
     };
 }
@@ -182,6 +183,22 @@
         );
     }
 
+    async cancelAll(req: WebRequest, res: ServerResponse): Promise<void> {
+        const id = requestIdOf(req);
+        const admission = this.admit(req, QueueClass.Deferred);
+        if (admission.kind === AdmissionKind.Refused) {
+            this.refuse(res, id, admission.reason);
+            return;
+        }
+        const wave = { team: admission.team, queue: queueOf(req) };
+        const cancelled = await this.options.jobs.cancelAll(wave).catch(() => undefined);
+        if (cancelled === undefined) {
+            sendOutcome(res, id, unknown(UnknownReason.StoreUnknown));
+            return;
+        }
+        sendJson(res, 200, { cancelled });
+    }
+
     private async accept(
         res: ServerResponse,
         id: string,
--- a/src/request/job-store.ts
+++ b/src/request/job-store.ts
@@ -27,6 +27,7 @@
     JobState,
     readyKey,
     readyPrefix,
+    readyTeamPrefix,
 } from "./job.js";
 
 /** A job with the row it was read from. */
@@ -254,6 +255,15 @@
     }
 }
 
+/** Cancels waiting jobs in one transaction; false when any of them changed meanwhile, and then none was cancelled. */
+export function* cancelTogether(reads: readonly JobRead[]): StoreFlow<boolean> {
+    const writes = reads.flatMap(({ row, job }) => [
+        put(row.key, row, { ...job, state: JobState.Cancelled }),
+        removeIndex(readyKey(job)),
+    ]);
+    return (yield* commit(writes, StorePriority.Claim)) === CommitOutcome.Committed;
+}
+
 /** Ids of the jobs that an incarnation looks after, one page at a time. */
 export function* readActive(incarnation: string, after = ""): StoreFlow<readonly string[]> {
     const prefix = activePrefix(incarnation);
@@ -274,15 +284,23 @@
     readonly acceptedAt: number;
 }
 
+/** Waiting jobs of one team in a shard, oldest first. */
+export function* readReadyOf(shard: number, team: string, limit: number): StoreFlow<readonly ReadyJob[]> {
+    const prefix = readyTeamPrefix(shard, team);
+    const rows = yield* scanRows({ prefix, limit, priority: StorePriority.Claim });
+    return rows.map(toReady);
+}
+
 /** Waiting jobs of a shard after a key, oldest first within each team. */
 export function* readReady(shard: number, after: string, limit: number): StoreFlow<readonly ReadyJob[]> {
     const prefix = readyPrefix(shard);
     const rows = yield* scanRows({ prefix, after, limit, priority: StorePriority.Claim });
-    return rows.map(row => ({
-        team: row.key.split("/")[2]!,
-        acceptedAt: Number.parseInt(row.key.split("/")[3]!, 10),
-        ...row.value as IndexEntry,
-    }));
+    return rows.map(toReady);
+}
+
+function toReady(row: Row): ReadyJob {
+    const [, , team = "", place = ""] = row.key.split("/");
+    return { team, acceptedAt: Number.parseInt(place, 10), ...row.value as IndexEntry };
 }
 
 /** Deletes the payload object of a job that has ended. */
--- a/src/request/jobs.ts
+++ b/src/request/jobs.ts
@@ -13,7 +13,8 @@
 import { type Cancel, sleep, type Timer } from "../process/timer.js";
 import { poolOf } from "../process/workers.js";
 import { QueueClass } from "../version/schema.js";
-import { AcquiredKind, type Dispatcher, type Slot, SlotEnd, type Want } from "./dispatch.js";
+import { cancelWave, type Wave } from "./cancel-wave.js";
+import { type Dispatcher } from "./dispatch.js";
 import { type JobEffect, RunEnd, startJob, type Surroundings, TaskEffectKind, watchJob } from "./job-run.js";
 import {
     acceptJob,
@@ -33,6 +34,7 @@
 import { type Job, JobState, shardCount, shardOf } from "./job.js";
 import { Tally } from "./load.js";
 import { ReadyLines } from "./ready.js";
+import { AcquiredKind, type Slot, SlotEnd, type Want } from "./slot.js";
 import type { TaskCalls } from "./task.js";
 
 /** Options of `Jobs.create`. */
@@ -152,6 +154,11 @@
         return job;
     }
 
+    /** Cancels all waiting jobs of a team in a queue; resolves with their number. */
+    cancelAll(wave: Wave): Promise<number> {
+        return cancelWave(this.options.store, wave);
+    }
+
     /** Claims what this entry's shards hold, and from time to time looks for abandoned jobs. */
     async poll(): Promise<void> {
         const { fleet, metrics } = this.options;
--- a/src/request/requests.ts
+++ b/src/request/requests.ts
@@ -13,10 +13,11 @@
 import { QueueClass } from "../version/schema.js";
 import type { Versions } from "../version/versions.js";
 import { packDigest, unpackDigest } from "./digest-wire.js";
-import type { Dispatcher, PoolWorkers } from "./dispatch.js";
+import type { Dispatcher } from "./dispatch.js";
 import { notRun, NotRunReason, type Outcome, OutcomeKind, unknown, UnknownReason } from "./outcome.js";
 import { RetryBudget } from "./retry.js";
 import { type Admitted, serve, type ServeEffect, ServeEffectKind } from "./serve.js";
+import type { PoolWorkers } from "./slot.js";
 import { Traces } from "./traces.js";
 
 /** Connections to workers as this task uses them. */
--- a/src/request/serve.ts
+++ b/src/request/serve.ts
@@ -5,8 +5,8 @@
 import { AttemptKind, type AttemptResult } from "../connection/upstream/index.js";
 import type { Flow } from "../process/flow.js";
 import type { QueueClass } from "../version/schema.js";
-import { type Acquired, AcquiredKind, type Slot, SlotEnd, type Want } from "./dispatch.js";
 import { notRun, NotRunReason, type Outcome, OutcomeKind, unknown, UnknownReason } from "./outcome.js";
+import { type Acquired, AcquiredKind, type Slot, SlotEnd, type Want } from "./slot.js";
 
 /** A request that passed admission. */
 export interface Admitted {
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -5,19 +5,13 @@
 import { Random } from "../src/process/random.js";
 import { assignEvenly } from "../src/process/rendezvous.js";
 import { VirtualTimer } from "../src/process/virtual.js";
-import {
-    type Acquired,
-    AcquiredKind,
-    Dispatcher,
-    SlotEnd,
-    type Want,
-    type Worker,
-} from "../src/request/dispatch.js";
+import { Dispatcher } from "../src/request/dispatch.js";
 import { type Outcome, OutcomeKind } from "../src/request/outcome.js";
 import { Outliers, Standing } from "../src/request/outlier.js";
 import { RetryBudget } from "../src/request/retry.js";
 import { type Admitted, serve, type ServeEffect, ServeEffectKind } from "../src/request/serve.js";
 import { ShareClock } from "../src/request/share-clock.js";
+import { AcquiredKind, SlotEnd, type Want, type Worker } from "../src/request/slot.js";
 import { QueueClass } from "../src/version/schema.js";
 
 const whole = (status: number): AttemptResult => ({
--- a/test/jobs.test.ts
+++ b/test/jobs.test.ts
@@ -1,8 +1,13 @@
 import { describe, expect, test } from "vitest";
 import { listsOf } from "../bench/fleet.js";
-import { type Job, JobState } from "../src/request/job.js";
+import { EmbeddedPlatform } from "../src/connection/platform/index.js";
+import { WriteKind } from "../src/process/store.js";
+import { SystemTimer } from "../src/process/timer.js";
+import { type Job, jobIdOf, jobKey, JobState, readyKey } from "../src/request/job.js";
+import { ReadyLines } from "../src/request/ready.js";
 import { Fault } from "../standin/worker.js";
 import { World } from "../standin/world/world.js";
+import { runStore, storeOver } from "./builders.js";
 
 const queues = [
     { name: "proof", pool: "bridal", isDeferred: true, isIdempotent: true, timeoutMs: 600_000, meanMs: 800 },
@@ -181,6 +186,68 @@
         }
     });
 
+    test("among ten thousand that wait is cancelled with them, in few transactions", async () => {
+        const world = await createWorld(1, 3, 1);
+        const count = 10_000;
+        for (let at = 0; at < count; at++) {
+            const id = jobIdOf("benches", `k-${at}`);
+            const draft = { id, team: "benches", acceptedAt: 1_700_000_000_000 + at };
+            const job = {
+                ...draft,
+                queue: "proof",
+                pool: "bridal",
+                state: JobState.Waiting,
+                cancelAsked: false,
+                failures: [],
+                attempt: 0,
+            };
+            await world.inner.transact([
+                { kind: WriteKind.Put, key: jobKey(id), ifVersion: 0, value: { value: job, tokens: [] } },
+                {
+                    kind: WriteKind.Put,
+                    key: readyKey(draft),
+                    ifVersion: 0,
+                    value: { value: { id, pool: "none" }, tokens: [] },
+                },
+            ]);
+        }
+        const { core, platform } = world.entries[0]!;
+        const before = platform.calls.writes;
+        const cancelled = await world.settle(
+            core.jobs.cancelAll({ team: "benches", queue: "proof" }),
+            120_000,
+        );
+        expect(cancelled).toBeGreaterThan(count - 100);
+        expect(platform.calls.writes - before).toBeLessThan(count / 10);
+        expect(world.inner.rowsUnder("ready/").length).toBe(0);
+    });
+
+    test("does not wait behind a hundred thousand jobs of another team, nor are those held in memory", async () => {
+        const platform = EmbeddedPlatform.create();
+        for (let at = 0; at < 100_000; at++) {
+            const key = `ready/03/flood/${String(at).padStart(14, "0")}-${at}`;
+            await platform.transact([{
+                kind: WriteKind.Put,
+                key,
+                ifVersion: 0,
+                value: { value: { id: `f${at}`, pool: "p" }, tokens: [] },
+            }]);
+        }
+        const small = { value: { id: "small", pool: "p" }, tokens: [] };
+        await platform.transact([{
+            kind: WriteKind.Put,
+            key: "ready/03/small/00000000000001-small",
+            ifVersion: 0,
+            value: small,
+        }]);
+        const lines = ReadyLines.create();
+        const store = storeOver(platform, SystemTimer.create());
+        await runStore(store, lines.refill(3));
+        expect(lines.size).toBeLessThan(50);
+        const first = [lines.next(() => false), lines.next(() => false)].map(ready => ready?.team);
+        expect(first.sort()).toEqual(["flood", "small"]);
+    });
+
     test("that waits is cancelled at once, and one that runs is stopped", async () => {
         const world = await createWorld(1, 3, 1);
         const submitted = Array.from({ length: 12 }, (_, at) => world.submit(at, "benches", "proof"));
