Keep the place of a task that a stopping entry has handed over

Ruled out: the grant rows, which kept the task's part in quarantine as they should. Change: the slot of a handed-over task is not given back; it ends with the entry.

--- a/src/request/jobs.ts
+++ b/src/request/jobs.ts
@@ -306,12 +306,20 @@
         finally {
             this.watching.delete(id);
             this.cancelAsked.delete(id);
-            this.options.dispatcher.release(slot, slotEndOf(end));
+            this.settleSlot(slot, end);
             this.options.metrics.count("celerywind_job_runs_total", { end });
             this.handedOver.add(read.job.team, end === RunEnd.HandedOver ? 1 : 0);
         }
     }
 
+    /** Gives the slot back, but for a task that was handed over: it still runs, and its new holder has yet to count it. */
+    private settleSlot(slot: Slot, end: RunEnd): void {
+        const slotEnd = slotEndOf(end);
+        if (slotEnd !== undefined) {
+            this.options.dispatcher.release(slot, slotEnd);
+        }
+    }
+
     private async recover(): Promise<void> {
         const { fleet } = this.options;
         const vms = fleet.live.map(member => member.vm);
@@ -431,7 +439,7 @@
     }
 }
 
-function slotEndOf(end: RunEnd): SlotEnd {
+function slotEndOf(end: RunEnd): SlotEnd | undefined {
     switch (end) {
         case RunEnd.Finished:
             return SlotEnd.Good;
@@ -440,7 +448,8 @@
         case RunEnd.WorkerFull:
             return SlotEnd.Full;
         case RunEnd.Lost:
-        case RunEnd.HandedOver:
             return SlotEnd.Neutral;
+        case RunEnd.HandedOver:
+            return undefined;
     }
 }
--- a/test/faults.test.ts
+++ b/test/faults.test.ts
@@ -54,6 +54,14 @@
         expect(await violationsUnder(5, schedule)).toEqual([]);
     });
 
+    test.each([7014, 7042])(
+        "when a stopping entry has handed over tasks and still has requests to start (seed %i)",
+        async seed => {
+            const { checks } = await runFaults({ seed, faults: 6 });
+            expect(checks.filter(check => check.violations > 0)).toEqual([]);
+        },
+    );
+
     test.each([21, 22, 23])("under a schedule drawn from seed %i", async seed => {
         const { checks } = await runFaults({ seed, faults: 5, spanMs: 10_000 });
         expect(checks.filter(check => check.violations > 0)).toEqual([]);
