--- a/src/request/share-clock.ts
+++ b/src/request/share-clock.ts
@@ -14,7 +14,7 @@
     readonly isWaiting: boolean;
 }
 
-const gain = 0.15;
+const gain = 0.06;
 const strongestCorrection = 8;
 const relaxation = 0.9;
 
