--- a/src/process/timer.ts
+++ b/src/process/timer.ts
@@ -52,3 +52,14 @@
         work.then(resolve, reject).finally(cancel);
     });
 }
+
+/** Calls `fn` every `ms` milliseconds by means of a timer's `after`, first after one period. */
+export function repeat(after: Timer["after"], ms: number, fn: () => void): Cancel {
+    let cancel: Cancel = () => undefined;
+    const again = (): void => {
+        cancel = after(ms, again);
+        fn();
+    };
+    cancel = after(ms, again);
+    return () => cancel();
+}
--- a/src/process/virtual.ts
+++ b/src/process/virtual.ts
@@ -1,5 +1,5 @@
 /** A timer whose clock moves only when told to, so that a run is a pure function of its seed. */
-import type { Cancel, Timer } from "./timer.js";
+import { type Cancel, repeat, type Timer } from "./timer.js";
 
 interface Due {
     readonly at: number;
@@ -44,13 +44,7 @@
     }
 
     every(ms: number, fn: () => void): Cancel {
-        let cancel: Cancel = () => undefined;
-        const again = (): void => {
-            cancel = this.after(ms, again);
-            fn();
-        };
-        cancel = this.after(ms, again);
-        return () => cancel();
+        return repeat((delay, call) => this.after(delay, call), ms, fn);
     }
 
     /** Moves the clock by `ms`, letting pending promises settle after each callback. */
--- a/standin/platform.ts
+++ b/standin/platform.ts
@@ -4,6 +4,7 @@
 import type { EmbeddedPlatform } from "../src/connection/platform/index.js";
 import type { Vm } from "../src/process/platform.js";
 import type { Write } from "../src/process/store.js";
+import { readAll, send } from "./http.js";
 
 /** Ways in which the platform misbehaves. */
 export enum PlatformFault {
@@ -164,17 +165,3 @@
 function parseFault(name: string): PlatformFault {
     return Object.values(PlatformFault).find(fault => String(fault) === name) ?? PlatformFault.None;
 }
-
-function send(res: ServerResponse, status: number, value: unknown): void {
-    const body = Buffer.isBuffer(value) ? value : Buffer.from(JSON.stringify(value));
-    res.writeHead(status, { "content-length": body.length });
-    res.end(body);
-}
-
-async function readAll(req: IncomingMessage): Promise<Buffer> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of req as AsyncIterable<Buffer>) {
-        chunks.push(chunk);
-    }
-    return Buffer.concat(chunks);
-}
--- a/standin/worker.ts
+++ b/standin/worker.ts
@@ -5,6 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { SystemTimer, type Timer } from "../src/process/timer.js";
+import { readAll, send } from "./http.js";
 
 /** Ways in which the worker misbehaves. */
 export enum Fault {
@@ -386,17 +387,3 @@
     res.setHeader("celerywind-reason", reason);
     send(res, 503, { reason });
 }
-
-function send(res: ServerResponse, status: number, value: unknown): void {
-    const text = JSON.stringify(value);
-    res.writeHead(status, { "content-type": "application/json", "content-length": Buffer.byteLength(text) });
-    res.end(text);
-}
-
-async function readAll(req: IncomingMessage): Promise<Buffer> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of req as AsyncIterable<Buffer>) {
-        chunks.push(chunk);
-    }
-    return Buffer.concat(chunks);
-}
--- a/standin/world/pausable.ts
+++ b/standin/world/pausable.ts
@@ -1,5 +1,5 @@
 /** A timer whose callbacks wait while its process is paused, as those of a frozen process do; its clock goes on. */
-import type { Cancel, Timer } from "../../src/process/timer.js";
+import { type Cancel, repeat, type Timer } from "../../src/process/timer.js";
 
 /** The timer of one virtual process. */
 export class PausableTimer implements Timer {
@@ -29,13 +29,7 @@
     }
 
     every(ms: number, fn: () => void): Cancel {
-        let cancel: Cancel = () => undefined;
-        const again = (): void => {
-            cancel = this.after(ms, again);
-            fn();
-        };
-        cancel = this.after(ms, again);
-        return () => cancel();
+        return repeat((delay, call) => this.after(delay, call), ms, fn);
     }
 
     /** Whether the process is frozen. */
