Test a peer link that goes silent without closing

Cause: the replacement of silent links was shown only by the fake network of virtual time. Change: a forwarder that stops carrying anything without closing; the link is replaced and the open question ends as possibly sent.

--- a/test/sockets.test.ts
+++ b/test/sockets.test.ts
@@ -289,4 +289,43 @@
         setTimeout(() => void b.mesh.stop(), 50);
         await expect(asked).rejects.toMatchObject({ wasSent: true });
     });
+
+    test("that go silent without closing are replaced, and what was in flight ends as possibly sent", async () => {
+        const a = await createMesh("a", "secret");
+        const b = await createMesh("b", "secret");
+        b.mesh.on("never", () => new Promise(() => undefined));
+        const way = await createForwarder(Number(new URL(b.url).port));
+        a.mesh.want([{ vm: "b", url: way.url }]);
+        await until(() => a.mesh.connected().length === 1);
+        const asked = a.mesh.ask("b", "never", 1, 30_000);
+        way.silence();
+        await expect(asked).rejects.toMatchObject({ wasSent: true });
+        expect(a.metrics.read("celerywind_peer_links_closed_total", { reason: "silent" })).toBe(1);
+        await until(() => a.mesh.connected().length === 1);
+        expect(await a.mesh.ask("b", "echo", 2, 1000)).toEqual({ from: "a", body: 2 });
+        await way.close();
+    });
 });
+
+/** Forwards connections to a port; `silence` stops those that are open from carrying anything, without closing them. */
+async function createForwarder(port: number) {
+    const open: Socket[] = [];
+    const server = createServer(socket => {
+        const target = connect(port, "127.0.0.1");
+        socket.pipe(target).pipe(socket);
+        [socket, target].forEach(each => each.on("error", () => undefined));
+        open.push(socket, target);
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return {
+        url: `ws://127.0.0.1:${(server.address() as AddressInfo).port}`,
+        silence: () => open.splice(0).forEach(socket => socket.unpipe().pause()),
+        close: () => {
+            open.forEach(socket => socket.destroy());
+            return new Promise(resolve => {
+                server.close(resolve);
+                setTimeout(resolve, 100);
+            });
+        },
+    };
+}
