Take a running job's cancellation from its row when it is adopted

Cause: a cancellation of a running job was kept only in the memory of the entries that heard of it. An entry that adopted the job later ran it to its end, and every other entry kept the id for ever. Found by reading the whole change again. Ruled out: the row, which had the request for cancellation all along. Change: the holder looks at the row it claimed or adopted as well as at what it heard; an entry notes a cancellation only of a job it looks after, and drops it with the job. Figures: new test (holder and the entry that was asked both end, a new one adopts): ended done before, cancelled after.

--- a/src/request/jobs.ts
+++ b/src/request/jobs.ts
@@ -81,7 +81,7 @@
         const { peers } = options;
         peers.on(readyTopic, (_, body) => this.poke((body as { shard: number }).shard));
         peers.on(offerTopic, (_, body) => this.receiveOffer((body as { id: string }).id));
-        peers.on(cancelTopic, (_, body) => void this.cancelAsked.add((body as { id: string }).id));
+        peers.on(cancelTopic, (_, body) => this.receiveCancel((body as { id: string }).id));
     }
 
     static create(options: JobsOptions): Jobs {
@@ -147,7 +147,7 @@
     async cancel(id: string): Promise<Job | undefined> {
         const job = await this.runFlow(cancelJob(id));
         if (job?.cancelAsked === true) {
-            this.cancelAsked.add(id);
+            this.receiveCancel(id);
             this.options.peers.broadcast(cancelTopic, { id });
         }
         return job;
@@ -247,6 +247,7 @@
         this.claiming.add(id);
         void this.runReady(id).catch(() => undefined).finally(() => {
             this.claiming.delete(id);
+            this.cancelAsked.delete(id);
             this.claimSome();
         });
     }
@@ -261,6 +262,13 @@
         return peer !== undefined && peers.notify(peer, offerTopic, { id });
     }
 
+    /** Notes a cancellation if the job is looked after here; any later holder finds it in the row. */
+    private receiveCancel(id: string): void {
+        if (this.watching.has(id) || this.claiming.has(id)) {
+            this.cancelAsked.add(id);
+        }
+    }
+
     private receiveOffer(id: string): void {
         const isKnown = this.claiming.has(id) || this.watching.has(id);
         if (!isKnown && !this.isLeaving && this.options.fleet.self !== undefined) {
@@ -431,7 +439,8 @@
 
     private surroundings(job: Job): Surroundings {
         const around = lookAround(job, this.options.fleet.view);
-        return { ...around, isCancelAsked: this.cancelAsked.has(job.id), isLeaving: this.isLeaving };
+        const isCancelAsked = job.cancelAsked || this.cancelAsked.has(job.id);
+        return { ...around, isCancelAsked, isLeaving: this.isLeaving };
     }
 
     private runFlow<T>(flow: StoreFlow<T>): Promise<T> {
--- a/test/jobs.test.ts
+++ b/test/jobs.test.ts
@@ -248,6 +248,27 @@
         expect(first.sort()).toEqual(["flood", "small"]);
     });
 
+    test("whose cancellation was asked for is stopped by an entry that adopts it without having heard of it", async () => {
+        const world = World.create({
+            seed: 1,
+            entries: 2,
+            pools: [{ name: "bridal", workers: 4, budget: 1 }],
+            lists: listsOf(queues, teams),
+            meanMs: () => 30_000,
+        });
+        await world.start();
+        const id = (await world.settle(world.submit(0, "benches", "proof")))!;
+        await world.advance(1500);
+        const holder = world.entries.find(entry => entry.core.jobs.runningCount > 0)!;
+        const other = world.entries.find(entry => entry !== holder)!;
+        world.kill(holder.vm);
+        await world.settle(other.core.jobs.cancel(id));
+        world.kill(other.vm);
+        world.addEntry("late");
+        expect((await untilEnded(world, id)).state).toBe(JobState.Cancelled);
+        expect(runsOf(world, id)).toBe(1);
+    });
+
     test("that waits is cancelled at once, and one that runs is stopped", async () => {
         const world = await createWorld(1, 3, 1);
         const submitted = Array.from({ length: 12 }, (_, at) => world.submit(at, "benches", "proof"));
