--- a/src/connection/caller/index.ts
+++ b/src/connection/caller/index.ts
@@ -1,1 +1,3 @@
-export { readBody, sendBody, sendJson, type WebHandler, WebListener, type WebRequest } from "./web.js";
+export { readBody, sendBody, sendJson } from "./body.js";
+export { HttpListener } from "./listener.js";
+export { type WebHandler, WebListener, type WebRequest } from "./web.js";
--- /dev/null
+++ b/src/connection/caller/listener.ts
@@ -0,0 +1,72 @@
+/** An HTTP listener with bounded connections and headers, over TLS if asked. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer as createTlsServer } from "node:https";
+
+/** Options of `HttpListener.create`. */
+export interface ListenerOptions {
+    readonly host: string;
+    readonly port: number;
+    readonly maxConnections: number;
+    readonly onRequest: (req: IncomingMessage, res: ServerResponse) => void;
+    /** How long an idle connection is kept, in milliseconds. */
+    readonly keepAliveMs?: number;
+    readonly tls?: { readonly cert: Buffer; readonly key: Buffer };
+}
+
+const headersTimeoutMs = 10_000;
+const requestTimeoutMs = 60_000;
+const defaultKeepAliveMs = 5000;
+const maxHeaderBytes = 16 * 1024;
+
+/** One HTTP listener. */
+export class HttpListener {
+    private isClosing = false;
+
+    private constructor(private readonly options: ListenerOptions, private readonly server: Server) {}
+
+    static create(options: ListenerOptions): HttpListener {
+        const limits = {
+            headersTimeout: headersTimeoutMs,
+            requestTimeout: requestTimeoutMs,
+            keepAliveTimeout: options.keepAliveMs ?? defaultKeepAliveMs,
+            maxHeaderSize: maxHeaderBytes,
+        };
+        const { tls } = options;
+        const server = tls === undefined ? createServer(limits) : createTlsServer({ ...limits, ...tls });
+        const listener = new HttpListener(options, server);
+        server.maxConnections = options.maxConnections;
+        server.on("request", (req, res) => listener.accept(req, res));
+        server.on("clientError", (_, socket) => {
+            if (socket.writable) {
+                socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
+            }
+        });
+        return listener;
+    }
+
+    /** Begins to listen. */
+    listen(): Promise<void> {
+        const { host, port } = this.options;
+        return new Promise((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(port, host, resolve);
+        });
+    }
+
+    /** Stops listening; resolves when the open requests have ended. */
+    close(): Promise<void> {
+        this.isClosing = true;
+        return new Promise(resolve => {
+            this.server.close(() => resolve());
+            this.server.closeIdleConnections();
+        });
+    }
+
+    private accept(req: IncomingMessage, res: ServerResponse): void {
+        res.on("error", () => undefined);
+        if (this.isClosing) {
+            res.setHeader("connection", "close");
+        }
+        this.options.onRequest(req, res);
+    }
+}
--- /dev/null
+++ b/src/connection/json-http.ts
@@ -0,0 +1,177 @@
+/**
+ * Calls with JSON bodies over reused HTTP/1.1 connections, each under its own time limit. The result tells whether
+ * the other end may have received a call that was not answered.
+ */
+import { type Dispatcher, Pool } from "undici";
+import type { Cancel, Timer } from "../process/timer.js";
+
+/** One call. */
+export interface HttpCall {
+    readonly method: "GET" | "POST" | "PUT" | "DELETE";
+    readonly path: string;
+    readonly headers?: Readonly<Record<string, string>>;
+    /** Sent as JSON. */
+    readonly body?: unknown;
+    readonly timeoutMs: number;
+}
+
+/** What came of a call. */
+export type HttpResult =
+    | { readonly kind: "answer"; readonly status: number; readonly body: unknown }
+    /** No byte of the call left this process. */
+    | { readonly kind: "not-sent"; readonly reason: string }
+    /** It may have been carried out. */
+    | { readonly kind: "lost"; readonly reason: string };
+
+/** Options of `JsonHttp.create`. */
+export interface JsonHttpOptions {
+    readonly timer: Timer;
+    /** Most connections to one address. */
+    readonly connections: number;
+    /** How long an idle connection is kept, in milliseconds. */
+    readonly idleMs?: number;
+    readonly connectMs?: number;
+    /** Called when a connection was opened. */
+    readonly onConnected?: () => void;
+}
+
+const defaultIdleMs = 4000;
+const defaultConnectMs = 1000;
+
+/** Connections to any number of addresses, each `host:port`. */
+export class JsonHttp {
+    private readonly pools = new Map<string, Pool>();
+
+    private constructor(private readonly options: JsonHttpOptions) {}
+
+    static create(options: JsonHttpOptions): JsonHttp {
+        return new JsonHttp(options);
+    }
+
+    /** Sends one call; never rejects. */
+    call(address: string, call: HttpCall): Promise<HttpResult> {
+        return new Promise(resolve => {
+            const exchange = new Exchange(this.options.timer, call.timeoutMs, resolve);
+            const hasBody = call.body !== undefined;
+            this.poolOf(address).dispatch(
+                {
+                    method: call.method,
+                    path: call.path,
+                    headers: { ...call.headers, ...(hasBody && { "content-type": "application/json" }) },
+                    body: hasBody ? JSON.stringify(call.body) : undefined,
+                    idempotent: false,
+                } as Dispatcher.DispatchOptions,
+                exchange,
+            );
+        });
+    }
+
+    /** Closes the connections to addresses other than these. */
+    retain(addresses: ReadonlySet<string>): void {
+        for (const [address, pool] of this.pools) {
+            if (!addresses.has(address)) {
+                this.pools.delete(address);
+                void pool.destroy().catch(() => undefined);
+            }
+        }
+    }
+
+    /** Closes everything; calls under way end as lost. */
+    close(): void {
+        this.retain(new Set());
+    }
+
+    private poolOf(address: string): Pool {
+        const known = this.pools.get(address);
+        if (known !== undefined) {
+            return known;
+        }
+        const { connections, idleMs = defaultIdleMs, connectMs = defaultConnectMs, onConnected } =
+            this.options;
+        const pool = new Pool(`http://${address}`, {
+            connections,
+            pipelining: 1,
+            keepAliveTimeout: idleMs,
+            headersTimeout: 0,
+            bodyTimeout: 0,
+            connect: { timeout: connectMs },
+        });
+        pool.on("connect", () => onConnected?.());
+        this.pools.set(address, pool);
+        return pool;
+    }
+}
+
+/** Collects the answer to one call, or the way in which it failed. */
+class Exchange implements Dispatcher.DispatchHandler {
+    private controller: Dispatcher.DispatchController | undefined;
+    private status = 0;
+    private readonly chunks: Buffer[] = [];
+    private isSettled = false;
+    private readonly cancel: Cancel;
+
+    constructor(
+        timer: Timer,
+        timeoutMs: number,
+        private readonly resolve: (result: HttpResult) => void,
+    ) {
+        this.cancel = timer.after(timeoutMs, () => this.expire());
+    }
+
+    onRequestStart(controller: Dispatcher.DispatchController): void {
+        if (this.isSettled) {
+            controller.abort(new Error("the call's time was over before it was sent"));
+            return;
+        }
+        this.controller = controller;
+    }
+
+    onResponseStart(_: Dispatcher.DispatchController, status: number): void {
+        this.status = status;
+    }
+
+    onResponseData(_: Dispatcher.DispatchController, chunk: Buffer): void {
+        this.chunks.push(chunk);
+    }
+
+    onResponseEnd(): void {
+        const text = this.chunks.length === 1
+            ? this.chunks[0]!.toString()
+            : Buffer.concat(this.chunks).toString();
+        this.settle({ kind: "answer", status: this.status, body: parseBody(text) });
+    }
+
+    onResponseError(_: Dispatcher.DispatchController, err: Error): void {
+        this.fail(err.message);
+    }
+
+    private expire(): void {
+        this.fail("timeout");
+        this.controller?.abort(new Error("the call's time is over"));
+    }
+
+    private fail(reason: string): void {
+        this.settle({ kind: this.controller === undefined ? "not-sent" : "lost", reason });
+    }
+
+    private settle(result: HttpResult): void {
+        if (!this.isSettled) {
+            this.isSettled = true;
+            this.cancel();
+            this.resolve(result);
+        }
+    }
+}
+
+/** Bodies that are no JSON count as empty; whoever needs one finds its fields missing and says so. */
+function parseBody(text: string): unknown {
+    if (text === "") {
+        return undefined;
+    }
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/job/codec.ts
@@ -0,0 +1,197 @@
+/** How accepted jobs and their progress are written into rows of the store, as compact JSON. */
+import { z } from "zod";
+import { type AcceptedJob, type JobSpec, type StepSpec } from "./spec.js";
+import { initialState, isFinal, JobPhase, type JobState, TaskPhase, type TaskState } from "./state.js";
+
+const stepRow = z.object({
+    n: z.number(),
+    r: z.tuple([z.number(), z.number(), z.number()]),
+    e: z.number().default(0),
+    a: z.array(z.number()).default([]),
+    f: z.number().default(0),
+    l: z.string().optional(),
+    d: z.string().optional(),
+    w: z.number().default(0),
+    i: z.string().default(""),
+    t: z.number().default(0),
+    b: z.number().optional(),
+});
+
+const jobRow = z.object({
+    q: z.string(),
+    t: z.string(),
+    at: z.number(),
+    p: z.string(),
+    s: z.array(stepRow),
+    o: z.tuple([z.number(), z.number(), z.number()]).optional(),
+});
+
+enum StepFlag {
+    SavesProgress = 1,
+    Gang = 2,
+    OneRack = 4,
+    MayCopy = 8,
+    Service = 16,
+    BestEffort = 32,
+}
+
+/** Encodes an accepted job without its id, which is the key of its row. */
+export function encodeJob(job: AcceptedJob): string {
+    const { schedule, steps, payload } = job.spec;
+    return JSON.stringify({
+        q: job.queue,
+        t: job.team,
+        at: job.acceptedAtMs,
+        p: payload,
+        s: steps.map(encodeStep),
+        o: schedule && [schedule.count, schedule.firstAtMs, schedule.intervalMs],
+    });
+}
+
+/** Decodes an accepted job; undefined when the row is malformed. */
+export function decodeJob(id: string, text: string): AcceptedJob | undefined {
+    const parsed = jobRow.safeParse(parseJson(text));
+    if (!parsed.success) {
+        return undefined;
+    }
+    const { q, t, at, p, s, o } = parsed.data;
+    const spec: JobSpec = {
+        payload: p,
+        steps: s.map(decodeStep),
+        ...(o && { schedule: { count: o[0], firstAtMs: o[1], intervalMs: o[2] } }),
+    };
+    return { id, queue: q, team: t, acceptedAtMs: at, spec };
+}
+
+function encodeStep(step: StepSpec): z.input<typeof stepRow> {
+    const { cpu, memory, accelerators } = step.needs;
+    const flags = (step.savesProgress ? StepFlag.SavesProgress : 0) | (step.isGang ? StepFlag.Gang : 0)
+        | (step.wantsOneRack ? StepFlag.OneRack : 0) | (step.mayCopy ? StepFlag.MayCopy : 0)
+        | (step.isService ? StepFlag.Service : 0) | (step.isBestEffort ? StepFlag.BestEffort : 0);
+    return {
+        n: step.tasks,
+        r: [cpu, memory, accelerators],
+        e: step.estimateMs,
+        f: flags,
+        ...(step.after.length > 0 && { a: [...step.after] }),
+        ...(step.label !== undefined && { l: step.label }),
+        ...(step.dataRack !== undefined && { d: step.dataRack }),
+        ...(step.perWorker > 0 && { w: step.perWorker }),
+        ...(step.image !== "" && { i: step.image }),
+        ...(step.tailTargetMs > 0 && { t: step.tailTargetMs }),
+        ...(step.disruptionBudget !== undefined && { b: step.disruptionBudget }),
+    };
+}
+
+function decodeStep(row: z.output<typeof stepRow>): StepSpec {
+    const has = (flag: StepFlag): boolean => (row.f & flag) !== 0;
+    return {
+        tasks: row.n,
+        needs: { cpu: row.r[0], memory: row.r[1], accelerators: row.r[2] },
+        estimateMs: row.e,
+        after: row.a,
+        savesProgress: has(StepFlag.SavesProgress),
+        isGang: has(StepFlag.Gang),
+        wantsOneRack: has(StepFlag.OneRack),
+        mayCopy: has(StepFlag.MayCopy),
+        isService: has(StepFlag.Service),
+        isBestEffort: has(StepFlag.BestEffort),
+        perWorker: row.w,
+        image: row.i,
+        tailTargetMs: row.t,
+        ...(row.l !== undefined && { label: row.l }),
+        ...(row.d !== undefined && { dataRack: row.d }),
+        ...(row.b !== undefined && { disruptionBudget: row.b }),
+    };
+}
+
+const taskRow = z.tuple([
+    z.number(),
+    z.number(),
+    z.number(),
+    z.enum(TaskPhase),
+    z.number(),
+    z.number(),
+    z.string(),
+    z.number(),
+    z.string(),
+]);
+
+const stateRow = z.object({
+    s: z.enum(JobPhase),
+    o: z.number().default(0),
+    why: z.string().optional(),
+    t: z.array(taskRow).default([]),
+});
+
+/** Encodes a job's progress; tasks that have not been touched are left out, and so are the done ones of final jobs. */
+export function encodeState(state: JobState): string {
+    const isOver = isFinal(state.phase);
+    const rows = state.tasks.filter(task => isOver ? task.phase === TaskPhase.Claimed : task.run > 0);
+    return JSON.stringify({
+        s: state.phase,
+        o: state.occurrences,
+        why: state.reason,
+        t: rows.map(task => [
+            task.occurrence,
+            task.step,
+            task.index,
+            task.phase,
+            task.run,
+            task.failures,
+            task.worker,
+            task.born,
+            task.saved,
+        ]),
+    });
+}
+
+/** Phase of an encoded state without the rest; undefined when the row is malformed. */
+export function decodePhase(text: string): JobPhase | undefined {
+    const parsed = stateRow.safeParse(parseJson(text));
+    return parsed.success ? parsed.data.s : undefined;
+}
+
+/** Decodes a job's progress; undefined when the row is malformed or names tasks that the job does not have. */
+export function decodeState(job: AcceptedJob, text: string): JobState | undefined {
+    const parsed = stateRow.safeParse(parseJson(text));
+    if (!parsed.success) {
+        return undefined;
+    }
+    const { s, o, why, t } = parsed.data;
+    const blank = blankTasks(job, o);
+    const tasks = new Map(blank.map(task => [`${task.occurrence}.${task.step}.${task.index}`, task]));
+    for (const row of t) {
+        const key = `${row[0]}.${row[1]}.${row[2]}`;
+        const task = tasks.get(key);
+        if (task === undefined) {
+            return undefined;
+        }
+        const [, , , phase, run, failures, worker, born, saved] = row;
+        tasks.set(key, { ...task, phase, run, failures, worker, born, saved });
+    }
+    return {
+        phase: s,
+        occurrences: o,
+        tasks: [...tasks.values()],
+        ...(why !== undefined && { reason: why }),
+    };
+}
+
+function blankTasks(job: AcceptedJob, occurrences: number): readonly TaskState[] {
+    const { schedule, ...rest } = job.spec;
+    const first = initialState({ ...job, spec: rest }).tasks;
+    const count = schedule === undefined ? 1 : occurrences;
+    return Array.from({ length: count }, (_, occurrence) => first.map(task => ({ ...task, occurrence })))
+        .flat();
+}
+
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        // The caller reports the row as malformed.
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/job/index.ts
@@ -0,0 +1,4 @@
+export * from "./codec.js";
+export * from "./spec.js";
+export * from "./state.js";
+export * from "./task-id.js";
--- /dev/null
+++ b/src/pool/domain.ts
@@ -0,0 +1,518 @@
+/**
+ * Task that takes part in the ownership of a domain: follows the owner row and the members, hears the owner, takes
+ * the domain over when the owner falls silent, and answers questions about jobs here or at the owner.
+ */
+import type { AcceptedJob, JobPhase } from "../job/index.js";
+import { messageOf } from "../process/errors.js";
+import { EventId, Severity } from "../process/events.js";
+import { run } from "../process/flow.js";
+import type { Task } from "../process/hub.js";
+import type { Log } from "../process/log.js";
+import type { Metrics } from "../process/metrics.js";
+import type { Peer, Peers } from "../process/peers.js";
+import { readAll, readRow, type RowStore, type StoredRow } from "../process/rows.js";
+import { type Cancel, sleep, type Timer } from "../process/timer.js";
+import type { Directory } from "../version/directory.js";
+import { takeOver } from "./ledger.js";
+import type { LedgerEffect } from "./ledger.js";
+import { release } from "./ledger.js";
+import { decodeMember, memberKey, memberPart, type MemberRow } from "./member-rows.js";
+import { decodeOwner, type Owner, ownerKey, ownerSilenceMs, shouldTakeOver, tables } from "./ownership.js";
+import type { Adviser, Roster, WorkerCalls } from "./ports.js";
+import { Tenure, type TenureTimes } from "./tenure.js";
+
+/** Options of `Domain.create`. */
+export interface DomainOptions {
+    readonly name: string;
+    readonly entry: string;
+    readonly incarnation: string;
+    readonly peerUrl: string;
+    readonly store: RowStore & { readonly ageMs: number };
+    readonly peers: Peers;
+    readonly roster: Roster;
+    readonly calls: WorkerCalls;
+    readonly adviser: Adviser;
+    readonly directory: () => Directory | undefined;
+    readonly timer: Timer;
+    readonly log: Log;
+    readonly metrics: Metrics;
+    readonly times: TenureTimes;
+    /** Called when the members change. */
+    readonly onMembers: (members: ReadonlyMap<string, MemberRow>) => void;
+    /** Called when a tenure of this entry begins. */
+    readonly onTenure: (tenure: Tenure) => void;
+}
+
+interface Beacon {
+    readonly fence: number;
+    readonly storeAgeMs: number;
+}
+
+/** Notices and questions between entries about a domain. */
+enum Topic {
+    Beacon = "owner.beacon",
+    Heard = "owner.heard",
+    Released = "owner.released",
+    Accepted = "job.accepted",
+    Cancelled = "job.cancelled",
+    Phase = "job.phase",
+    Pending = "queue.pending",
+    Members = "members",
+}
+
+const beaconMs = 200;
+const checkMs = 100;
+const feedWaitMs = 4000;
+const retryMs = 200;
+const heardTimeoutMs = 200;
+const questionMs = 500;
+/** Longest time for a read of the owner row by which this entry counts as better placed than the owner. */
+const quickProbeMs = 300;
+/** Pause after a takeover that another entry won. */
+const lostRacePauseMs = 500;
+/** Silence after which a member's row is removed by the owner; a living member writes it again. */
+const memberSilenceMs = 30_000;
+const memberSweepMs = 5000;
+
+/** The phase of a job, or that it is unknown; undefined without a sound answer. */
+export type PhaseAnswer = { readonly phase: JobPhase | undefined } | undefined;
+
+/** This entry's part in a domain. */
+export class Domain implements Task {
+    readonly name = "domain";
+    private owner: Owner | undefined;
+    private heardAt: number;
+    private beacon: Beacon | undefined;
+    private current: Tenure | undefined;
+    private isRunning = false;
+    private isStopping = false;
+    private isBusy = false;
+    private readonly members = new Map<string, MemberRow>();
+    private readonly cancels: Cancel[] = [];
+    private readonly memberHeardAt = new Map<string, number>();
+
+    private constructor(private readonly options: DomainOptions) {
+        this.heardAt = options.timer.now();
+    }
+
+    static create(options: DomainOptions): Domain {
+        return new Domain(options);
+    }
+
+    /** This entry's tenure, while it is the owner. */
+    get tenure(): Tenure | undefined {
+        return this.current;
+    }
+
+    /** Entry that owns the domain, as far as known. */
+    get ownerEntry(): string | undefined {
+        return this.current === undefined ? this.owner?.entry : this.options.entry;
+    }
+
+    start(): Promise<void> {
+        const { timer } = this.options;
+        this.isRunning = true;
+        this.listen();
+        this.cancels.push(timer.every(beaconMs, () => this.sendBeacon()));
+        this.cancels.push(timer.every(checkMs, () => void this.check()));
+        this.cancels.push(timer.every(memberSweepMs, () => void this.sweepMembers()));
+        void this.follow();
+        return Promise.resolve();
+    }
+
+    /** Hands the domain over, if it is owned here, and leaves the members. */
+    async stop(): Promise<void> {
+        const { store, log, peers, entry } = this.options;
+        this.isStopping = true;
+        const tenure = this.current;
+        if (tenure !== undefined) {
+            const head = await tenure.handOver();
+            this.current = undefined;
+            const outcome = await store.transact(release(head));
+            peers.broadcast(Topic.Released, { fence: head.owner.fence });
+            log.write(Severity.Info, EventId.OwnerReleased, {
+                fence: head.owner.fence,
+                outcome: outcome.kind,
+            });
+        }
+        const left = await store.transact({ conditions: [], puts: [], removals: [memberKey(entry)] });
+        log.write(Severity.Info, EventId.MemberGone, { entry, outcome: left.kind });
+        this.isRunning = false;
+        this.cancels.forEach(cancel => cancel());
+    }
+
+    /** Tells the owner of a job that was just stored. */
+    tellAccepted(job: AcceptedJob): void {
+        this.tell(tenure => tenure.accept(job), Topic.Accepted, job);
+    }
+
+    /** Tells the owner of a cancellation that was just stored. */
+    tellCancelled(id: string): void {
+        this.tell(tenure => tenure.cancel(id), Topic.Cancelled, { id });
+    }
+
+    /** Asks the owner for the phase of a job. */
+    async phaseOf(id: string): Promise<PhaseAnswer> {
+        return this.current === undefined
+            ? await this.askOwner(Topic.Phase, { id }) as PhaseAnswer
+            : this.answerPhase(id);
+    }
+
+    /** Asks the owner how many jobs of a queue have not begun; undefined without a sound answer. */
+    async pendingOf(queue: string): Promise<number | undefined> {
+        return this.current === undefined
+            ? await this.askOwner(Topic.Pending, { queue }) as number | undefined
+            : this.answerPending(queue);
+    }
+
+    private tell(here: (tenure: Tenure) => void, topic: Topic, body: unknown): void {
+        if (this.current !== undefined) {
+            here(this.current);
+        }
+        else if (this.owner !== undefined) {
+            this.options.peers.notify(this.owner.entry, topic, body);
+        }
+    }
+
+    private async askOwner(topic: Topic, body: unknown): Promise<unknown> {
+        if (this.owner === undefined || this.owner.entry === "") {
+            return undefined;
+        }
+        try {
+            return await this.options.peers.ask(this.owner.entry, topic, body, questionMs);
+        }
+        catch (err) {
+            this.options.metrics.count("celerywind_owner_questions_failed_total", { topic });
+            this.options.log.write(Severity.Info, EventId.OwnerSuspected, { topic, err: messageOf(err) });
+            return undefined;
+        }
+    }
+
+    private answerPhase(id: string): PhaseAnswer {
+        return this.current?.isReady === true ? { phase: this.current.phaseOf(id) } : undefined;
+    }
+
+    private answerPending(queue: string): number | undefined {
+        return this.current?.isReady === true ? this.current.pendingOf(queue) : undefined;
+    }
+
+    private listen(): void {
+        const { peers, timer } = this.options;
+        peers.on(Topic.Beacon, (peer, body) => this.hearBeacon(peer, body as Beacon));
+        peers.on(
+            Topic.Heard,
+            () => ({ silentMs: timer.now() - this.heardAt, isOwner: this.current !== undefined }),
+        );
+        peers.on(Topic.Released, (_, body) => this.hearRelease((body as { fence: number }).fence));
+        peers.on(Topic.Accepted, (_, body) => this.current?.accept(body as AcceptedJob));
+        peers.on(Topic.Cancelled, (_, body) => this.current?.cancel((body as { id: string }).id));
+        peers.on(Topic.Phase, (_, body) => this.answerPhase((body as { id: string }).id));
+        peers.on(Topic.Pending, (_, body) => this.answerPending((body as { queue: string }).queue));
+        peers.on(Topic.Members, () => [...this.members.entries()]);
+    }
+
+    private sendBeacon(): void {
+        if (this.current !== undefined) {
+            const word: Beacon = { fence: this.current.fence, storeAgeMs: this.options.store.ageMs };
+            this.options.peers.broadcast(Topic.Beacon, word);
+        }
+    }
+
+    private hearBeacon(peer: Peer, word: Beacon): void {
+        if (word.fence < (this.owner?.fence ?? 0)) {
+            return;
+        }
+        if (this.current !== undefined && word.fence > this.current.fence) {
+            void this.current.confirm();
+            return;
+        }
+        if (peer.vm !== this.owner?.entry || word.fence !== this.owner.fence) {
+            this.owner = { entry: peer.vm, incarnation: "", fence: word.fence };
+        }
+        this.heardAt = this.options.timer.now();
+        this.beacon = word;
+    }
+
+    private hearRelease(fence: number): void {
+        if (this.owner !== undefined && this.owner.fence === fence) {
+            this.owner = { ...this.owner, entry: "" };
+            void this.check();
+        }
+    }
+
+    private async check(): Promise<void> {
+        if (
+            this.isBusy || this.current !== undefined || !this.isRunning
+            || !this.wouldTakeOver(this.silentMs())
+        ) {
+            return;
+        }
+        this.isBusy = true;
+        try {
+            await this.tryTakeOver();
+        }
+        catch (err) {
+            this.options.log.write(Severity.Warn, EventId.StoreUnavailable, { err: messageOf(err) });
+            await sleep(this.options.timer, retryMs);
+        }
+        finally {
+            this.isBusy = false;
+        }
+    }
+
+    private silentMs(): number {
+        return this.options.timer.now() - this.heardAt;
+    }
+
+    private wouldTakeOver(ownerSilentMs: number, storeAgeMs = 0): boolean {
+        const { entry, peers } = this.options;
+        const candidates = [entry, ...peers.connected().map(({ vm }) => vm)]
+            .filter(vm => vm !== this.owner?.entry)
+            .sort();
+        return shouldTakeOver({
+            self: entry,
+            owner: this.owner,
+            ownerSilentMs,
+            ownerStoreAgeMs: this.beacon === undefined ? 0 : this.beacon.storeAgeMs,
+            storeAgeMs,
+            rank: candidates.indexOf(entry),
+            isStopping: this.isStopping,
+        });
+    }
+
+    private async tryTakeOver(): Promise<void> {
+        const { store, timer, log, name, entry, incarnation } = this.options;
+        const probedAt = timer.now();
+        const row = await readRow(store, ownerKey(name));
+        const probeMs = timer.now() - probedAt;
+        this.noteOwnerRow(row);
+        const silentMs = await this.leastSilence();
+        const isBlind = silentMs <= ownerSilenceMs && probeMs > quickProbeMs;
+        if (isBlind || !this.wouldTakeOver(silentMs, probeMs)) {
+            return;
+        }
+        log.write(Severity.Warn, EventId.OwnerSuspected, {
+            owner: this.owner?.entry,
+            fence: this.owner?.fence,
+            silentMs: Math.round(silentMs),
+            ownerStoreAgeMs: Math.round(this.beacon?.storeAgeMs ?? 0),
+            probeMs: Math.round(probeMs),
+        });
+        const result = await run(takeOver(name, entry, incarnation), effect => this.performLedger(effect));
+        switch (result.kind) {
+            case "lost":
+                this.heardAt = Math.max(this.heardAt, timer.now() - ownerSilenceMs + lostRacePauseMs);
+                return;
+            case "taken":
+                await this.begin(result.head, result.previous);
+        }
+    }
+
+    private async begin(
+        head: Parameters<typeof Tenure.create>[0]["head"],
+        previous: Owner | undefined,
+    ): Promise<void> {
+        const { log, timer, peers, onTenure } = this.options;
+        const isPreviousGone = this.isGone(previous);
+        this.owner = head.owner;
+        this.beacon = undefined;
+        log.write(Severity.Info, EventId.OwnerTaken, {
+            domain: head.domain,
+            fence: head.owner.fence,
+            previous: previous?.entry,
+            isPreviousGone,
+        });
+        const tenure = Tenure.create({
+            ...this.options,
+            head,
+            isPreviousGone,
+            onSuperseded: () => this.noteSuperseded(tenure),
+        });
+        this.current = tenure;
+        this.heardAt = timer.now();
+        peers.broadcast(Topic.Beacon, { fence: head.owner.fence, storeAgeMs: 0 });
+        onTenure(tenure);
+        await tenure.start();
+    }
+
+    /** Whether an earlier owner can give no more orders: it gave up, or its VM runs another process by now. */
+    private isGone(previous: Owner | undefined): boolean {
+        if (previous === undefined || previous.entry === "" || previous.entry === this.options.entry) {
+            return true;
+        }
+        const member = this.members.get(previous.entry);
+        return member !== undefined && member.incarnation !== previous.incarnation;
+    }
+
+    private noteSuperseded(tenure: Tenure): void {
+        if (this.current === tenure) {
+            this.current = undefined;
+            this.heardAt = this.options.timer.now();
+            this.beacon = undefined;
+        }
+    }
+
+    /** Least time since any entry that answers has heard the owner. */
+    private async leastSilence(): Promise<number> {
+        const { peers } = this.options;
+        const asked = peers.connected()
+            .filter(({ vm }) => vm !== this.owner?.entry)
+            .map(({ vm }) => peers.ask(vm, Topic.Heard, {}, heardTimeoutMs));
+        const words = await Promise.allSettled(asked);
+        const silences = words.map(word =>
+            word.status === "fulfilled" ? (word.value as { silentMs: number }).silentMs : Infinity
+        );
+        return Math.min(this.silentMs(), ...silences);
+    }
+
+    private async performLedger(effect: LedgerEffect): Promise<unknown> {
+        const { store, timer, name } = this.options;
+        switch (effect.kind) {
+            case "transact":
+                return store.transact(effect.tx);
+            case "read-owner":
+                return readRow(store, ownerKey(name));
+            case "pause":
+                await sleep(timer, effect.ms);
+                return undefined;
+        }
+    }
+
+    // Members and the owner row
+
+    private async follow(): Promise<void> {
+        const { store, timer, log } = this.options;
+        let version: number | undefined;
+        while (this.isRunning) {
+            try {
+                version = version === undefined ? await this.readCluster() : await this.feedCluster(version);
+            }
+            catch (err) {
+                log.write(Severity.Warn, EventId.StoreUnavailable, {
+                    table: tables.cluster,
+                    err: messageOf(err),
+                });
+                await this.askMembers();
+                await sleep(timer, retryMs);
+            }
+        }
+        void store;
+    }
+
+    private async readCluster(): Promise<number> {
+        const { store, name } = this.options;
+        const owner = await readRow(store, ownerKey(name));
+        const page = await readAll(store, { table: tables.cluster, part: memberPart });
+        this.noteOwnerRow(owner);
+        page.rows.forEach(row => this.noteMember(row));
+        await this.register();
+        this.options.onMembers(this.members);
+        return page.version;
+    }
+
+    private async feedCluster(version: number): Promise<number | undefined> {
+        const result = await this.options.store.feed(tables.cluster, version, feedWaitMs);
+        if (result.kind === "history-lost") {
+            this.members.clear();
+            return undefined;
+        }
+        const { key } = ownerKey(this.options.name);
+        for (const row of result.rows) {
+            if (row.part === memberPart) {
+                this.noteMember(row);
+            }
+            else if (row.key === key && row.part === this.options.name) {
+                this.noteOwnerRow(row);
+            }
+        }
+        if (result.rows.length > 0) {
+            await this.register();
+            this.options.onMembers(this.members);
+        }
+        return Math.max(version, result.version);
+    }
+
+    private noteOwnerRow(row: StoredRow | undefined): void {
+        const owner = decodeOwner(row);
+        if (owner === undefined || owner.fence < (this.owner?.fence ?? 0)) {
+            return;
+        }
+        const isNew = owner.fence > (this.owner?.fence ?? 0) || owner.entry !== this.owner?.entry;
+        this.owner = owner;
+        if (isNew) {
+            this.beacon = undefined;
+            this.heardAt = this.options.timer.now();
+            if (this.current !== undefined && owner.fence > this.current.fence) {
+                void this.current.confirm();
+            }
+            if (owner.entry === "") {
+                void this.check();
+            }
+        }
+    }
+
+    private noteMember(row: StoredRow): void {
+        const member = decodeMember(row);
+        if (member === undefined) {
+            this.members.delete(row.key);
+        }
+        else {
+            this.members.set(row.key, member);
+        }
+    }
+
+    private async register(): Promise<void> {
+        const { entry, incarnation, peerUrl, store, log } = this.options;
+        if (this.isStopping || this.members.get(entry)?.incarnation === incarnation) {
+            return;
+        }
+        const member: MemberRow = { incarnation, url: peerUrl };
+        const outcome = await store.transact({
+            conditions: [],
+            puts: [{ ...memberKey(entry), value: JSON.stringify(member) }],
+            removals: [],
+        });
+        log.write(Severity.Info, EventId.MemberRegistered, { entry, incarnation, outcome: outcome.kind });
+        this.members.set(entry, member);
+    }
+
+    /** Learns the members from a peer while the store does not answer. */
+    private async askMembers(): Promise<void> {
+        const { peers, onMembers, log } = this.options;
+        const [peer] = peers.connected();
+        if (peer === undefined || this.members.size > 0) {
+            return;
+        }
+        try {
+            const rows = await peers.ask(peer.vm, Topic.Members, {}, questionMs) as [string, MemberRow][];
+            rows.forEach(([entry, member]) => this.members.set(entry, member));
+            onMembers(this.members);
+        }
+        catch (err) {
+            log.write(Severity.Warn, EventId.PeerLost, { peer: peer.vm, err: messageOf(err) });
+        }
+    }
+
+    /** Removes the rows of members that the owner has not heard for long. */
+    private async sweepMembers(): Promise<void> {
+        const { peers, timer, entry, store, log } = this.options;
+        const now = timer.now();
+        peers.connected().forEach(({ vm }) => this.memberHeardAt.set(vm, now));
+        if (this.current === undefined) {
+            return;
+        }
+        for (const member of this.members.keys()) {
+            const heardAt = this.memberHeardAt.get(member) ?? now;
+            this.memberHeardAt.set(member, heardAt);
+            if (member !== entry && now - heardAt > memberSilenceMs) {
+                this.memberHeardAt.delete(member);
+                const outcome = await store.transact({
+                    conditions: [],
+                    puts: [],
+                    removals: [memberKey(member)],
+                });
+                log.write(Severity.Info, EventId.MemberGone, { entry: member, outcome: outcome.kind });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/pool/job-rows.ts
@@ -0,0 +1,77 @@
+/** Rows that any entry writes about a job: its acceptance, its cancellation, or the note that it was refused. */
+import { type AcceptedJob, decodeJob, decodePhase, encodeJob, JobPhase } from "../job/index.js";
+import type { RowKey, RowPut, RowRange, RowTransaction, StoredRow } from "../process/rows.js";
+import { tables } from "./ownership.js";
+
+/** Kinds of these rows. */
+export enum JobRowKind {
+    Accepted = "accepted",
+    Cancelled = "cancelled",
+    /** The job was refused after a write whose fate was unknown; it must never run. */
+    Refused = "refused",
+    /** Removed or malformed. */
+    Other = "other",
+}
+
+/** A decoded row. */
+export type JobRow =
+    | { readonly kind: JobRowKind.Accepted; readonly job: AcceptedJob }
+    | { readonly kind: JobRowKind.Cancelled; readonly id: string }
+    | { readonly kind: JobRowKind.Refused; readonly id: string }
+    | { readonly kind: JobRowKind.Other };
+
+const part = "all";
+const cancelSuffix = ".cancel";
+const refusedMark = "refused";
+
+/** The range of all these rows. */
+export const acceptedRange: RowRange = { table: tables.jobs, part };
+
+/** Key of the row of a job's acceptance or refusal. */
+export function jobKey(id: string): RowKey {
+    return { table: tables.jobs, part, key: id };
+}
+
+function cancelKey(id: string): RowKey {
+    return { table: tables.jobs, part, key: id + cancelSuffix };
+}
+
+/** Decodes a row. */
+export function decodeJobRow(row: StoredRow): JobRow {
+    if (row.isRemoved) {
+        return { kind: JobRowKind.Other };
+    }
+    if (row.key.endsWith(cancelSuffix)) {
+        return { kind: JobRowKind.Cancelled, id: row.key.slice(0, -cancelSuffix.length) };
+    }
+    if (row.value === refusedMark) {
+        return { kind: JobRowKind.Refused, id: row.key };
+    }
+    const job = decodeJob(row.key, row.value);
+    return job === undefined ? { kind: JobRowKind.Other } : { kind: JobRowKind.Accepted, job };
+}
+
+/** Stores a job unless its row exists. */
+export function acceptance(job: AcceptedJob): RowTransaction {
+    return onlyOnce({ ...jobKey(job.id), value: encodeJob(job) });
+}
+
+/** Makes sure that a job whose acceptance is uncertain never runs. */
+export function refusal(id: string): RowTransaction {
+    return onlyOnce({ ...jobKey(id), value: refusedMark });
+}
+
+/** Stores a cancellation unless there is one. */
+export function cancellation(id: string): RowTransaction {
+    return onlyOnce({ ...cancelKey(id), value: "{}" });
+}
+
+function onlyOnce(put: RowPut): RowTransaction {
+    const { table, key } = put;
+    return { conditions: [{ table, part, key, version: 0 }], puts: [put], removals: [] };
+}
+
+/** Phase that the row of a job's progress states; a job without one is waiting for its owner. */
+export function progressPhase(row: StoredRow | undefined): JobPhase {
+    return (row === undefined ? undefined : decodePhase(row.value)) ?? JobPhase.Queued;
+}
--- /dev/null
+++ b/src/pool/plan-starts.ts
@@ -0,0 +1,238 @@
+/** Which waiting tasks start now, and where: a pure decision over the books of a domain. */
+import { type StepSpec, TaskPhase } from "../job/index.js";
+import { addResources, keepsLimit, noResources, type Resources } from "../process/resources.js";
+import type { Directory, Queue } from "../version/directory.js";
+import type { Durations } from "./durations.js";
+import type { JobBook, JobEntry } from "./job-book.js";
+import { type Candidate, chooseWorker, mayRun, type Placeable } from "./placement.js";
+import { compareOutlooks, type Outlook, outlookOf } from "./urgency.js";
+import { freeOf, type WorkerState } from "./worker-book.js";
+
+/** A task that is to start on a worker. */
+export interface Placement {
+    readonly entry: JobEntry;
+    readonly at: number;
+    readonly worker: WorkerState;
+    /** Ticket of the adviser. */
+    readonly ticket?: string;
+}
+
+/** What a plan is made from. */
+export interface PlanView {
+    readonly jobs: JobBook;
+    readonly workers: Iterable<WorkerState>;
+    readonly directory: Directory;
+    readonly durations: Durations;
+    /** Tickets for a step of a queue that needs advice, by worker; undefined while none are known. */
+    readonly ticketsFor: (
+        entry: JobEntry,
+        occurrence: number,
+        step: number,
+    ) => ReadonlyMap<string, string> | undefined;
+    /** Monotonic time, in milliseconds. */
+    readonly now: number;
+    /** Unix time, in milliseconds. */
+    readonly wallMs: number;
+    /** Most placements to make. */
+    readonly limit: number;
+}
+
+/** A job with what ranks it. */
+export interface RankedJob {
+    readonly entry: JobEntry;
+    readonly queue: Queue | undefined;
+    readonly outlook: Outlook;
+    readonly priority: number;
+}
+
+const lowestPriority = 1_000_000;
+const noRack = "";
+
+/** Decides which tasks start. */
+export function planStarts(view: PlanView): readonly Placement[] {
+    return Planner.create(view).plan();
+}
+
+/** Jobs with waiting tasks, the most urgent first. */
+export function rankJobs(view: Pick<PlanView, "jobs" | "directory" | "durations" | "wallMs">): RankedJob[] {
+    const queues = new Map(view.directory.queues.map(queue => [queue.name, queue]));
+    const ranked: RankedJob[] = [];
+    for (const entry of view.jobs.activeEntries) {
+        if (view.jobs.openTasks(entry).length > 0) {
+            const queue = queues.get(entry.job.queue);
+            const outlook = outlookOf({ entry, queue, durations: view.durations, wallMs: view.wallMs });
+            ranked.push({ entry, queue, outlook, priority: queue?.priority ?? lowestPriority });
+        }
+    }
+    return ranked.sort(compareOutlooks);
+}
+
+class Planner {
+    private readonly free = new Map<string, Resources>();
+    private readonly pools = new Map<string, WorkerState[]>();
+    private readonly teamUse = new Map<string, Resources>();
+    private readonly placements: Placement[] = [];
+
+    private constructor(private readonly view: PlanView) {
+        for (const worker of view.workers) {
+            if (isUsable(worker, view.now)) {
+                const pool = this.pools.get(worker.listed.pool) ?? [];
+                this.pools.set(worker.listed.pool, pool);
+                pool.push(worker);
+                this.free.set(worker.id, freeOf(worker));
+            }
+        }
+    }
+
+    static create(view: PlanView): Planner {
+        return new Planner(view);
+    }
+
+    plan(): readonly Placement[] {
+        for (const ranked of rankJobs(this.view)) {
+            if (this.placements.length >= this.view.limit) {
+                break;
+            }
+            this.placeJob(ranked);
+        }
+        return this.placements;
+    }
+
+    private placeJob({ entry, queue }: RankedJob): void {
+        const workers = queue === undefined ? undefined : this.pools.get(queue.pool);
+        if (queue === undefined || workers === undefined) {
+            return;
+        }
+        const full = new Set<number>();
+        for (const at of this.view.jobs.openTasks(entry)) {
+            const { occurrence, step: number } = entry.state.tasks[at]!;
+            const step = entry.job.spec.steps[number]!;
+            const stepKey = occurrence * entry.job.spec.steps.length + number;
+            if (full.has(stepKey)) {
+                continue;
+            }
+            const tickets = queue.needsAdvice ? this.view.ticketsFor(entry, occurrence, number) : undefined;
+            const allowed = queue.needsAdvice ? workers.filter(worker => tickets?.has(worker.id)) : workers;
+            const isPlaced = step.isGang
+                ? this.placeGang(entry, occurrence, number, allowed, tickets)
+                : this.placeTask(entry, at, step, allowed, tickets);
+            if (!isPlaced || step.isGang) {
+                full.add(stepKey);
+            }
+        }
+    }
+
+    private placeTask(
+        entry: JobEntry,
+        at: number,
+        step: StepSpec,
+        workers: readonly WorkerState[],
+        tickets: ReadonlyMap<string, string> | undefined,
+    ): boolean {
+        const { team } = entry.job;
+        const use = addResources(this.useOf(team), step.needs);
+        const cap = this.view.directory.teams.get(team)?.cap ?? noResources;
+        if (!keepsLimit(use, cap) || this.placements.length >= this.view.limit) {
+            return false;
+        }
+        const { occurrence, step: number } = entry.state.tasks[at]!;
+        const sameStep = this.countSameStep(entry, occurrence, number);
+        const candidates = workers.map((worker): Candidate => ({
+            worker,
+            free: this.free.get(worker.id)!,
+            sameStep: sameStep.get(worker.id) ?? 0,
+        }));
+        const rack = step.wantsOneRack ? this.rackOf(entry, occurrence, number) : undefined;
+        const placeable: Placeable = { step, failedOn: entry.failedOn.get(at) ?? new Set(), rack };
+        const worker = chooseWorker(placeable, candidates);
+        if (worker === undefined) {
+            return false;
+        }
+        this.take(worker, step);
+        this.teamUse.set(team, use);
+        const ticket = tickets?.get(worker.id);
+        this.placements.push({ entry, at, worker, ...(ticket !== undefined && { ticket }) });
+        return true;
+    }
+
+    /** Places all members of a gang, or none. */
+    private placeGang(
+        entry: JobEntry,
+        occurrence: number,
+        number: number,
+        workers: readonly WorkerState[],
+        tickets: ReadonlyMap<string, string> | undefined,
+    ): boolean {
+        const step = entry.job.spec.steps[number]!;
+        const members = entry.state.tasks
+            .map((task, at) => ({ task, at }))
+            .filter(({ task }) => task.occurrence === occurrence && task.step === number);
+        const isWhole = members.every(({ task }) => task.phase === TaskPhase.Waiting);
+        const free = new Map(this.free);
+        const use = this.useOf(entry.job.team);
+        const before = this.placements.length;
+        const isPlaced = isWhole
+            && members.every(({ at }) => this.placeTask(entry, at, step, workers, tickets));
+        if (!isPlaced) {
+            free.forEach((amount, worker) => this.free.set(worker, amount));
+            this.teamUse.set(entry.job.team, use);
+            this.placements.length = before;
+        }
+        return isPlaced;
+    }
+
+    private take(worker: WorkerState, step: StepSpec): void {
+        const needs = step.isBestEffort ? { ...step.needs, cpu: 0 } : step.needs;
+        this.free.set(worker.id, addResources(this.free.get(worker.id)!, needs, -1));
+    }
+
+    private useOf(team: string): Resources {
+        return this.teamUse.get(team) ?? this.view.jobs.usageOf(team);
+    }
+
+    private countSameStep(entry: JobEntry, occurrence: number, step: number): ReadonlyMap<string, number> {
+        const counts = new Map<string, number>();
+        const add = (worker: string): void => void counts.set(worker, (counts.get(worker) ?? 0) + 1);
+        for (const task of entry.state.tasks) {
+            if (task.step === step && task.occurrence === occurrence && task.phase === TaskPhase.Claimed) {
+                add(task.worker);
+            }
+        }
+        for (const placed of this.placements) {
+            const task = placed.entry === entry ? entry.state.tasks[placed.at]! : undefined;
+            if (task !== undefined && task.step === step && task.occurrence === occurrence) {
+                add(placed.worker.id);
+            }
+        }
+        return counts;
+    }
+
+    private rackOf(entry: JobEntry, occurrence: number, step: number): string | undefined {
+        const [first] = this.countSameStep(entry, occurrence, step).keys();
+        const worker = [...this.pools.values()].flat().find(({ id }) => id === first);
+        return worker === undefined ? undefined : rackLabel(worker);
+    }
+}
+
+/** Whether new work may go to a worker. */
+export function isUsable(worker: WorkerState, now: number): boolean {
+    return worker.isListed && worker.isHeld && worker.isReachable && !worker.listed.isDraining
+        && !worker.isCordoned && now >= worker.avoidUntil;
+}
+
+/** Whether no worker of a pool could ever run a task of the step, were it empty. */
+export function isImpossible(step: StepSpec, workers: readonly WorkerState[]): boolean {
+    return workers.length > 0
+        && workers.every(worker => !mayRun(step, { worker, free: worker.listed.capacity, sameStep: 0 }));
+}
+
+/** Whether a step asks for more than its team may ever have running. */
+export function exceedsCap(step: StepSpec, cap: Resources): boolean {
+    const times = step.isGang ? step.tasks : 1;
+    return !keepsLimit(addResources(noResources, step.needs, times), cap);
+}
+
+/** The rack of a worker: the label after its kind. */
+function rackLabel({ listed }: WorkerState): string {
+    return listed.labels[1] ?? noRack;
+}
--- /dev/null
+++ b/src/pool/reconcile.ts
@@ -0,0 +1,116 @@
+/**
+ * What a worker's answer to a hold says about the runs that were recorded for it. A pure decision: the owner applies
+ * the findings in their order.
+ */
+import { RunEnd } from "../job/index.js";
+import { type RunRecord, StartStatus } from "./job-book.js";
+import { type EndedRun, ReportedEnd, type RunningRun } from "./ports.js";
+
+/** A recorded run whose end is certain. */
+export interface FoundEnd {
+    readonly record: RunRecord;
+    readonly how: RunEnd;
+    readonly saved: string;
+}
+
+/** What a hold's answer shows. */
+export interface Findings {
+    readonly ended: readonly FoundEnd[];
+    readonly running: readonly { readonly record: RunRecord; readonly report: RunningRun }[];
+    /** Runs that the worker has and nobody wants. */
+    readonly unwanted: readonly RunningRun[];
+    /** Highest position in the worker's list of ends. */
+    readonly seen: number;
+}
+
+/** A hold's answer with what is known about its moment. */
+export interface HoldView {
+    /** Life in which the worker answered. */
+    readonly born: number;
+    readonly running: readonly RunningRun[];
+    readonly ended: readonly EndedRun[];
+    /** Last position that was applied before. */
+    readonly seen: number;
+    /** Monotonic time at which the hold was sent; what was certain before then must show in the answer. */
+    readonly sentAt: number;
+    /** Runs recorded for the worker, by task name. */
+    readonly records: ReadonlyMap<string, RunRecord>;
+}
+
+/** Most ends in one answer; when it holds as many, there may be more. */
+export const endsPerAnswer = 500;
+
+/** Compares a worker's answer with the records. */
+export function reconcile(view: HoldView): Findings {
+    const { born, records } = view;
+    const ended: FoundEnd[] = [];
+    const accounted = new Set<RunRecord>();
+    let seen = view.seen;
+    for (const end of view.ended) {
+        seen = Math.max(seen, end.position);
+        const record = records.get(end.task);
+        if (record !== undefined && record.run === end.run && isOfLife(record, born)) {
+            accounted.add(record);
+            ended.push({ record, how: endOf(end.how), saved: end.saved });
+        }
+    }
+    const running: { record: RunRecord; report: RunningRun }[] = [];
+    const unwanted: RunningRun[] = [];
+    for (const report of view.running) {
+        const record = records.get(report.task);
+        if (record !== undefined && record.run === report.run) {
+            accounted.add(record);
+            running.push({ record, report });
+        }
+        else {
+            unwanted.push(report);
+        }
+    }
+    if (view.ended.length < endsPerAnswer) {
+        for (const record of records.values()) {
+            if (!accounted.has(record) && isCertainlyAbsent(record, view)) {
+                ended.push({ record, how: RunEnd.Lost, saved: "" });
+            }
+        }
+    }
+    return { ended, running, unwanted, seen };
+}
+
+/** An order that was not answered may have been carried out by a later life than the one it was meant for. */
+function isOfLife(record: RunRecord, born: number): boolean {
+    return record.born === born || record.start === StartStatus.Uncertain
+        || record.start === StartStatus.Sent;
+}
+
+/** Whether a run that the answer does not show does not exist and never will. */
+function isCertainlyAbsent(record: RunRecord, { sentAt }: HoldView): boolean {
+    switch (record.start) {
+        case StartStatus.Recorded:
+            return false;
+        case StartStatus.Sent:
+        case StartStatus.Uncertain:
+            return record.stopConfirmedAt !== undefined && record.stopConfirmedAt <= sentAt;
+        case StartStatus.Confirmed:
+            return record.startedAt <= sentAt;
+        case StartStatus.Inherited:
+            // The worker has accepted a higher fence than that of any order for this run.
+            return true;
+    }
+}
+
+function endOf(how: ReportedEnd): RunEnd {
+    switch (how) {
+        case ReportedEnd.Done:
+            return RunEnd.Done;
+        case ReportedEnd.Failed:
+            return RunEnd.Failed;
+        case ReportedEnd.Stopped:
+            return RunEnd.Stopped;
+        case ReportedEnd.Lapsed:
+            return RunEnd.Lapsed;
+        case ReportedEnd.GangBroken:
+            return RunEnd.GangBroken;
+        case ReportedEnd.GangIncomplete:
+            return RunEnd.GangIncomplete;
+    }
+}
--- /dev/null
+++ b/src/request/job-desk.ts
@@ -0,0 +1,254 @@
+/** Task that serves callers' calls for jobs: finds queue and team, and carries out the flows of the intake. */
+import type { AcceptedJob, JobSpec } from "../job/index.js";
+import { type Domain, jobKey, progressKey } from "../pool/index.js";
+import { messageOf } from "../process/errors.js";
+import { EventId, Severity } from "../process/events.js";
+import { run } from "../process/flow.js";
+import type { Task } from "../process/hub.js";
+import type { Log } from "../process/log.js";
+import type { Metrics } from "../process/metrics.js";
+import type { Peers } from "../process/peers.js";
+import {
+    readRow,
+    type RowKey,
+    type RowStore,
+    type RowTransaction,
+    TransactKind,
+    type TransactOutcome,
+} from "../process/rows.js";
+import { sleep, type Timer } from "../process/timer.js";
+import { type Directory, findQueue, type Queue } from "../version/directory.js";
+import {
+    cancel,
+    type CancelResult,
+    findPhase,
+    type IntakeEffect,
+    type PhaseResult,
+    type ReadAnswer,
+    RefusalReason,
+    submit,
+    type SubmitResult,
+} from "./intake.js";
+
+/** What a call addresses. */
+export type Addressed =
+    | { readonly kind: "queue"; readonly queue: Queue; readonly team: string; readonly rest: string }
+    | { readonly kind: "no-lists" }
+    | { readonly kind: "no-queue" }
+    | { readonly kind: "bad-key" };
+
+/** Options of `JobDesk.create`. */
+export interface JobDeskOptions {
+    readonly domain: Domain;
+    readonly domainName: string;
+    readonly store: RowStore & { readonly ageMs: number };
+    readonly peers: Peers;
+    readonly directory: () => Directory | undefined;
+    readonly timer: Timer;
+    readonly log: Log;
+    readonly metrics: Metrics;
+}
+
+const relayTopic = "store.relay";
+const relayTimeoutMs = 900;
+/** Peers asked in turn to carry out a transaction. */
+const relayPeers = 2;
+/** Wait to suggest to callers of an entry that has no lists yet, in milliseconds. */
+export const noListsRetryMs = 500;
+/** Time kept back from a caller's limit for the answer to travel. */
+const answerMarginMs = 150;
+
+/** Serves calls for jobs. */
+export class JobDesk implements Task {
+    readonly name = "job-desk";
+    private nextPeer = 0;
+    /** Calls being served. */
+    activeCount = 0;
+    isStopping = false;
+
+    private constructor(private readonly options: JobDeskOptions) {}
+
+    static create(options: JobDeskOptions): JobDesk {
+        return new JobDesk(options);
+    }
+
+    start(): Promise<void> {
+        this.options.peers.on(relayTopic, (_, tx) => this.options.store.transact(tx as RowTransaction));
+        return Promise.resolve();
+    }
+
+    stop(): Promise<void> {
+        return Promise.resolve();
+    }
+
+    /** Finds the queue that a call addresses and checks its key. */
+    address(host: string, path: string, key: string | undefined): Addressed {
+        const directory = this.options.directory();
+        if (directory === undefined) {
+            return { kind: "no-lists" };
+        }
+        const queue = findQueue(directory, host, path);
+        if (queue === undefined) {
+            return { kind: "no-queue" };
+        }
+        const team = key === undefined ? undefined : directory.keys.get(key);
+        if (team === undefined && !queue.isOpen) {
+            return { kind: "bad-key" };
+        }
+        return { kind: "queue", queue, team: team ?? "", rest: path.slice(queue.pathPrefix.length) };
+    }
+
+    /** Takes a job. */
+    async submit(
+        id: string,
+        queue: Queue,
+        team: string,
+        spec: JobSpec,
+        limitMs: number,
+    ): Promise<SubmitResult> {
+        const { timer, domain, log, metrics } = this.options;
+        const startedAt = timer.now();
+        const job: AcceptedJob = {
+            id,
+            queue: queue.name,
+            team,
+            acceptedAtMs: Math.round(timer.wall()),
+            spec,
+        };
+        const result: SubmitResult = this.isStopping
+            ? { kind: "refused", reason: RefusalReason.Stopping, retryAfterMs: 0 }
+            : await this.serve(submit(job), limitMs);
+        if (result.kind === "accepted" && !result.isRepeat) {
+            domain.tellAccepted(job);
+        }
+        const ms = timer.now() - startedAt;
+        metrics.count("celerywind_submissions_total", { queue: queue.name, result: result.kind });
+        metrics.observe("celerywind_submit_ms", ms);
+        log.write(
+            result.kind === "accepted" ? Severity.Info : Severity.Warn,
+            result.kind === "accepted" ? EventId.JobStored : EventId.JobRefused,
+            {
+                job: id,
+                queue: queue.name,
+                team,
+                result: result.kind,
+                reason: result.kind === "refused" ? result.reason : undefined,
+                repeat: result.kind === "accepted" ? result.isRepeat : undefined,
+                lists: this.options.directory()?.version,
+                storeAgeMs: Math.round(this.options.store.ageMs),
+                ms: Math.round(ms),
+            },
+        );
+        return result;
+    }
+
+    /** Cancels a job. */
+    async cancel(id: string, limitMs: number): Promise<CancelResult> {
+        const result = await this.serve(cancel(id), limitMs);
+        if (result.kind === "cancelled") {
+            this.options.domain.tellCancelled(id);
+        }
+        this.options.metrics.count("celerywind_cancellations_total", { result: result.kind });
+        this.options.log.write(Severity.Info, EventId.CancelStored, { job: id, result: result.kind });
+        return result;
+    }
+
+    /** Tells where a job stands. */
+    async phaseOf(id: string, limitMs: number): Promise<PhaseResult> {
+        const result = await this.serve(findPhase(id), limitMs);
+        this.options.metrics.count("celerywind_phase_questions_total", { result: result.kind });
+        if (result.kind !== "phase") {
+            this.options.log.write(Severity.Info, EventId.JobUnknown, { job: id, result: result.kind });
+        }
+        return result;
+    }
+
+    /** Counts the jobs of a queue that have not begun; undefined when it cannot be told. */
+    pendingOf(queue: Queue): Promise<number | undefined> {
+        return this.options.domain.pendingOf(queue.name);
+    }
+
+    private async serve<T>(flow: Generator<IntakeEffect, T, unknown>, limitMs: number): Promise<T> {
+        const { timer } = this.options;
+        const deadline = timer.now() + limitMs - answerMarginMs;
+        this.activeCount++;
+        try {
+            return await run(flow, effect => this.perform(effect, deadline));
+        }
+        finally {
+            this.activeCount--;
+        }
+    }
+
+    private async perform(effect: IntakeEffect, deadline: number): Promise<unknown> {
+        const { store, timer, domain, domainName } = this.options;
+        switch (effect.kind) {
+            case "transact":
+                return this.byDeadline(store.transact(effect.tx), deadline);
+            case "relay":
+                return this.byDeadline(this.relay(effect.tx), deadline);
+            case "read-job":
+                return this.read(jobKey(effect.id));
+            case "read-progress":
+                return this.read(progressKey(domainName, effect.id));
+            case "ask-phase":
+                return domain.phaseOf(effect.id);
+            case "pause":
+                await sleep(timer, effect.ms);
+                return undefined;
+            case "time-left":
+                return deadline - timer.now();
+        }
+    }
+
+    /** The outcome, or that it is unknown, when the caller's time is over first. */
+    private byDeadline(work: Promise<TransactOutcome>, deadline: number): Promise<TransactOutcome> {
+        const { timer } = this.options;
+        return new Promise((resolve, reject) => {
+            const cancelTimer = timer.after(
+                Math.max(0, deadline - timer.now()),
+                () => resolve({ kind: TransactKind.Unknown, reason: "deadline" }),
+            );
+            work.then(resolve, reject).finally(cancelTimer);
+        });
+    }
+
+    private async read(key: RowKey): Promise<ReadAnswer> {
+        try {
+            return { row: await readRow(this.options.store, key) };
+        }
+        catch (err) {
+            this.options.log.write(Severity.Info, EventId.StoreUnavailable, {
+                key: key.key,
+                err: messageOf(err),
+            });
+            return undefined;
+        }
+    }
+
+    /** Has a peer carry out a transaction; falls back to this entry's own path. */
+    private async relay(tx: RowTransaction): Promise<TransactOutcome> {
+        const { peers, store, metrics } = this.options;
+        const connected = peers.connected();
+        let isUncertain = false;
+        for (let i = 0; i < Math.min(relayPeers, connected.length); i++) {
+            const peer = connected[this.nextPeer++ % connected.length]!;
+            try {
+                const outcome = await peers.ask(peer.vm, relayTopic, tx, relayTimeoutMs) as TransactOutcome;
+                metrics.count("celerywind_relayed_transactions_total", { outcome: outcome.kind });
+                if (outcome.kind === TransactKind.Committed || outcome.kind === TransactKind.Conflict) {
+                    return outcome;
+                }
+                isUncertain ||= outcome.kind === TransactKind.Unknown;
+            }
+            catch (err) {
+                isUncertain ||= (err as { wasSent?: boolean }).wasSent !== false;
+                metrics.count("celerywind_relayed_transactions_total", { outcome: "no-answer" });
+            }
+        }
+        const own = await store.transact(tx);
+        return own.kind === TransactKind.Refused && isUncertain
+            ? { kind: TransactKind.Unknown, reason: "a relayed transaction was not answered" }
+            : own;
+    }
+}
--- /dev/null
+++ b/src/version/lists.ts
@@ -0,0 +1,184 @@
+/** Task that keeps the operators' lists in force: from their feed, or by way of the peers while it cannot be read. */
+import { messageOf } from "../process/errors.js";
+import { EventId, Severity } from "../process/events.js";
+import type { Task } from "../process/hub.js";
+import type { Log } from "../process/log.js";
+import type { Metrics } from "../process/metrics.js";
+import type { Peers } from "../process/peers.js";
+import { type Cancel, sleep, type Timer } from "../process/timer.js";
+import type { Directory } from "./directory.js";
+import type { OperatorFeed, WaveOrder } from "./operator-feed.js";
+
+/** Options of `ListFollower.create`. */
+export interface ListFollowerOptions {
+    readonly feed: OperatorFeed;
+    /** Decodes the text of lists; undefined when it is malformed. */
+    readonly decode: (text: string) => Directory | undefined;
+    readonly peers: Peers;
+    readonly timer: Timer;
+    readonly log: Log;
+    readonly metrics: Metrics;
+    readonly onChange: () => void;
+}
+
+interface ListsWord {
+    readonly version: number;
+}
+
+const versionTopic = "lists.version";
+const pullTopic = "lists.pull";
+const retryMs = 200;
+const announceMs = 500;
+const pullTimeoutMs = 600;
+/** Wait for the feed to bring a version by itself before asking the peer that announced it. */
+const graceMs = 150;
+
+/** The lists in force at this entry. */
+export class ListFollower implements Task {
+    readonly name = "list-follower";
+    private current: Directory | undefined;
+    private text = "";
+    private adoptedAt = -Infinity;
+    private isRunning = false;
+    private isPulling = false;
+    private isLost = false;
+    private readonly knownWaves = new Map<number, WaveOrder>();
+    private readonly cancels: Cancel[] = [];
+
+    private constructor(private readonly options: ListFollowerOptions) {}
+
+    static create(options: ListFollowerOptions): ListFollower {
+        return new ListFollower(options);
+    }
+
+    /** The lists in force; undefined before the first. */
+    get directory(): Directory | undefined {
+        return this.current;
+    }
+
+    /** Milliseconds since these lists were adopted here. */
+    get ageMs(): number {
+        return this.options.timer.now() - this.adoptedAt;
+    }
+
+    /** Waves of VM service that operators have asked for, by number. */
+    get waves(): ReadonlyMap<number, WaveOrder> {
+        return this.knownWaves;
+    }
+
+    start(): Promise<void> {
+        const { peers, timer } = this.options;
+        this.isRunning = true;
+        peers.on(versionTopic, (peer, word) => this.hear(peer.vm, (word as ListsWord).version));
+        peers.on(pullTopic, () => this.text);
+        this.cancels.push(timer.every(announceMs, () => this.announce()));
+        void this.follow();
+        return Promise.resolve();
+    }
+
+    stop(): Promise<void> {
+        this.isRunning = false;
+        this.cancels.forEach(cancel => cancel());
+        return Promise.resolve();
+    }
+
+    private announce(): void {
+        if (this.current !== undefined) {
+            this.options.peers.broadcast(versionTopic, { version: this.current.version });
+        }
+    }
+
+    private async follow(): Promise<void> {
+        const { feed, timer, log } = this.options;
+        let version: number | undefined;
+        while (this.isRunning) {
+            try {
+                const news = await feed.next(version);
+                version = news.version;
+                news.waves.forEach(wave => this.noteWave(wave));
+                if (news.lists !== undefined) {
+                    this.adopt(news.lists, "feed");
+                }
+                if (this.isLost) {
+                    this.isLost = false;
+                    log.write(Severity.Info, EventId.StoreRecovered, { source: "lists" });
+                }
+            }
+            catch (err) {
+                if (!this.isLost) {
+                    this.isLost = true;
+                    log.write(Severity.Warn, EventId.StoreUnavailable, {
+                        source: "lists",
+                        err: messageOf(err),
+                    });
+                }
+                await sleep(timer, retryMs);
+            }
+        }
+    }
+
+    private noteWave(wave: WaveOrder): void {
+        if (!this.knownWaves.has(wave.wave)) {
+            this.options.log.write(Severity.Info, EventId.WaveSeen, {
+                wave: wave.wave,
+                vms: wave.vms.length,
+                cap: wave.cap,
+                durationMs: wave.durationMs,
+            });
+        }
+        this.knownWaves.set(wave.wave, wave);
+        this.options.onChange();
+    }
+
+    private adopt(text: string, source: string): void {
+        const { decode, log, timer, onChange } = this.options;
+        const directory = decode(text);
+        if (directory === undefined) {
+            log.write(Severity.Error, EventId.DirectoryRejected, { source });
+            return;
+        }
+        const before = this.current?.version ?? -1;
+        if (directory.version <= before) {
+            return;
+        }
+        this.current = directory;
+        this.text = text;
+        this.adoptedAt = timer.now();
+        log.write(Severity.Info, EventId.DirectoryAdopted, {
+            version: directory.version,
+            before,
+            source,
+            queues: directory.queues.length,
+            keys: directory.keys.size,
+        });
+        this.announce();
+        onChange();
+    }
+
+    private hear(peer: string, version: number): void {
+        if (version > (this.current?.version ?? -1) && !this.isPulling) {
+            this.isPulling = true;
+            void this.pull(peer, version);
+        }
+    }
+
+    private async pull(peer: string, version: number): Promise<void> {
+        const { peers, timer, log } = this.options;
+        try {
+            await sleep(timer, this.current === undefined ? 0 : graceMs);
+            if (version > (this.current?.version ?? -1)) {
+                const text = await peers.ask(peer, pullTopic, {}, pullTimeoutMs);
+                log.write(Severity.Info, EventId.DirectoryPulled, { peer, version });
+                if (typeof text === "string") {
+                    this.adopt(text, peer);
+                }
+            }
+        }
+        catch (err) {
+            log.write(Severity.Warn, EventId.DirectoryRejected, { peer, version, err: messageOf(err) });
+        }
+        finally {
+            this.isPulling = false;
+        }
+    }
+}
--- a/test/docs.test.ts
+++ b/test/docs.test.ts
@@ -21,10 +21,11 @@
     test("list every metric, and no other", async () => {
         const page = await read("docs/METRICS.md");
         const listed = [...page.matchAll(/^\| (celerywind_\w+) \|/gm)].map(([, name]) => name);
-        const files = (await readdir(new URL("../src", import.meta.url), { recursive: true })).filter(file =>
-            file.endsWith(".ts")
-        );
-        const sources = await Promise.all(files.map(file => read(`src/${file}`)));
+        const folders = await Promise.all(["src", "platform"].map(async folder => {
+            const files = await readdir(new URL(`../${folder}`, import.meta.url), { recursive: true });
+            return files.filter(file => file.endsWith(".ts")).map(file => `${folder}/${file}`);
+        }));
+        const sources = await Promise.all(folders.flat().map(file => read(file)));
         const used = sources.flatMap(source =>
             [...source.matchAll(/"(celerywind_\w+)"/g)].map(([, name]) => name)
         );
