Move, park and service VMs; hold a worker again only once its ends are stored

Change: a planner moves VMs after demand, parks the rest and services parked VMs; the hold loop waits for the batch.

--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -39,8 +39,8 @@
     readonly times: TenureTimes;
     /** Called when the members change. */
     readonly onMembers: (members: ReadonlyMap<string, MemberRow>) => void;
-    /** Called when a tenure of this entry begins. */
-    readonly onTenure: (tenure: Tenure) => void;
+    /** Makes the keeper of the VMs for a tenure that begins. */
+    readonly keeper: (tenure: Tenure, isFirst: boolean) => { start(): void; stop(): void };
 }
 
 interface Beacon {
@@ -84,6 +84,7 @@
     private heardAt: number;
     private beacon: Beacon | undefined;
     private current: Tenure | undefined;
+    private keeper: { start(): void; stop(): void } | undefined;
     private isRunning = false;
     private isStopping = false;
     private isBusy = false;
@@ -126,6 +127,7 @@
         this.isStopping = true;
         const tenure = this.current;
         if (tenure !== undefined) {
+            this.keeper?.stop();
             const head = await tenure.handOver();
             this.current = undefined;
             const outcome = await store.transact(release(head));
@@ -312,7 +314,7 @@
         head: Parameters<typeof Tenure.create>[0]["head"],
         previous: Owner | undefined,
     ): Promise<void> {
-        const { log, timer, peers, onTenure } = this.options;
+        const { log, timer, peers } = this.options;
         const isPreviousGone = this.isGone(previous);
         this.owner = head.owner;
         this.beacon = undefined;
@@ -331,7 +333,8 @@
         this.current = tenure;
         this.heardAt = timer.now();
         peers.broadcast(Topic.Beacon, { fence: head.owner.fence, storeAgeMs: 0 });
-        onTenure(tenure);
+        this.keeper = this.options.keeper(tenure, previous === undefined);
+        this.keeper.start();
         await tenure.start();
     }
 
@@ -346,6 +349,7 @@
 
     private noteSuperseded(tenure: Tenure): void {
         if (this.current === tenure) {
+            this.keeper?.stop();
             this.current = undefined;
             this.heardAt = this.options.timer.now();
             this.beacon = undefined;
@@ -381,7 +385,7 @@
     // Members and the owner row
 
     private async follow(): Promise<void> {
-        const { store, timer, log } = this.options;
+        const { timer, log } = this.options;
         let version: number | undefined;
         while (this.isRunning) {
             try {
@@ -396,7 +400,6 @@
                 await sleep(timer, retryMs);
             }
         }
-        void store;
     }
 
     private async readCluster(): Promise<number> {
--- /dev/null
+++ b/src/pool/fleet-plan.ts
@@ -0,0 +1,241 @@
+/**
+ * Which VMs belong to which pool now: a pure decision from the pools' demand and the state of the VMs. Answers
+ * queues that burst one after the other: VMs follow the demand, those that no pool needs are parked in the spare
+ * pool, and VMs that are due for service are emptied and serviced while they are parked.
+ */
+import { VmPhase } from "./ports.js";
+
+/** A VM as the plan sees it. */
+export interface PlannedVm {
+    readonly vm: string;
+    readonly pool: string;
+    readonly phase: VmPhase;
+    readonly rack: string;
+    /** Thousandths of a core. */
+    readonly cpu: number;
+    /** Runs on its worker. */
+    readonly runs: number;
+    /** Runs of services among them. */
+    readonly services: number;
+    /** Whether it is to be emptied: nothing new is placed there. */
+    readonly isCordoned: boolean;
+    /** Whether its worker is known and answers. */
+    readonly isUsable: boolean;
+    /** Number of the wave that it is due in and not yet serviced for. */
+    readonly dueWave: number | undefined;
+}
+
+/** What a pool needs. */
+export interface PoolNeed {
+    readonly pool: string;
+    readonly isSpare: boolean;
+    /** Thousandths of a core that could be used at once. */
+    readonly cpu: number;
+    /** VMs that its services need because of their spread. */
+    readonly spread: number;
+}
+
+/** A wave that is not finished. */
+export interface OpenWave {
+    readonly wave: number;
+    /** VMs that may be taken out now without exceeding the cap. */
+    readonly free: number;
+    /** Whether VMs in use have to be emptied for it, instead of waiting until they are idle. */
+    readonly isPressing: boolean;
+}
+
+/** What is to be done with VMs. */
+export type FleetAction =
+    | { readonly kind: "move"; readonly vm: string; readonly pool: string }
+    | { readonly kind: "service"; readonly vm: string; readonly wave: number }
+    | { readonly kind: "cordon"; readonly vm: string; readonly why: CordonReason }
+    | { readonly kind: "uncordon"; readonly vm: string };
+
+/** Why a VM is emptied. */
+export enum CordonReason {
+    Surplus = "surplus",
+    DueForService = "due-for-service",
+}
+
+/** What the plan is made from. */
+export interface FleetView {
+    readonly vms: readonly PlannedVm[];
+    readonly needs: readonly PoolNeed[];
+    readonly waves: readonly OpenWave[];
+    /** VMs beyond its computed need that a pool keeps. */
+    readonly reserve: number;
+    /** Fewest VMs that a pool keeps. */
+    readonly least: number;
+}
+
+/** Share of a VM that can be filled in practice. */
+const fillable = 0.9;
+
+/** Decides what to do with the VMs now. */
+export function planFleet(view: FleetView): readonly FleetAction[] {
+    return FleetPlanner.create(view).plan();
+}
+
+/** VMs that a pool should have. */
+export function wantedVms(
+    need: PoolNeed,
+    cpuPerVm: number,
+    view: Pick<FleetView, "reserve" | "least">,
+): number {
+    const forWork = Math.ceil(need.cpu / (cpuPerVm * fillable)) + view.reserve;
+    return Math.max(view.least, need.spread, forWork);
+}
+
+class FleetPlanner {
+    private readonly actions: FleetAction[] = [];
+    private readonly spare: string | undefined;
+    private readonly cordoned: Set<string>;
+    private readonly taken = new Set<string>();
+
+    private constructor(private readonly view: FleetView) {
+        this.spare = view.needs.find(({ isSpare }) => isSpare)?.pool;
+        this.cordoned = new Set(view.vms.filter(({ isCordoned }) => isCordoned).map(({ vm }) => vm));
+    }
+
+    static create(view: FleetView): FleetPlanner {
+        return new FleetPlanner(view);
+    }
+
+    plan(): readonly FleetAction[] {
+        this.serviceIdle();
+        this.emptyDue();
+        const active = this.view.needs.filter(({ isSpare }) => !isSpare);
+        const deficits = active.map(need => ({ need, missing: this.missing(need) }));
+        for (const { need, missing } of deficits.sort((a, b) => b.missing - a.missing)) {
+            this.fill(need.pool, missing);
+        }
+        for (const { need, missing } of deficits) {
+            this.shed(need.pool, -missing);
+        }
+        this.park();
+        return this.actions;
+    }
+
+    /** Takes parked and idle VMs out for the service that they are due for. */
+    private serviceIdle(): void {
+        for (const { wave, free } of this.view.waves) {
+            const due = this.view.vms
+                .filter(vm => vm.dueWave === wave && vm.phase === VmPhase.Up && vm.runs === 0)
+                .filter(vm => vm.pool === this.spare || this.cordoned.has(vm.vm))
+                .sort((a, b) => Number(b.pool === this.spare) - Number(a.pool === this.spare));
+            for (const { vm } of due.slice(0, free)) {
+                this.taken.add(vm);
+                this.actions.push({ kind: "service", vm, wave });
+            }
+        }
+    }
+
+    /** Empties VMs in use that are due for service, as many as the wave lets out at once. */
+    private emptyDue(): void {
+        for (const { wave, free, isPressing } of this.view.waves) {
+            const due = this.view.vms.filter(vm =>
+                vm.dueWave === wave && vm.phase === VmPhase.Up && vm.pool !== this.spare
+                && !this.taken.has(vm.vm)
+            );
+            const leaving = due.filter(({ vm }) => this.cordoned.has(vm)).length;
+            const staying = due.filter(({ vm }) => !this.cordoned.has(vm))
+                .sort((a, b) => a.services - b.services || a.runs - b.runs);
+            const room = isPressing ? Math.max(0, free - leaving) : 0;
+            staying.slice(0, room).forEach(({ vm }) => this.cordon(vm, CordonReason.DueForService));
+        }
+    }
+
+    private missing(need: PoolNeed): number {
+        const mine = this.membersOf(need.pool);
+        const cpu = mine.concat(this.view.vms)[0]?.cpu ?? 1;
+        const present = mine.filter(vm => this.counts(vm)).length;
+        return wantedVms(need, Math.max(1, cpu), this.view) - present;
+    }
+
+    private membersOf(pool: string): readonly PlannedVm[] {
+        return this.view.vms.filter(vm => vm.pool === pool && vm.phase !== VmPhase.Down);
+    }
+
+    private counts({ vm, phase }: PlannedVm): boolean {
+        return !this.cordoned.has(vm) && !this.taken.has(vm) && phase !== VmPhase.InService;
+    }
+
+    /** Brings VMs into a pool that needs them. */
+    private fill(pool: string, missing: number): void {
+        let left = missing;
+        for (const vm of this.membersOf(pool)) {
+            if (left > 0 && this.cordoned.has(vm.vm) && !this.isLeavingForService(vm)) {
+                this.uncordon(vm.vm);
+                left--;
+            }
+        }
+        while (left > 0) {
+            const vm = this.bestFor(pool);
+            if (vm === undefined) {
+                return;
+            }
+            this.taken.add(vm.vm);
+            this.actions.push({ kind: "move", vm: vm.vm, pool });
+            left--;
+        }
+    }
+
+    /** The VM to bring into a pool: parked or idle elsewhere, rather serviced already, of a rack that it has few of. */
+    private bestFor(pool: string): PlannedVm | undefined {
+        const racks = new Map<string, number>();
+        for (const { rack } of this.membersOf(pool)) {
+            racks.set(rack, (racks.get(rack) ?? 0) + 1);
+        }
+        const free = this.view.vms.filter(vm =>
+            vm.phase === VmPhase.Up && vm.pool !== pool && vm.runs === 0 && !this.taken.has(vm.vm)
+            && (vm.pool === this.spare || this.cordoned.has(vm.vm))
+        );
+        return free.sort((a, b) =>
+            Number(a.dueWave !== undefined) - Number(b.dueWave !== undefined)
+            || (racks.get(a.rack) ?? 0) - (racks.get(b.rack) ?? 0)
+        )[0];
+    }
+
+    /** Empties VMs that a pool does not need. */
+    private shed(pool: string, surplus: number): void {
+        if (surplus <= 0 || this.spare === undefined) {
+            return;
+        }
+        const idlest = this.membersOf(pool)
+            .filter(vm => this.counts(vm) && vm.phase === VmPhase.Up && vm.services === 0 && vm.isUsable)
+            .sort((a, b) =>
+                Number(a.dueWave === undefined) - Number(b.dueWave === undefined) || a.runs - b.runs
+            );
+        idlest.slice(0, surplus).forEach(({ vm }) => this.cordon(vm, CordonReason.Surplus));
+    }
+
+    /** Parks VMs that have been emptied. */
+    private park(): void {
+        const { spare } = this;
+        if (spare === undefined) {
+            return;
+        }
+        for (const vm of this.view.vms) {
+            const isEmptied = vm.isCordoned && vm.runs === 0 && vm.phase === VmPhase.Up;
+            if (isEmptied && vm.pool !== spare && !this.taken.has(vm.vm) && this.cordoned.has(vm.vm)) {
+                this.taken.add(vm.vm);
+                this.actions.push({ kind: "move", vm: vm.vm, pool: spare });
+            }
+        }
+    }
+
+    private isLeavingForService({ dueWave }: PlannedVm): boolean {
+        return dueWave !== undefined
+            && this.view.waves.some(({ wave, isPressing }) => wave === dueWave && isPressing);
+    }
+
+    private cordon(vm: string, why: CordonReason): void {
+        this.cordoned.add(vm);
+        this.actions.push({ kind: "cordon", vm, why });
+    }
+
+    private uncordon(vm: string): void {
+        this.cordoned.delete(vm);
+        this.actions.push({ kind: "uncordon", vm });
+    }
+}
--- a/src/pool/index.ts
+++ b/src/pool/index.ts
@@ -1,7 +1,8 @@
 export { Domain, type DomainOptions, type PhaseAnswer } from "./domain.js";
+export { FleetKeeper } from "./fleet-keeper.js";
 export * from "./job-rows.js";
 export { progressKey } from "./ledger.js";
 export { type MemberRow } from "./member-rows.js";
 export * from "./ownership.js";
 export * from "./ports.js";
-export type { TenureTimes } from "./tenure.js";
+export type { Tenure, TenureTimes } from "./tenure.js";
--- a/src/pool/tenure.ts
+++ b/src/pool/tenure.ts
@@ -2,7 +2,7 @@
  * One entry's time as the owner of a domain: from the takeover until it is superseded, gives the domain up, or
  * stops. Everything that starts, stops, renews or paces on the domain's workers happens here.
  */
-import { type AcceptedJob, decodeState, encodeState, JobPhase, RunEnd } from "../job/index.js";
+import { type AcceptedJob, decodeState, encodeState, JobPhase, RunEnd, taskName } from "../job/index.js";
 import { messageOf } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
 import { run } from "../process/flow.js";
@@ -71,6 +71,8 @@
 const feedWaitMs = 2000;
 const retryMs = 150;
 const stopRepeatMs = 300;
+/** Longest wait for the storing of ends before a worker is held again, in milliseconds; its leases need renewal. */
+const longestAckWaitMs = 800;
 const paceTickMs = 200;
 /** Most starts of one batch; keeps one burst from delaying the ends of others. */
 const startsPerBatch = 64;
@@ -107,6 +109,7 @@
     private readonly unstarted = new Set<RunRecord>();
     private readonly held = new Set<string>();
     private readonly extraRows = new Map<string, RowPut>();
+    private readonly storedWaiters: (() => void)[] = [];
     private readonly earlyCancels = new Set<string>();
 
     private constructor(private readonly options: TenureOptions) {
@@ -230,6 +233,19 @@
         return pending;
     }
 
+    /** Asks for the stop of a run. */
+    stopRun(record: RunRecord, reason: StopReason): void {
+        record.stopReason ??= reason;
+        this.sendStopIfWanted(record);
+    }
+
+    /** Whether a task's run is at work by its worker's latest word. */
+    isAtWork(entry: JobEntry, at: number): boolean {
+        const { occurrence, step, index } = entry.state.tasks[at]!;
+        const record = this.jobs.runs.get(taskName({ job: entry.job.id, occurrence, step, index }));
+        return record !== undefined && record.stopReason === undefined && record.percent >= 100;
+    }
+
     /** Stores a row with the next batch, after which it is certain that this entry was still the owner. */
     storeRow(put: RowPut): void {
         this.extraRows.set(`${put.table}/${put.part}/${put.key}`, put);
@@ -306,6 +322,7 @@
                 ? Math.max(worker.acknowledged, seen)
                 : worker.acknowledged;
         }
+        this.storedWaiters.splice(0).forEach(resolve => resolve());
         this.startStored(new Set(batch));
         this.wantsPump ||= this.jobs.dirtyCount > 0 || this.extraRows.size > 0;
     }
@@ -660,8 +677,7 @@
     private evacuate(worker: WorkerState): void {
         for (const record of worker.runs.values()) {
             if (record.step.isService && record.stopReason === undefined) {
-                record.stopReason = StopReason.WorkerDraining;
-                this.sendStopIfWanted(record);
+                this.stopRun(record, StopReason.WorkerDraining);
             }
         }
     }
@@ -682,6 +698,7 @@
                 this.noteHoldFailure(worker, wasReachable, result);
                 await sleep(timer, worker.isListed ? retryMs : retryMs * fallbackAttempts);
             }
+            await this.untilAcknowledged(worker);
         }
         this.held.delete(worker.id);
         if (worker.runs.size === 0 && !worker.isListed) {
@@ -689,6 +706,18 @@
         }
     }
 
+    /** Waits until a worker's ends are stored; a hold before then would return the same ends at once. */
+    private async untilAcknowledged(worker: WorkerState): Promise<void> {
+        const { timer } = this.options;
+        const deadline = timer.now() + longestAckWaitMs;
+        while (this.isActive && worker.seen > worker.acknowledged && timer.now() < deadline) {
+            await Promise.race([
+                new Promise<void>(resolve => this.storedWaiters.push(resolve)),
+                sleep(timer, longestAckWaitMs),
+            ]);
+        }
+    }
+
     private async holdOnce(worker: WorkerState): Promise<HoldResult> {
         const { timer, times, calls, metrics } = this.options;
         const sentAt = timer.now();
--- a/src/site-entry.ts
+++ b/src/site-entry.ts
@@ -6,8 +6,10 @@
 import {
     type Adviser,
     Domain,
+    FleetKeeper,
     type MemberRow,
     type Roster,
+    type Tenure,
     type VmCalls,
     type WorkerCalls,
 } from "./pool/index.js";
@@ -182,7 +184,29 @@
                 keepFinalMs,
             },
             onMembers: members => this.wantMembers(members),
-            onTenure: () => undefined,
+            keeper: (tenure, isFirst) => this.createKeeper(tenure, isFirst),
+        });
+    }
+
+    private createKeeper(tenure: Tenure, isFirst: boolean): FleetKeeper {
+        const { settings, timer, log, metrics } = this.options;
+        const { vms, waveStatusRow } = this.platform;
+        const { holderGapMs, serviceMs, moveMs } = settings.bounds;
+        return FleetKeeper.create({
+            tenure,
+            domain: domainName,
+            entry: settings.entry,
+            vms,
+            store: this.store,
+            directory: () => this.lists.directory,
+            waves: () => this.lists.waves.values(),
+            waveStatusRow,
+            timer,
+            log,
+            metrics,
+            quietUntil: timer.now() + (isFirst ? 0 : holderGapMs),
+            serviceMs,
+            moveMs,
         });
     }
 
