Load stored jobs before holding workers; take over from an ended life at once; no new lease for silent workers

Cause: (1) a new owner held workers before it had read the jobs, took their runs for unwanted, stopped them, and lost the ends of others (TWICE, AVAIL, BUDGET); (2) an entry whose earlier life owned the domain waited for it for ever; (3) each unanswered hold named a later lease end, so runs on a dark worker were never called lost (LOST). Change: holds begin after the load; an owner row of a life that has ended counts as vacant; silent workers are held without renewing their lease; a task counts as at work only while its worker answers.

--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -45,6 +45,7 @@
 
 interface Beacon {
     readonly fence: number;
+    readonly incarnation: string;
     readonly storeAgeMs: number;
 }
 
@@ -215,7 +216,8 @@
 
     private sendBeacon(): void {
         if (this.current !== undefined) {
-            const word: Beacon = { fence: this.current.fence, storeAgeMs: this.options.store.ageMs };
+            const { store, incarnation } = this.options;
+            const word: Beacon = { fence: this.current.fence, incarnation, storeAgeMs: store.ageMs };
             this.options.peers.broadcast(Topic.Beacon, word);
         }
     }
@@ -229,7 +231,7 @@
             return;
         }
         if (peer.vm !== this.owner?.entry || word.fence !== this.owner.fence) {
-            this.owner = { entry: peer.vm, incarnation: "", fence: word.fence };
+            this.owner = { entry: peer.vm, incarnation: word.incarnation, fence: word.fence };
         }
         this.heardAt = this.options.timer.now();
         this.beacon = word;
@@ -274,6 +276,7 @@
         return shouldTakeOver({
             self: entry,
             owner: this.owner,
+            isOwnerGone: this.hasEnded(this.owner),
             ownerSilentMs,
             ownerStoreAgeMs: this.beacon === undefined ? 0 : this.beacon.storeAgeMs,
             storeAgeMs,
@@ -314,7 +317,7 @@
         head: Parameters<typeof Tenure.create>[0]["head"],
         previous: Owner | undefined,
     ): Promise<void> {
-        const { log, timer, peers } = this.options;
+        const { log, timer } = this.options;
         const isPreviousGone = this.isGone(previous);
         this.owner = head.owner;
         this.beacon = undefined;
@@ -332,7 +335,7 @@
         });
         this.current = tenure;
         this.heardAt = timer.now();
-        peers.broadcast(Topic.Beacon, { fence: head.owner.fence, storeAgeMs: 0 });
+        this.sendBeacon();
         this.keeper = this.options.keeper(tenure, previous === undefined);
         this.keeper.start();
         await tenure.start();
@@ -340,11 +343,18 @@
 
     /** Whether an earlier owner can give no more orders: it gave up, or its VM runs another process by now. */
     private isGone(previous: Owner | undefined): boolean {
-        if (previous === undefined || previous.entry === "" || previous.entry === this.options.entry) {
-            return true;
+        return previous === undefined || previous.entry === "" || previous.entry === this.options.entry ||
+            this.hasEnded(previous);
+    }
+
+    /** Whether the VM of an owner runs another process by now. */
+    private hasEnded(owner: Owner | undefined): boolean {
+        if (owner === undefined || owner.incarnation === "") {
+            return false;
         }
-        const member = this.members.get(previous.entry);
-        return member !== undefined && member.incarnation !== previous.incarnation;
+        const { entry, incarnation } = this.options;
+        const current = owner.entry === entry ? incarnation : this.members.get(owner.entry)?.incarnation;
+        return current !== undefined && current !== owner.incarnation;
     }
 
     private noteSuperseded(tenure: Tenure): void {
--- a/src/pool/ownership.ts
+++ b/src/pool/ownership.ts
@@ -69,6 +69,8 @@
 export interface TakeoverView {
     readonly self: string;
     readonly owner: Owner | undefined;
+    /** Whether the owner's process has certainly ended: its VM runs another one. */
+    readonly isOwnerGone: boolean;
     /** Milliseconds since the owner was last heard by this entry or any peer that answered. */
     readonly ownerSilentMs: number;
     /** Milliseconds since the owner last reached the store, by its own word. */
@@ -91,12 +93,15 @@
 
 /** Whether this entry should try to take the domain over now. */
 export function shouldTakeOver(view: TakeoverView): boolean {
-    const { self, owner, ownerSilentMs, ownerStoreAgeMs, storeAgeMs, rank, isStopping } = view;
-    if (isStopping || storeAgeMs > freshStoreMs || owner?.entry === self) {
+    const { self, owner, isOwnerGone, ownerSilentMs, ownerStoreAgeMs, storeAgeMs, rank, isStopping } = view;
+    if (isStopping || storeAgeMs > freshStoreMs) {
         return false;
     }
     const delay = rank * rankStepMs;
-    const isVacant = owner === undefined || owner.entry === "";
+    const isVacant = owner === undefined || owner.entry === "" || isOwnerGone;
+    if (owner?.entry === self) {
+        return isOwnerGone;
+    }
     return ownerSilentMs > (isVacant ? delay : ownerSilenceMs + delay)
         || (!isVacant && ownerStoreAgeMs > staleStoreMs + delay);
 }
--- a/src/pool/tenure.ts
+++ b/src/pool/tenure.ts
@@ -155,7 +155,6 @@
         const { timer } = this.options;
         this.every(tickMs, () => this.tick());
         this.every(paceTickMs, () => this.adjustPaces());
-        void this.followRoster();
         const version = await this.load();
         if (version === undefined) {
             return;
@@ -168,6 +167,7 @@
             runs: this.jobs.runs.size,
             inheritedUntilMs: Math.round(timer.now()),
         });
+        void this.followRoster();
         void this.followJobs(version);
         this.pump();
     }
@@ -243,7 +243,8 @@
     isAtWork(entry: JobEntry, at: number): boolean {
         const { occurrence, step, index } = entry.state.tasks[at]!;
         const record = this.jobs.runs.get(taskName({ job: entry.job.id, occurrence, step, index }));
-        return record !== undefined && record.stopReason === undefined && record.percent >= 100;
+        return record !== undefined && record.stopReason === undefined && record.percent >= 100 &&
+            this.workers.of(record).isReachable;
     }
 
     /** Stores a row with the next batch, after which it is certain that this entry was still the owner. */
@@ -721,12 +722,13 @@
     private async holdOnce(worker: WorkerState): Promise<HoldResult> {
         const { timer, times, calls, metrics } = this.options;
         const sentAt = timer.now();
-        const isFirst = !worker.isHeld || !worker.lease.isKnown;
+        // A worker that does not answer gets no new lease, or its runs could never be called lost.
+        const renews = worker.isHeld && worker.isReachable && worker.lease.isKnown;
         const result = await calls.hold(targetOf(worker), {
             fence: this.fence,
             acknowledged: worker.acknowledged,
-            waitMs: isFirst ? 0 : times.holdWaitMs,
-            ...(worker.lease.isKnown && { leaseUntil: worker.lease.grant(times.leaseMs, sentAt) }),
+            waitMs: renews ? times.holdWaitMs : 0,
+            ...(renews && { leaseUntil: worker.lease.grant(times.leaseMs, sentAt) }),
         });
         metrics.count("celerywind_holds_total", { result: result.kind });
         if (result.kind === "held" && this.isActive) {
