--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -226,9 +226,13 @@
         if (word.fence < (this.owner?.fence ?? 0)) {
             return;
         }
-        if (this.current !== undefined && word.fence > this.current.fence) {
-            void this.current.confirm();
-            return;
+        if (this.current !== undefined) {
+            if (word.fence > this.current.fence) {
+                this.current.supersede(`"${peer.vm}" has a higher fence`);
+            }
+            else {
+                return;
+            }
         }
         if (peer.vm !== this.owner?.entry || word.fence !== this.owner.fence) {
             this.owner = { entry: peer.vm, incarnation: word.incarnation, fence: word.fence };
@@ -343,8 +347,8 @@
 
     /** Whether an earlier owner can give no more orders: it gave up, or its VM runs another process by now. */
     private isGone(previous: Owner | undefined): boolean {
-        return previous === undefined || previous.entry === "" || previous.entry === this.options.entry ||
-            this.hasEnded(previous);
+        return previous === undefined || previous.entry === "" || previous.entry === this.options.entry
+            || this.hasEnded(previous);
     }
 
     /** Whether the VM of an owner runs another process by now. */
@@ -456,7 +460,7 @@
             this.beacon = undefined;
             this.heardAt = this.options.timer.now();
             if (this.current !== undefined && owner.fence > this.current.fence) {
-                void this.current.confirm();
+                this.current.supersede("the owner row names another entry");
             }
             if (owner.entry === "") {
                 void this.check();
--- a/src/pool/tenure.ts
+++ b/src/pool/tenure.ts
@@ -243,8 +243,8 @@
     isAtWork(entry: JobEntry, at: number): boolean {
         const { occurrence, step, index } = entry.state.tasks[at]!;
         const record = this.jobs.runs.get(taskName({ job: entry.job.id, occurrence, step, index }));
-        return record !== undefined && record.stopReason === undefined && record.percent >= 100 &&
-            this.workers.of(record).isReachable;
+        return record !== undefined && record.stopReason === undefined && record.percent >= 100
+            && this.workers.of(record).isReachable;
     }
 
     /** Stores a row with the next batch, after which it is certain that this entry was still the owner. */
@@ -382,7 +382,8 @@
         }
     }
 
-    private supersede(cause: string): void {
+    /** Ends the tenure because another entry has taken the domain over. */
+    supersede(cause: string): void {
         if (this.isActive) {
             this.options.log.write(Severity.Warn, EventId.OwnerSuperseded, {
                 domain: this.head.domain,
--- /dev/null
+++ b/standin/site/rows.ts
@@ -0,0 +1,218 @@
+/** A table service in memory, in virtual time, with the faults that the real one shows. */
+import { PlatformError } from "../../src/process/errors.js";
+import type { Random } from "../../src/process/random.js";
+import {
+    type FeedResult,
+    type RowKey,
+    type RowPage,
+    type RowRange,
+    type RowStore,
+    type RowTransaction,
+    type StoredRow,
+    TransactKind,
+    type TransactOutcome,
+} from "../../src/process/rows.js";
+import { sleep, type Timer } from "../../src/process/timer.js";
+
+/** Faults of the store, for all entries or for some. */
+export interface RowFaults {
+    /** No call is answered. */
+    isSilent: boolean;
+    /** Every call is refused at once. */
+    isBusy: boolean;
+    /** Factor on the time that a call takes. */
+    slowness: number;
+    /** Share of transactions whose answer is lost after they took effect. */
+    lostShare: number;
+    /** Share of transactions that are not answered and carried out `lateMs` later. */
+    lateShare: number;
+    lateMs: number;
+}
+
+/** No faults. */
+export function noRowFaults(): RowFaults {
+    return { isSilent: false, isBusy: false, slowness: 1, lostShare: 0, lateShare: 0, lateMs: 2000 };
+}
+
+const readMs = 6;
+const transactMs = 12;
+const timeoutMs = 2500;
+const pageRows = 500;
+
+interface Waiter {
+    readonly table: string;
+    readonly wake: () => void;
+}
+
+/** The rows of a site. */
+export class StandinRows {
+    readonly faults = noRowFaults();
+    private readonly rows = new Map<string, StoredRow>();
+    private changes: StoredRow[] = [];
+    private readonly waiters = new Set<Waiter>();
+    private version = 0;
+    private oldestKept = 0;
+    /** Calls answered or refused. */
+    calls = 0;
+
+    private constructor(private readonly timer: Timer, private readonly random: Random) {}
+
+    static create(timer: Timer, random: Random): StandinRows {
+        return new StandinRows(timer, random);
+    }
+
+    /** The store as one entry sees it. */
+    viewFor(timer: Timer, own: RowFaults = noRowFaults()): RowStore {
+        return {
+            transact: tx => this.transact(tx, timer, own),
+            read: range => this.read(range, timer, own),
+            feed: (table, since, waitMs) => this.feed(table, since, waitMs, timer, own),
+        };
+    }
+
+    /** Writes as the platform or an operator does, at once. */
+    write(key: RowKey, value: string): void {
+        this.apply({ conditions: [], puts: [{ ...key, value }], removals: [] });
+    }
+
+    /** Removes as the platform does, at once. */
+    drop(key: RowKey): void {
+        this.apply({ conditions: [], puts: [], removals: [key] });
+    }
+
+    /** Reads at once. */
+    find({ table, part, key }: RowKey): StoredRow | undefined {
+        return this.rows.get(name(table, part, key));
+    }
+
+    /** Forgets the history of changes. */
+    compact(): void {
+        this.changes = [];
+        this.oldestKept = this.version;
+    }
+
+    private async transact(tx: RowTransaction, timer: Timer, own: RowFaults): Promise<TransactOutcome> {
+        this.calls++;
+        const faults = [this.faults, own];
+        if (faults.some(({ isBusy }) => isBusy)) {
+            await sleep(timer, readMs);
+            return { kind: TransactKind.Refused, reason: "busy" };
+        }
+        if (faults.some(({ isSilent }) => isSilent)) {
+            await sleep(timer, timeoutMs);
+            return { kind: TransactKind.Unknown, reason: "timeout" };
+        }
+        const copy = structuredClone(tx);
+        if (this.random.chance(Math.max(...faults.map(({ lateShare }) => lateShare)))) {
+            this.timer.after(this.faults.lateMs, () => this.apply(copy));
+            await sleep(timer, timeoutMs);
+            return { kind: TransactKind.Unknown, reason: "timeout" };
+        }
+        const half = transactMs / 2 * slowest(faults);
+        return new Promise(resolve => {
+            this.timer.after(half, () => {
+                const outcome = this.apply(copy);
+                const isLost = this.random.chance(Math.max(...faults.map(({ lostShare }) => lostShare)));
+                timer.after(
+                    isLost ? timeoutMs : half,
+                    () => resolve(isLost ? { kind: TransactKind.Unknown, reason: "timeout" } : outcome),
+                );
+            });
+        });
+    }
+
+    private apply(tx: RowTransaction): TransactOutcome {
+        const current = tx.conditions.map(condition => ({
+            condition,
+            row: this.rows.get(name(condition.table, condition.part, condition.key)),
+        }));
+        if (current.some(({ condition, row }) => (row?.version ?? 0) !== condition.version)) {
+            return { kind: TransactKind.Conflict, rows: current.flatMap(({ row }) => row ?? []) };
+        }
+        const version = ++this.version;
+        for (const put of tx.puts) {
+            this.set({ ...put, version, isRemoved: false });
+        }
+        for (const { table, part, key } of tx.removals) {
+            this.set({ table, part, key, value: "", version, isRemoved: true });
+        }
+        const touched = new Set([...tx.puts, ...tx.removals].map(({ table }) => table));
+        [...this.waiters].filter(({ table }) => touched.has(table)).forEach(({ wake }) => wake());
+        return { kind: TransactKind.Committed, version };
+    }
+
+    private set(row: StoredRow): void {
+        const key = name(row.table, row.part, row.key);
+        if (row.isRemoved) {
+            this.rows.delete(key);
+        }
+        else {
+            this.rows.set(key, row);
+        }
+        this.changes.push(row);
+    }
+
+    private async read(range: RowRange, timer: Timer, own: RowFaults): Promise<RowPage> {
+        await this.reach(timer, own);
+        const { table, part, from = "", to, limit = pageRows } = range;
+        const rows = [...this.rows.values()]
+            .filter(row => row.table === table && row.part === part && row.key >= from)
+            .filter(row => to === undefined || row.key < to)
+            .sort((a, b) => a.key < b.key ? -1 : 1);
+        return { rows: rows.slice(0, limit), hasMore: rows.length > limit, version: this.version };
+    }
+
+    private async feed(
+        table: string,
+        since: number,
+        waitMs: number,
+        timer: Timer,
+        own: RowFaults,
+    ): Promise<FeedResult> {
+        await this.reach(timer, own);
+        if (since < this.oldestKept) {
+            return { kind: "history-lost" };
+        }
+        const changed = (): StoredRow[] =>
+            this.changes.filter(row => row.table === table && row.version > since);
+        if (changed().length === 0) {
+            await this.change(table, waitMs, timer);
+        }
+        return { kind: "changes", rows: changed(), version: this.version };
+    }
+
+    private change(table: string, waitMs: number, timer: Timer): Promise<void> {
+        return new Promise(resolve => {
+            const waiter: Waiter = {
+                table,
+                wake: () => {
+                    this.waiters.delete(waiter);
+                    timer.after(readMs / 2, resolve);
+                },
+            };
+            this.waiters.add(waiter);
+            timer.after(waitMs, waiter.wake);
+        });
+    }
+
+    private async reach(timer: Timer, own: RowFaults): Promise<void> {
+        this.calls++;
+        const faults = [this.faults, own];
+        if (faults.some(({ isSilent }) => isSilent)) {
+            await sleep(timer, timeoutMs);
+            throw new PlatformError("the store does not answer");
+        }
+        await sleep(timer, readMs * slowest(faults));
+        if (faults.some(({ isBusy }) => isBusy)) {
+            throw new PlatformError("the store is busy");
+        }
+    }
+}
+
+function slowest(faults: readonly RowFaults[]): number {
+    return Math.max(...faults.map(({ slowness }) => slowness));
+}
+
+function name(table: string, part: string, key: string): string {
+    return `${table}\n${part}\n${key}`;
+}
--- /dev/null
+++ b/standin/site/site.ts
@@ -0,0 +1,485 @@
+/** A whole site in virtual time: entries, store, workers and VMs, with faults that a test sets. */
+import type { JobSpec, StepSpec } from "../../src/job/index.js";
+import { parseTaskName } from "../../src/job/index.js";
+import {
+    type OrderTarget,
+    type StartResult,
+    type VmCalls,
+    type VmEntry,
+    VmOrderResult,
+    VmPhase,
+    type WorkerCalls,
+} from "../../src/pool/ports.js";
+import { PlatformError } from "../../src/process/errors.js";
+import { EventId, type Severity } from "../../src/process/events.js";
+import type { Log, LogFields } from "../../src/process/log.js";
+import { Metrics } from "../../src/process/metrics.js";
+import { Random } from "../../src/process/random.js";
+import { type Resources } from "../../src/process/resources.js";
+import { siteSettingsSchema } from "../../src/process/site-settings.js";
+import { sleep, type Timer } from "../../src/process/timer.js";
+import { VirtualTimer } from "../../src/process/virtual.js";
+import { SiteCore, type SitePlatform } from "../../src/site-core.js";
+import type { Directory, Queue } from "../../src/version/directory.js";
+import { VirtualNet, type VirtualPeers } from "../world/net.js";
+import { PausableTimer } from "../world/pausable.js";
+import { Checker } from "./checker.js";
+import { noRowFaults, type RowFaults, StandinRows } from "./rows.js";
+import { StandinWorker, type TaskFacts } from "./worker.js";
+
+/** One entry process of the site. */
+export interface StandinEntry {
+    readonly name: string;
+    readonly core: SiteCore;
+    readonly timer: PausableTimer;
+    readonly peers: VirtualPeers;
+    readonly storeFaults: RowFaults;
+    readonly log: readonly LoggedEvent[];
+}
+
+/** A line of an entry's log. */
+export interface LoggedEvent {
+    readonly at: number;
+    readonly event: EventId;
+    readonly fields: LogFields;
+}
+
+interface StandinVm {
+    readonly vm: string;
+    readonly rack: string;
+    pool: string;
+    phase: VmPhase;
+    worker: StandinWorker | undefined;
+}
+
+/** Options of `StandinSite.create`. */
+export interface StandinSiteOptions {
+    readonly seed?: number;
+    readonly entries?: number;
+    /** VMs of each working pool. */
+    readonly vmsPerPool?: number;
+    readonly pools?: readonly string[];
+    readonly spareVms?: number;
+    readonly capacity?: Resources;
+    /** Whether entries move and service VMs. */
+    readonly keepsVms?: boolean;
+}
+
+/** Lists as the stand-in's operator writes them. */
+export interface StandinLists {
+    readonly version: number;
+    readonly queues: readonly Partial<Queue>[];
+    readonly caps?: Readonly<Record<string, Resources>>;
+    readonly keys?: Readonly<Record<string, string>>;
+}
+
+const orderMs = 1;
+const orderTimeoutMs = 400;
+const moveMs = 1500;
+const serviceMs = 2000;
+const sparePool = "spare";
+const listsKey = { table: "operator", part: "", key: "lists" };
+const defaultCapacity: Resources = { cpu: 32_000, memory: 128_000, accelerators: 0 };
+
+/** A site. */
+export class StandinSite {
+    readonly timer = VirtualTimer.create();
+    readonly rows: StandinRows;
+    readonly checker: Checker;
+    readonly net: VirtualNet;
+    readonly entries: StandinEntry[] = [];
+    readonly facts = new Map<string, { workMs: number; failures: number }>();
+    private readonly vms: StandinVm[] = [];
+    private readonly cutWorkers = new Set<string>();
+    private readonly random: Random;
+    private nextWorker = 1;
+    private nextLife = 1;
+
+    private constructor(private readonly options: StandinSiteOptions) {
+        this.random = Random.create(options.seed ?? 1);
+        this.rows = StandinRows.create(this.timer, this.random);
+        this.checker = new Checker(this.timer);
+        this.net = VirtualNet.create(this.timer, 1);
+    }
+
+    /** Builds a site; its entries start with `start`. */
+    static create(options: StandinSiteOptions = {}): StandinSite {
+        const site = new StandinSite(options);
+        for (const pool of options.pools ?? ["bench"]) {
+            site.addVms(pool, options.vmsPerPool ?? 4);
+        }
+        site.addVms(sparePool, options.spareVms ?? 0);
+        return site;
+    }
+
+    get workers(): readonly StandinWorker[] {
+        return this.vms.flatMap(({ worker }) => worker ?? []);
+    }
+
+    /** Puts lists in force and starts all entries. */
+    async start(lists: StandinLists): Promise<void> {
+        this.setLists(lists);
+        for (let i = 0; i < (this.options.entries ?? 3); i++) {
+            this.startEntry(`entry-${i}`);
+        }
+        await this.timer.advance(2000);
+    }
+
+    setLists(lists: StandinLists): void {
+        this.rows.write(listsKey, JSON.stringify(lists));
+    }
+
+    /** Starts a process on an entry VM; an earlier one must have ended. */
+    startEntry(name: string): StandinEntry {
+        const timer = PausableTimer.create(this.timer);
+        const storeFaults = noRowFaults();
+        const log: LoggedEvent[] = [];
+        const node = { vm: name, timer, isAlive: true };
+        const peers = this.net.join(node);
+        const core = SiteCore.create({
+            settings: siteSettingsSchema.parse({
+                entry: name,
+                callers: "x:1",
+                readiness: "x:2",
+                metrics: "x:3",
+                peers: { listen: "x:4", secret: "0123456789abcdef" },
+                store: "x:5",
+            }),
+            incarnation: `${name}#${this.nextLife++}`,
+            peerUrl: `ws://${name}`,
+            peers,
+            store: this.rows.viewFor(timer, storeFaults),
+            platform: store => this.platformFor(name, timer, store),
+            timer,
+            log: this.logInto(log, timer),
+            metrics: Metrics.create(),
+            onMembers: () => undefined,
+        });
+        const entry: StandinEntry = { name, core, timer, peers, storeFaults, log };
+        const at = this.entries.findIndex(other => other.name === name);
+        this.entries.splice(at < 0 ? this.entries.length : at, at < 0 ? 0 : 1, entry);
+        void core.start();
+        return entry;
+    }
+
+    /** Ends a process without warning. */
+    kill(entry: StandinEntry): void {
+        entry.timer.end();
+        entry.peers.node.isAlive = false;
+        this.net.close(entry.name);
+    }
+
+    /** The entry that owns the domain. */
+    owner(): StandinEntry | undefined {
+        return this.entries.find(({ core, timer }) => core.domain.tenure !== undefined && !timer.isPaused);
+    }
+
+    /** Submits a job at an entry and resolves with the kind of answer. */
+    submit(
+        entry: StandinEntry,
+        id: string,
+        spec: JobSpec,
+        options: { workMs?: number; failures?: number } = {},
+    ) {
+        this.checker.specs.set(id, spec);
+        this.facts.set(id, { workMs: options.workMs ?? 500, failures: options.failures ?? 0 });
+        const queue = entry.core.lists.directory?.queues[0];
+        if (queue === undefined) {
+            throw new Error("the entry has no lists yet");
+        }
+        return entry.core.desk.submit(id, queue, "team", spec, 3000);
+    }
+
+    /** The phase that an entry tells of a job. */
+    async phaseOf(entry: StandinEntry, id: string): Promise<string> {
+        const result = await entry.core.desk.phaseOf(id, 3000);
+        return result.kind === "phase" ? result.phase : result.kind;
+    }
+
+    /** Runs the site until a promise settles. */
+    async settle<T>(work: Promise<T>, limitMs = 10_000): Promise<T> {
+        let isSettled = false;
+        void work.finally(() => {
+            isSettled = true;
+        }).catch(() => undefined);
+        for (let ms = 0; ms < limitMs && !isSettled; ms += 10) {
+            await this.timer.advance(10);
+        }
+        return work;
+    }
+
+    /** Crashes the worker of a VM; it starts again after `downMs` in a new life, under the same id. */
+    crash(worker: StandinWorker, downMs: number): void {
+        worker.end();
+        const vm = this.vms.find(candidate => candidate.worker === worker);
+        this.timer.after(downMs, () => {
+            if (vm?.worker === worker) {
+                vm.worker = this.bear(vm, worker.id);
+            }
+        });
+    }
+
+    /** Cuts a worker off from every entry; it runs on. */
+    cut(worker: StandinWorker): void {
+        this.cutWorkers.add(worker.id);
+    }
+
+    mend(worker: StandinWorker): void {
+        this.cutWorkers.delete(worker.id);
+    }
+
+    /** VMs by pool, as the platform has them. */
+    poolOf(vm: string): string | undefined {
+        return this.vms.find(candidate => candidate.vm === vm)?.pool;
+    }
+
+    private addVms(pool: string, count: number): void {
+        for (let i = 0; i < count; i++) {
+            const vm: StandinVm = {
+                vm: `vm-${this.vms.length}`,
+                rack: `rack-${Math.floor(this.vms.length / 2)}`,
+                pool,
+                phase: VmPhase.Up,
+                worker: undefined,
+            };
+            this.vms.push(vm);
+            vm.worker = this.bear(vm, `w-${this.nextWorker++}`);
+        }
+    }
+
+    private bear(vm: StandinVm, id: string): StandinWorker | undefined {
+        if (vm.pool === sparePool) {
+            return undefined;
+        }
+        const capacity = this.options.capacity ?? defaultCapacity;
+        const facts = (task: string): TaskFacts | undefined => this.factsOf(task);
+        return new StandinWorker(this.timer, id, vm.pool, vm.vm, vm.rack, capacity, facts, this.checker);
+    }
+
+    private factsOf(task: string): TaskFacts | undefined {
+        const id = parseTaskName(task);
+        const step = id === undefined ? undefined : this.checker.specs.get(id.job)?.steps[id.step];
+        const facts = id === undefined ? undefined : this.facts.get(id.job);
+        return step === undefined || facts === undefined
+            ? undefined
+            : { needs: step.needs, isService: step.isService, ...facts };
+    }
+
+    private logInto(lines: LoggedEvent[], timer: Timer): Log {
+        return {
+            write: (_: Severity, event: EventId, fields: LogFields = {}) =>
+                void lines.push({ at: timer.now(), event, fields }),
+        };
+    }
+
+    private platformFor(
+        entry: string,
+        timer: Timer,
+        store: Parameters<typeof SiteCore.create>[0]["store"],
+    ): SitePlatform {
+        return {
+            roster: {
+                list: async () => {
+                    await store.read({ table: "roster", part: "" });
+                    return this.workers.filter(({ isAlive }) => isAlive).map(({ listed }) => listed);
+                },
+            },
+            calls: this.callsFor(entry, timer),
+            adviser: {
+                advise: () => {
+                    throw new PlatformError("the stand-in has no adviser");
+                },
+            },
+            vms: this.vmCallsFor(timer),
+            feed: {
+                next: async since => {
+                    if (since !== undefined) {
+                        const changes = await store.feed(listsKey.table, since, 2000);
+                        if (changes.kind === "changes") {
+                            const lists = changes.rows.at(-1)?.value;
+                            return {
+                                version: changes.version,
+                                waves: [],
+                                ...(lists !== undefined && { lists }),
+                            };
+                        }
+                    }
+                    const page = await store.read({ table: listsKey.table, part: "" });
+                    const lists = page.rows[0]?.value;
+                    return { version: page.version, waves: [], ...(lists !== undefined && { lists }) };
+                },
+            },
+            decodeLists: text => this.decodeLists(text),
+            waveStatusRow: (wave, isFinished) => ({
+                table: "status",
+                part: "",
+                key: String(wave),
+                value: String(isFinished),
+            }),
+        };
+    }
+
+    private decodeLists(text: string): Directory {
+        const lists = JSON.parse(text) as StandinLists;
+        const queues = lists.queues.map((queue): Queue => ({
+            name: "q",
+            host: "h",
+            pathPrefix: "/q/",
+            pool: "bench",
+            isOpen: true,
+            priority: 0,
+            maxAttempts: 3,
+            stretch: 2,
+            objectiveMs: 1000,
+            timeoutMs: 3000,
+            needsAdvice: false,
+            ...queue,
+        }));
+        const pools = [...this.options.pools ?? ["bench"], sparePool];
+        return {
+            version: lists.version,
+            queues,
+            pools: new Map(
+                pools.map(name => [name, { name, guardsCapacity: true, isSpare: name === sparePool }]),
+            ),
+            teams: new Map(
+                Object.entries(lists.caps ?? {}).map(([name, cap]) => [name, { name, weight: 0, cap }]),
+            ),
+            keys: new Map(Object.entries(lists.keys ?? {})),
+        };
+    }
+
+    private callsFor(entry: string, timer: Timer): WorkerCalls {
+        void entry;
+        const reach = async <T>(
+            target: OrderTarget,
+            isOrder: boolean,
+            call: (worker: StandinWorker, answer: (result: T) => void) => void,
+            failed: (reason: string) => T,
+        ): Promise<T> => {
+            await sleep(timer, orderMs);
+            const worker = this.workers.find(({ id, isAlive }) => id === target.worker && isAlive);
+            if (worker === undefined || worker.faults.isDark || this.cutWorkers.has(worker.id)) {
+                await sleep(timer, orderTimeoutMs);
+                return failed("timeout");
+            }
+            const { lateMs } = worker.faults;
+            if (isOrder && lateMs > 0) {
+                this.timer.after(lateMs, () => {
+                    const now = this.workers.find(({ id, isAlive }) => id === target.worker && isAlive);
+                    if (now !== undefined) {
+                        call(now, () => undefined);
+                    }
+                });
+                await sleep(timer, orderTimeoutMs);
+                return failed("timeout");
+            }
+            return new Promise(resolve => {
+                call(worker, result => {
+                    timer.after(
+                        orderMs,
+                        () => resolve(this.cutWorkers.has(worker.id) ? failed("timeout") : result),
+                    );
+                });
+            });
+        };
+        return {
+            start: (target, order) =>
+                reach<StartResult>(
+                    target,
+                    true,
+                    (worker, answer) => answer(worker.start(order)),
+                    reason => ({ kind: "unknown", reason }),
+                ),
+            stop: (target, task, run, fence) =>
+                reach(
+                    target,
+                    true,
+                    (worker, answer) => answer(worker.stop(task, run, fence)),
+                    reason => ({ kind: "failed", reason }),
+                ),
+            hold: (target, order) =>
+                reach(
+                    target,
+                    false,
+                    (worker, answer) => worker.hold(order, answer),
+                    reason => ({ kind: "unknown", reason }),
+                ),
+            pace: () => Promise.resolve({ kind: "done" }),
+            retain: () => undefined,
+        };
+    }
+
+    private vmCallsFor(timer: Timer): VmCalls {
+        return {
+            list: async () => {
+                await sleep(timer, orderMs);
+                return this.options.keepsVms === true ? this.vms.map(vm => this.describe(vm)) : [];
+            },
+            move: async (vm, pool) => {
+                await sleep(timer, orderMs);
+                return this.take(vm, VmPhase.Moving, moveMs, pool);
+            },
+            service: async vm => {
+                await sleep(timer, orderMs);
+                return this.take(vm, VmPhase.InService, serviceMs, undefined);
+            },
+        };
+    }
+
+    private describe({ vm, pool, phase, rack, worker }: StandinVm): VmEntry {
+        return {
+            vm,
+            pool,
+            phase,
+            zone: "z",
+            labels: ["a", rack],
+            capacity: this.options.capacity ?? defaultCapacity,
+            worker: worker?.id ?? "",
+        };
+    }
+
+    private take(name: string, phase: VmPhase, ms: number, pool: string | undefined): VmOrderResult {
+        const vm = this.vms.find(candidate => candidate.vm === name);
+        if (vm === undefined) {
+            return VmOrderResult.Impossible;
+        }
+        if (vm.phase !== VmPhase.Up) {
+            return VmOrderResult.Busy;
+        }
+        vm.worker?.end();
+        vm.worker = undefined;
+        vm.phase = phase;
+        vm.pool = pool ?? vm.pool;
+        this.timer.after(ms, () => {
+            vm.phase = VmPhase.Up;
+            vm.worker = this.bear(vm, `w-${this.nextWorker++}`);
+        });
+        return VmOrderResult.Done;
+    }
+}
+
+/** A step with defaults, for tests. */
+export function stepOf(step: Partial<StepSpec> = {}): StepSpec {
+    return {
+        tasks: 1,
+        needs: { cpu: 1000, memory: 100, accelerators: 0 },
+        estimateMs: 500,
+        after: [],
+        savesProgress: false,
+        isGang: false,
+        wantsOneRack: false,
+        perWorker: 0,
+        mayCopy: false,
+        isService: false,
+        isBestEffort: false,
+        image: "",
+        tailTargetMs: 0,
+        ...step,
+    };
+}
+
+/** A job of steps, for tests. */
+export function jobOf(...steps: readonly Partial<StepSpec>[]): JobSpec {
+    return { payload: "x", steps: steps.map(step => stepOf(step)) };
+}
--- /dev/null
+++ b/standin/site/worker.ts
@@ -0,0 +1,264 @@
+/** One life of a stand-in worker: runs, leases, fences, and its list of ends, in virtual time. */
+import {
+    type EndedRun,
+    type HoldOrder,
+    type HoldResult,
+    type ListedWorker,
+    type OrderResult,
+    ReportedEnd,
+    type StartOrder,
+    StartRefusal,
+    type StartResult,
+} from "../../src/pool/ports.js";
+import { addResources, fitsInto, noResources, type Resources } from "../../src/process/resources.js";
+import type { Timer } from "../../src/process/timer.js";
+
+/** What the stand-in knows about a task. */
+export interface TaskFacts {
+    readonly needs: Resources;
+    readonly workMs: number;
+    /** Runs of it that fail by their own fault. */
+    readonly failures: number;
+    readonly isService: boolean;
+}
+
+/** What a worker reports to whoever watches the site. */
+export interface WorkerEvents {
+    started(worker: StandinWorker, order: StartOrder): void;
+    ended(worker: StandinWorker, task: string, run: number, how: ReportedEnd | "gone"): void;
+    acknowledged(worker: StandinWorker, task: string, run: number, how: ReportedEnd): void;
+}
+
+/** Faults of a worker. */
+export interface WorkerFaults {
+    /** Calls get no answer and are not carried out. */
+    isDark: boolean;
+    /** Orders get no answer and are carried out this much later; 0 for never. */
+    lateMs: number;
+    /** Every run fails at once. */
+    failsAll: boolean;
+    /** Runs make no progress. */
+    isHung: boolean;
+}
+
+interface Run {
+    readonly task: string;
+    readonly run: number;
+    readonly facts: TaskFacts;
+    workedMs: number;
+    stopAtMs: number | undefined;
+}
+
+const stepMs = 20;
+const stopMs = 60;
+const serviceStartMs = 300;
+/** The clock of a worker may be this much slow. */
+const clockRate = 0.985;
+
+/** A worker's life. */
+export class StandinWorker {
+    readonly faults: WorkerFaults = { isDark: false, lateMs: 0, failsAll: false, isHung: false };
+    readonly born: number;
+    isAlive = true;
+    isDraining = false;
+    private report = 1;
+    private fence = 0;
+    private leaseUntil = 0;
+    private nextEnd = 1;
+    private acknowledged = 0;
+    private readonly bornAt: number;
+    private readonly runs = new Map<string, Run>();
+    private readonly settled = new Map<string, number>();
+    private ends: EndedRun[] = [];
+    private readonly waiters = new Set<() => void>();
+
+    constructor(
+        private readonly timer: Timer,
+        readonly id: string,
+        readonly pool: string,
+        readonly vm: string,
+        readonly rack: string,
+        readonly capacity: Resources,
+        private readonly factsOf: (task: string) => TaskFacts | undefined,
+        private readonly events: WorkerEvents,
+    ) {
+        this.born = Math.round(timer.wall());
+        this.bornAt = timer.now();
+        timer.every(stepMs, () => this.work());
+    }
+
+    /** Its entry in the list of workers. */
+    get listed(): ListedWorker {
+        return {
+            id: this.id,
+            pool: this.pool,
+            address: this.id,
+            zone: "z",
+            labels: ["a", this.rack],
+            capacity: this.capacity,
+            isDraining: this.isDraining,
+            remainingMs: 0,
+            born: this.born,
+            report: this.report++,
+        };
+    }
+
+    get clockMs(): number {
+        return Math.floor((this.timer.now() - this.bornAt) * clockRate);
+    }
+
+    get used(): Resources {
+        return [...this.runs.values()].reduce(
+            (sum, { facts }) => addResources(sum, facts.needs),
+            noResources,
+        );
+    }
+
+    /** Tasks that run now, with their run numbers. */
+    get running(): ReadonlyMap<string, number> {
+        return new Map([...this.runs].map(([task, { run }]) => [task, run]));
+    }
+
+    /** Ends this life; nothing of it is left. */
+    end(): void {
+        this.isAlive = false;
+        this.runs.forEach(({ task, run }) => this.events.ended(this, task, run, "gone"));
+        this.runs.clear();
+        this.waiters.forEach(wake => wake());
+    }
+
+    start(order: StartOrder): StartResult {
+        const { clockMs } = this;
+        const refuse = (reason: StartRefusal): StartResult => ({ kind: "refused", reason, clockMs });
+        if (order.fence < this.fence) {
+            return refuse(StartRefusal.Fenced);
+        }
+        this.fence = order.fence;
+        if (order.leaseUntil <= clockMs) {
+            return refuse(StartRefusal.LeasePassed);
+        }
+        this.leaseUntil = Math.max(this.leaseUntil, order.leaseUntil);
+        const present = this.runs.get(order.task);
+        if (present?.run === order.run) {
+            return { kind: "started", clockMs };
+        }
+        const facts = this.factsOf(order.task);
+        if (present !== undefined || order.run <= (this.settled.get(order.task) ?? 0)) {
+            return refuse(StartRefusal.Superseded);
+        }
+        if (facts === undefined) {
+            return refuse(StartRefusal.Malformed);
+        }
+        if (!fitsInto(facts.needs, addResources(this.capacity, this.used, -1))) {
+            return refuse(StartRefusal.NoRoom);
+        }
+        this.runs.set(order.task, {
+            task: order.task,
+            run: order.run,
+            facts,
+            workedMs: 0,
+            stopAtMs: undefined,
+        });
+        this.events.started(this, order);
+        return { kind: "started", clockMs };
+    }
+
+    stop(task: string, run: number, fence: number): OrderResult {
+        if (fence < this.fence) {
+            return { kind: "failed", reason: "fence" };
+        }
+        this.fence = fence;
+        this.settled.set(task, Math.max(run, this.settled.get(task) ?? 0));
+        const present = this.runs.get(task);
+        if (present !== undefined && present.run <= run) {
+            present.stopAtMs ??= this.timer.now() + stopMs;
+        }
+        return { kind: "done" };
+    }
+
+    /** Answers at once, or calls `answer` when a run has ended or the wait is over. */
+    hold(order: HoldOrder, answer: (result: HoldResult) => void): void {
+        if (order.fence < this.fence) {
+            answer({ kind: "refused", reason: StartRefusal.Fenced });
+            return;
+        }
+        this.fence = order.fence;
+        this.leaseUntil = Math.max(this.leaseUntil, order.leaseUntil ?? 0);
+        this.acknowledge(order.acknowledged);
+        if (this.ends.length > 0 || order.waitMs === 0) {
+            answer(this.view());
+            return;
+        }
+        const wake = (): void => {
+            if (this.waiters.delete(wake)) {
+                answer(this.view());
+            }
+        };
+        this.waiters.add(wake);
+        this.timer.after(order.waitMs, wake);
+    }
+
+    private acknowledge(position: number): void {
+        for (const end of this.ends) {
+            if (end.position <= position && end.position > this.acknowledged) {
+                this.events.acknowledged(this, end.task, end.run, end.how);
+            }
+        }
+        this.acknowledged = Math.max(this.acknowledged, position);
+        this.ends = this.ends.filter(end => end.position > position);
+    }
+
+    private view(): HoldResult {
+        return {
+            kind: "held",
+            clockMs: this.clockMs,
+            born: this.born,
+            running: [...this.runs.values()].map(({ task, run, facts, workedMs }) => ({
+                task,
+                run,
+                saved: "",
+                percent: Math.min(
+                    100,
+                    Math.floor(100 * workedMs / (facts.isService ? serviceStartMs : facts.workMs)),
+                ),
+                reading: 0,
+            })),
+            ended: [...this.ends],
+        };
+    }
+
+    private work(): void {
+        if (!this.isAlive || this.runs.size === 0) {
+            return;
+        }
+        const isLapsed = this.clockMs >= this.leaseUntil;
+        for (const run of [...this.runs.values()]) {
+            run.workedMs += this.faults.isHung ? 0 : stepMs;
+            const how = isLapsed ? ReportedEnd.Lapsed : this.endOf(run);
+            if (how !== undefined) {
+                this.settle(run, how);
+            }
+        }
+    }
+
+    private endOf({ run, facts, workedMs, stopAtMs }: Run): ReportedEnd | undefined {
+        if (stopAtMs !== undefined && this.timer.now() >= stopAtMs) {
+            return ReportedEnd.Stopped;
+        }
+        if (this.faults.failsAll) {
+            return ReportedEnd.Failed;
+        }
+        if (facts.isService || workedMs < facts.workMs) {
+            return undefined;
+        }
+        return run <= facts.failures ? ReportedEnd.Failed : ReportedEnd.Done;
+    }
+
+    private settle({ task, run }: Run, how: ReportedEnd): void {
+        this.runs.delete(task);
+        this.settled.set(task, Math.max(run, this.settled.get(task) ?? 0));
+        this.ends.push({ position: this.nextEnd++, task, run, how, saved: "" });
+        this.events.ended(this, task, run, how);
+        [...this.waiters].forEach(wake => wake());
+    }
+}
--- /dev/null
+++ b/test/site.test.ts
@@ -0,0 +1,415 @@
+import { describe, expect, test } from "vitest";
+import type { StepSpec } from "../src/job/index.js";
+import { EventId } from "../src/process/events.js";
+import { jobOf, type StandinEntry, StandinSite, type StandinSiteOptions } from "../standin/site/site.js";
+
+const lists = { version: 1, queues: [{}] };
+
+async function siteWith(options: StandinSiteOptions = {}): Promise<StandinSite> {
+    const site = StandinSite.create(options);
+    await site.start(lists);
+    return site;
+}
+
+function ownerOf(site: StandinSite): StandinEntry {
+    const owner = site.owner();
+    expect(owner).toBeDefined();
+    return owner!;
+}
+
+function otherThan(site: StandinSite, entry: StandinEntry): StandinEntry {
+    return site.entries.find(other => other !== entry)!;
+}
+
+async function accepted(site: StandinSite, id: string, ...steps: Partial<StepSpec>[]): Promise<void> {
+    const result = await site.settle(site.submit(site.entries[0]!, id, jobOf(...steps)));
+    expect(result.kind).toBe("accepted");
+}
+
+async function expectPhase(site: StandinSite, id: string, phase: string): Promise<void> {
+    const entry = site.entries.find(({ timer }) => !timer.isPaused)!;
+    expect(await site.settle(site.phaseOf(entry, id))).toBe(phase);
+    if (phase === "succeeded") {
+        site.checker.succeeded(id);
+    }
+    expect(site.checker.breaches).toEqual([]);
+}
+
+describe("a site on a calm day", () => {
+    test("runs the steps of a job in their order and shows its success", async () => {
+        const site = await siteWith();
+        await accepted(site, "j1", { tasks: 4 }, { tasks: 2, after: [0] });
+        await site.timer.advance(200);
+        await expectPhase(site, "j1", "running");
+        await site.timer.advance(2000);
+        await expectPhase(site, "j1", "succeeded");
+        expect(site.checker.starts).toBe(6);
+    });
+
+    test("starts a job within 60 ms of its acceptance", async () => {
+        const site = await siteWith();
+        await accepted(site, "j1", { tasks: 1 });
+        await site.timer.advance(60);
+        expect(site.checker.starts).toBe(1);
+    });
+
+    test("takes a job that is submitted twice, at two entries, once", async () => {
+        const site = await siteWith();
+        const spec = jobOf({ tasks: 2 });
+        const both = Promise.all(site.entries.slice(0, 2).map(entry => site.submit(entry, "j1", spec)));
+        expect((await site.settle(both)).map(({ kind }) => kind)).toEqual(["accepted", "accepted"]);
+        await site.timer.advance(1500);
+        await expectPhase(site, "j1", "succeeded");
+        expect(site.checker.starts).toBe(2);
+    });
+
+    test("ends a job as failed after as many failed runs of a task as its queue allows", async () => {
+        const site = await siteWith();
+        await site.settle(site.submit(site.entries[0]!, "j1", jobOf({}), { failures: 9 }));
+        await site.timer.advance(4000);
+        await expectPhase(site, "j1", "failed");
+        expect(site.checker.starts).toBe(3);
+    });
+
+    test("ends a job at once that no worker has room for", async () => {
+        const site = await siteWith();
+        await accepted(site, "j1", { needs: { cpu: 64_000, memory: 1, accelerators: 0 } });
+        await site.timer.advance(300);
+        await expectPhase(site, "j1", "failed");
+        expect(site.checker.starts).toBe(0);
+    });
+
+    test("stops the runs of a cancelled job and starts none after", async () => {
+        const site = await siteWith();
+        await accepted(site, "j1", { tasks: 3 }, { tasks: 3, after: [0] });
+        await site.timer.advance(200);
+        const result = await site.settle(otherThan(site, ownerOf(site)).core.desk.cancel("j1", 3000));
+        expect(result.kind).toBe("cancelled");
+        site.checker.cancelled("j1");
+        await site.timer.advance(6000);
+        await expectPhase(site, "j1", "cancelled");
+        expect(site.workers.flatMap(({ running }) => [...running])).toEqual([]);
+    });
+
+    test("keeps a team's running work within its cap", async () => {
+        const site = StandinSite.create();
+        await site.start({ ...lists, caps: { team: { cpu: 3000, memory: 0, accelerators: 0 } } });
+        await accepted(site, "j1", { tasks: 8 });
+        let most = 0;
+        for (let i = 0; i < 100; i++) {
+            await site.timer.advance(20);
+            most = Math.max(most, site.workers.reduce((sum, { used }) => sum + used.cpu, 0));
+        }
+        expect(most).toBe(3000);
+        await site.timer.advance(1000);
+        await expectPhase(site, "j1", "succeeded");
+    });
+});
+
+describe("a change of owner", () => {
+    test("after a kill takes less than 3 s and ends no run", async () => {
+        const site = await siteWith();
+        await site.settle(site.submit(site.entries[0]!, "j1", jobOf({ tasks: 4 }), { workMs: 4000 }));
+        await site.timer.advance(500);
+        const owner = ownerOf(site);
+        site.kill(owner);
+        site.startEntry(owner.name);
+        await site.timer.advance(3000);
+        expect(ownerOf(site).core.domain.tenure?.isReady).toBe(true);
+        await site.timer.advance(3000);
+        await expectPhase(site, "j1", "succeeded");
+        expect(site.checker.starts).toBe(4);
+    });
+
+    test("at a planned stop is done within 300 ms and ends no run", async () => {
+        const site = await siteWith();
+        await site.settle(site.submit(site.entries[0]!, "j1", jobOf({ tasks: 4 }), { workMs: 2000 }));
+        await site.timer.advance(200);
+        const owner = ownerOf(site);
+        void owner.core.leave();
+        await site.timer.advance(300);
+        expect(ownerOf(site)).not.toBe(owner);
+        await site.timer.advance(3000);
+        await expectPhase(site, "j1", "succeeded");
+        expect(site.checker.starts).toBe(4);
+    });
+
+    test("keeps ends that came while nobody owned the domain", async () => {
+        const site = await siteWith();
+        await site.settle(site.submit(site.entries[0]!, "j1", jobOf({ tasks: 6 }), { workMs: 600 }));
+        await site.timer.advance(300);
+        const owner = ownerOf(site);
+        site.kill(owner);
+        site.startEntry(owner.name);
+        await site.timer.advance(4000);
+        await expectPhase(site, "j1", "succeeded");
+        expect(site.checker.starts).toBe(6);
+    });
+
+    test("lets a job go on that was accepted right before all entries were killed", async () => {
+        const site = await siteWith();
+        await accepted(site, "j1", { tasks: 3 });
+        const all = [...site.entries];
+        all.forEach(entry => site.kill(entry));
+        await site.timer.advance(1000);
+        all.forEach(entry => site.startEntry(entry.name));
+        await site.timer.advance(4000);
+        await expectPhase(site, "j1", "succeeded");
+    });
+
+    test("is at once when the owner's own VM starts its next life first", async () => {
+        const site = await siteWith({ entries: 1 });
+        const owner = ownerOf(site);
+        site.kill(owner);
+        site.startEntry(owner.name);
+        await site.timer.advance(500);
+        expect(ownerOf(site).core.domain.tenure?.isReady).toBe(true);
+    });
+
+    test("leaves a paused owner without power", async () => {
+        const site = await siteWith();
+        await accepted(site, "j1", { tasks: 2 });
+        await site.timer.advance(100);
+        const owner = ownerOf(site);
+        owner.timer.pause();
+        await site.timer.advance(4000);
+        expect(ownerOf(site)).not.toBe(owner);
+        owner.timer.resume();
+        await accepted(site, "j2", { tasks: 4 });
+        await site.timer.advance(3000);
+        await expectPhase(site, "j1", "succeeded");
+        await expectPhase(site, "j2", "succeeded");
+        expect(owner.core.domain.tenure).toBeUndefined();
+    });
+
+    test("goes to an entry that reaches the store when the owner does not", async () => {
+        const site = await siteWith();
+        const owner = ownerOf(site);
+        owner.storeFaults.isBusy = true;
+        await site.timer.advance(3000);
+        expect(ownerOf(site)).not.toBe(owner);
+        const entry = ownerOf(site);
+        expect((await site.settle(site.submit(entry, "j1", jobOf({})))).kind).toBe("accepted");
+        await site.timer.advance(1500);
+        await expectPhase(site, "j1", "succeeded");
+    });
+
+    test("does not happen while the store is down for all", async () => {
+        const site = await siteWith();
+        await site.settle(site.submit(site.entries[0]!, "j1", jobOf({ tasks: 2 }), { workMs: 4000 }));
+        await site.timer.advance(300);
+        const owner = ownerOf(site);
+        site.rows.faults.isSilent = true;
+        await site.timer.advance(6000);
+        site.rows.faults.isSilent = false;
+        await site.timer.advance(3000);
+        expect(ownerOf(site)).toBe(owner);
+        await expectPhase(site, "j1", "succeeded");
+        expect(site.checker.starts).toBe(2);
+    });
+});
+
+describe("a worker that is lost", () => {
+    test("in the dark has its work started elsewhere once its leases have ended", async () => {
+        const site = await siteWith();
+        await site.settle(site.submit(site.entries[0]!, "j1", jobOf({ tasks: 1, isService: true })));
+        await site.timer.advance(1000);
+        const worker = site.workers.find(({ running }) => running.size > 0)!;
+        worker.faults.isDark = true;
+        await site.timer.advance(7000);
+        const others = site.workers.filter(other => other !== worker);
+        expect(others.flatMap(({ running }) => [...running.keys()])).toEqual(["j1.0.0.0"]);
+        expect(site.checker.breaches).toEqual([]);
+    });
+
+    test("and starts again under the same id has forgotten its runs, which start anew", async () => {
+        const site = await siteWith();
+        await site.settle(site.submit(site.entries[0]!, "j1", jobOf({ tasks: 2 }), { workMs: 2000 }));
+        await site.timer.advance(500);
+        const worker = site.workers.find(({ running }) => running.size > 0)!;
+        site.crash(worker, 300);
+        await site.timer.advance(6000);
+        await expectPhase(site, "j1", "succeeded");
+    });
+
+    test("to its entries but runs on never runs a task beside another worker", async () => {
+        const site = await siteWith();
+        await site.settle(site.submit(site.entries[0]!, "j1", jobOf({ tasks: 3 }), { workMs: 3000 }));
+        await site.timer.advance(500);
+        const worker = site.workers.find(({ running }) => running.size > 0)!;
+        site.cut(worker);
+        await site.timer.advance(2500);
+        site.mend(worker);
+        await site.timer.advance(8000);
+        await expectPhase(site, "j1", "succeeded");
+    });
+
+    test("leaves orders unanswered and carries them out late without a task running twice", async () => {
+        const site = await siteWith();
+        const [worker] = site.workers;
+        worker!.faults.lateMs = 3000;
+        for (let i = 0; i < 6; i++) {
+            await accepted(site, `j${i}`, { tasks: 3 });
+        }
+        await site.timer.advance(3000);
+        worker!.faults.lateMs = 0;
+        await site.timer.advance(12_000);
+        for (let i = 0; i < 6; i++) {
+            await expectPhase(site, `j${i}`, "succeeded");
+        }
+    });
+
+    test("makes no progress has its runs stopped and started elsewhere", async () => {
+        const site = await siteWith();
+        await accepted(site, "j1", { tasks: 1 });
+        await site.timer.advance(100);
+        const worker = site.workers.find(({ running }) => running.size > 0)!;
+        worker.faults.isHung = true;
+        await site.timer.advance(9000);
+        await expectPhase(site, "j1", "succeeded");
+    });
+
+    test("fails all it starts does not use up the attempts of a job", async () => {
+        const site = await siteWith();
+        site.workers[0]!.faults.failsAll = true;
+        for (let i = 0; i < 8; i++) {
+            await accepted(site, `j${i}`, { tasks: 4 });
+        }
+        await site.timer.advance(9000);
+        for (let i = 0; i < 8; i++) {
+            await expectPhase(site, `j${i}`, "succeeded");
+        }
+    });
+});
+
+describe("the store", () => {
+    test("may lose the answers to half of all writes", async () => {
+        const site = await siteWith({ seed: 7 });
+        site.rows.faults.lostShare = 0.5;
+        for (let i = 0; i < 5; i++) {
+            const result = await site.settle(site.submit(site.entries[i % 3]!, `j${i}`, jobOf({ tasks: 2 })));
+            expect(result.kind).not.toBe("refused");
+        }
+        await site.timer.advance(20_000);
+        site.rows.faults.lostShare = 0;
+        await site.timer.advance(4000);
+        for (let i = 0; i < 5; i++) {
+            await expectPhase(site, `j${i}`, "succeeded");
+        }
+    });
+
+    test("may carry out a third of all writes seconds late", async () => {
+        const site = await siteWith({ seed: 3 });
+        site.rows.faults.lateShare = 0.3;
+        const results = [];
+        for (let i = 0; i < 5; i++) {
+            results.push(await site.settle(site.submit(site.entries[i % 3]!, `j${i}`, jobOf({ tasks: 2 }))));
+        }
+        await site.timer.advance(25_000);
+        site.rows.faults.lateShare = 0;
+        await site.timer.advance(5000);
+        for (const [i, { kind }] of results.entries()) {
+            expect(kind).not.toBe("refused");
+            await expectPhase(site, `j${i}`, "succeeded");
+        }
+    });
+
+    test("that refuses an entry is reached by way of a peer", async () => {
+        const site = await siteWith();
+        const entry = otherThan(site, ownerOf(site));
+        entry.storeFaults.isBusy = true;
+        expect((await site.settle(site.submit(entry, "j1", jobOf({})))).kind).toBe("accepted");
+        await site.timer.advance(1500);
+        await expectPhase(site, "j1", "succeeded");
+    });
+
+    test("that refuses everyone makes an entry refuse, and the job never runs", async () => {
+        const site = await siteWith();
+        site.rows.faults.isBusy = true;
+        const result = await site.settle(site.submit(site.entries[0]!, "j1", jobOf({})));
+        expect(result).toMatchObject({ kind: "refused", retryAfterMs: 1000 });
+        site.checker.refuse("j1");
+        site.rows.faults.isBusy = false;
+        await site.timer.advance(5000);
+        expect(site.checker.breaches).toEqual([]);
+        expect(site.checker.starts).toBe(0);
+    });
+
+    test("that forgets its history loses no job", async () => {
+        const site = await siteWith();
+        const entry = otherThan(site, ownerOf(site));
+        // The hint to the owner is lost; only the store can tell of the job.
+        site.net.cut(entry.name, ownerOf(site).name);
+        const work = site.submit(entry, "j1", jobOf({}));
+        await site.timer.advance(20);
+        site.rows.compact();
+        await site.settle(work);
+        site.rows.compact();
+        await site.timer.advance(4000);
+        const owner = ownerOf(site);
+        expect(await site.settle(site.phaseOf(owner, "j1"))).toBe("succeeded");
+        expect(owner.log.some(({ event }) => event === EventId.StoreHistoryLost)).toBe(true);
+    });
+});
+
+describe("lists", () => {
+    test("reach an entry that the store refuses by way of its peers within a second", async () => {
+        const site = await siteWith();
+        const entry = otherThan(site, ownerOf(site));
+        entry.storeFaults.isBusy = true;
+        await site.timer.advance(500);
+        site.setLists({ version: 2, queues: [{ name: "q2", pathPrefix: "/q2/" }] });
+        await site.timer.advance(1000);
+        expect(entry.core.lists.directory?.version).toBe(2);
+    });
+
+    test("never go back", async () => {
+        const site = await siteWith();
+        site.setLists({ version: 5, queues: [{}] });
+        await site.timer.advance(500);
+        site.setLists({ version: 4, queues: [] });
+        await site.timer.advance(500);
+        expect(site.entries.map(({ core }) => core.lists.directory?.version)).toEqual([5, 5, 5]);
+    });
+
+    test("decide which keys are good, on every entry", async () => {
+        const site = StandinSite.create();
+        await site.start({ version: 1, queues: [{ isOpen: false }], keys: { k1: "team" } });
+        const { desk } = site.entries[2]!.core;
+        expect(desk.address("h", "/q/1", "k1").kind).toBe("queue");
+        expect(desk.address("h", "/q/1", "k2").kind).toBe("bad-key");
+        expect(desk.address("h", "/other/1", "k1").kind).toBe("no-queue");
+        site.setLists({ version: 2, queues: [{ isOpen: false }], keys: {} });
+        await site.timer.advance(200);
+        expect(desk.address("h", "/q/1", "k1").kind).toBe("bad-key");
+    });
+});
+
+describe("VMs", () => {
+    test("that no pool needs are parked, and come back with the work", async () => {
+        const site = await siteWith({
+            keepsVms: true,
+            vmsPerPool: 6,
+            spareVms: 2,
+            pools: ["bench", "atelier"],
+        });
+        await site.timer.advance(6000);
+        expect(parked(site)).toBeGreaterThanOrEqual(8);
+        for (let i = 0; i < 6; i++) {
+            const job = site.submit(site.entries[0]!, `j${i}`, jobOf({ tasks: 24 }), { workMs: 2500 });
+            await site.settle(job);
+        }
+        await site.timer.advance(2500);
+        expect(site.workers.filter(({ pool }) => pool === "bench").length).toBeGreaterThanOrEqual(6);
+        await site.timer.advance(9000);
+        for (let i = 0; i < 6; i++) {
+            await expectPhase(site, `j${i}`, "succeeded");
+        }
+        expect(parked(site)).toBeGreaterThanOrEqual(8);
+    });
+});
+
+function parked(site: StandinSite): number {
+    return Array.from({ length: 14 }, (_, i) => site.poolOf(`vm-${i}`)).filter(pool => pool === "spare")
+        .length;
+}
