Late work draws few VMs; VMs in use are emptied early for a wave

Change: demand counts late work at a quarter, overdue work at a tenth; once a tenth of a wave's time is over, two VMs in use are emptied at a time.

--- a/src/pool/demand.ts
+++ b/src/pool/demand.ts
@@ -1,10 +1,35 @@
-/** How much work each pool could do at once, held for a moment so that VMs are not sent away between two jobs. */
+/**
+ * How much work each pool could do at once, held for a moment so that VMs are not sent away between two jobs. Work
+ * that is late already counts little: it is worth a fraction and can fill the trough after a burst.
+ */
 import type { Directory } from "../version/directory.js";
+import type { Durations } from "./durations.js";
 import type { JobBook, JobEntry } from "./job-book.js";
+import { outlookOf, Urgency } from "./urgency.js";
 
 /** How long a peak of demand is remembered, in milliseconds. */
 const holdMs = 2000;
 
+/** Share of a job's demand that counts, by its urgency. */
+const demandShare: Readonly<Record<Urgency, number>> = {
+    [Urgency.Service]: 1,
+    [Urgency.OnTime]: 1,
+    [Urgency.Late]: 0.25,
+    [Urgency.Overdue]: 0.1,
+    [Urgency.BeyondShare]: 0.1,
+};
+
+/** What demand is measured from. */
+export interface DemandView {
+    readonly jobs: JobBook;
+    readonly directory: Directory;
+    readonly durations: Durations;
+    /** Monotonic time, in milliseconds. */
+    readonly now: number;
+    /** Unix time, in milliseconds. */
+    readonly wallMs: number;
+}
+
 interface Sample {
     readonly at: number;
     readonly cpu: number;
@@ -20,14 +45,16 @@
     }
 
     /** Takes a sample of all pools. */
-    measure(jobs: JobBook, directory: Directory, now: number): void {
-        const pools = new Map(directory.queues.map(queue => [queue.name, queue.pool]));
+    measure({ jobs, directory, durations, now, wallMs }: DemandView): void {
+        const queues = new Map(directory.queues.map(queue => [queue.name, queue]));
         const cpu = new Map<string, number>();
         this.spreads.clear();
         for (const entry of jobs.activeEntries) {
-            const pool = pools.get(entry.job.queue);
-            if (pool !== undefined) {
-                cpu.set(pool, (cpu.get(pool) ?? 0) + usableCpu(jobs, entry));
+            const queue = queues.get(entry.job.queue);
+            if (queue !== undefined) {
+                const { pool } = queue;
+                const { urgency } = outlookOf({ entry, queue, durations, wallMs });
+                cpu.set(pool, (cpu.get(pool) ?? 0) + usableCpu(jobs, entry) * demandShare[urgency]);
                 this.spreads.set(pool, Math.max(this.spreads.get(pool) ?? 0, spreadOf(entry)));
             }
         }
--- a/src/pool/fleet-keeper.ts
+++ b/src/pool/fleet-keeper.ts
@@ -180,7 +180,8 @@
         if (directory === undefined || this.isLost) {
             return [];
         }
-        this.demand.measure(tenure.jobs, directory, now);
+        const { jobs, durations } = tenure;
+        this.demand.measure({ jobs, directory, durations, now, wallMs: this.options.timer.wall() });
         const needs = [...directory.pools.values()].map(({ name, isSpare }) => ({
             pool: name,
             isSpare,
--- a/src/pool/fleet-plan.ts
+++ b/src/pool/fleet-plan.ts
@@ -40,8 +40,8 @@
     readonly wave: number;
     /** VMs that may be taken out now without exceeding the cap. */
     readonly free: number;
-    /** Whether VMs in use have to be emptied for it, instead of waiting until they are idle. */
-    readonly isPressing: boolean;
+    /** VMs in use that may be emptied for it at the same time. */
+    readonly emptyAtOnce: number;
 }
 
 /** What is to be done with VMs. */
@@ -132,7 +132,7 @@
 
     /** Empties VMs in use that are due for service, as many as the wave lets out at once. */
     private emptyDue(): void {
-        for (const { wave, free, isPressing } of this.view.waves) {
+        for (const { wave, free, emptyAtOnce } of this.view.waves) {
             const due = this.view.vms.filter(vm =>
                 vm.dueWave === wave && vm.phase === VmPhase.Up && vm.pool !== this.spare
                 && !this.taken.has(vm.vm)
@@ -140,7 +140,7 @@
             const leaving = due.filter(({ vm }) => this.cordoned.has(vm)).length;
             const staying = due.filter(({ vm }) => !this.cordoned.has(vm))
                 .sort((a, b) => a.services - b.services || a.runs - b.runs);
-            const room = isPressing ? Math.max(0, free - leaving) : 0;
+            const room = Math.max(0, Math.min(free, emptyAtOnce) - leaving);
             staying.slice(0, room).forEach(({ vm }) => this.cordon(vm, CordonReason.DueForService));
         }
     }
@@ -226,7 +226,7 @@
 
     private isLeavingForService({ dueWave }: PlannedVm): boolean {
         return dueWave !== undefined
-            && this.view.waves.some(({ wave, isPressing }) => wave === dueWave && isPressing);
+            && this.view.waves.some(({ wave, emptyAtOnce }) => wave === dueWave && emptyAtOnce > 0);
     }
 
     private cordon(vm: string, why: CordonReason): void {
--- a/src/pool/wave-book.ts
+++ b/src/pool/wave-book.ts
@@ -20,8 +20,11 @@
 
 const waveRow = z.object({ done: z.array(z.string()) });
 
-/** Share of the time left that the remaining rounds of service may need before VMs in use are emptied. */
-const pressingShare = 0.75;
+/** Share of the time left that the remaining rounds of service may need before VMs are emptied as fast as allowed. */
+const urgentShare = 0.75;
+/** Share of a wave's time in which only idle VMs are serviced; later, VMs in use are emptied a few at a time. */
+const patientShare = 0.1;
+const emptiedPatiently = 2;
 /** Time that emptying a VM and its orders add to a round, in milliseconds. */
 const roundOverheadMs = 2500;
 
@@ -91,8 +94,10 @@
             const cap = Math.max(1, state.order.cap);
             const timeLeftMs = state.seenAt + state.order.durationMs - now;
             const neededMs = Math.ceil(left / cap) * (this.serviceMs + roundOverheadMs);
-            const isPressing = neededMs > timeLeftMs * pressingShare;
-            return left === 0 ? [] : [{ wave, free: Math.max(0, cap - state.out.size), isPressing }];
+            const isUrgent = neededMs > timeLeftMs * urgentShare;
+            const isDue = now - state.seenAt > state.order.durationMs * patientShare;
+            const emptyAtOnce = isUrgent ? cap : isDue ? Math.min(cap, emptiedPatiently) : 0;
+            return left === 0 ? [] : [{ wave, free: Math.max(0, cap - state.out.size), emptyAtOnce }];
         });
     }
 
--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -16,11 +16,13 @@
 import { Metrics } from "../../src/process/metrics.js";
 import { Random } from "../../src/process/random.js";
 import { type Resources } from "../../src/process/resources.js";
+import type { RowKey, StoredRow } from "../../src/process/rows.js";
 import { siteSettingsSchema } from "../../src/process/site-settings.js";
 import { sleep, type Timer } from "../../src/process/timer.js";
 import { VirtualTimer } from "../../src/process/virtual.js";
 import { SiteCore, type SitePlatform } from "../../src/site-core.js";
 import type { Directory, Queue } from "../../src/version/directory.js";
+import type { OperatorNews, WaveOrder } from "../../src/version/operator-feed.js";
 import { VirtualNet, type VirtualPeers } from "../world/net.js";
 import { PausableTimer } from "../world/pausable.js";
 import { Checker } from "./checker.js";
@@ -78,7 +80,9 @@
 const moveMs = 1500;
 const serviceMs = 2000;
 const sparePool = "spare";
-const listsKey = { table: "operator", part: "", key: "lists" };
+const operatorTable = "operator";
+const listsKey = { table: operatorTable, part: "", key: "lists" };
+const waveKeyPrefix = "wave/";
 const defaultCapacity: Resources = { cpu: 32_000, memory: 128_000, accelerators: 0 };
 
 /** A site. */
@@ -88,6 +92,11 @@
     readonly checker: Checker;
     readonly net: VirtualNet;
     readonly entries: StandinEntry[] = [];
+    /** VMs that have been serviced, by wave. */
+    readonly serviced = new Map<number, Set<string>>();
+    /** Most VMs of one wave that were out of service at the same time. */
+    mostOut = 0;
+    private readonly waves = new Map<number, WaveOrder>();
     readonly facts = new Map<string, { workMs: number; failures: number }>();
     private readonly vms: StandinVm[] = [];
     private readonly cutWorkers = new Set<string>();
@@ -129,6 +138,18 @@
         this.rows.write(listsKey, JSON.stringify(lists));
     }
 
+    /** Asks for a wave of VM service. */
+    orderWave(order: WaveOrder): void {
+        this.waves.set(order.wave, order);
+        const key = `${waveKeyPrefix}${order.wave}`;
+        this.rows.write({ table: operatorTable, part: "", key }, JSON.stringify(order));
+    }
+
+    /** Whether the operator was told that a wave is finished. */
+    isWaveFinished(wave: number): boolean {
+        return this.rows.find(statusKey(wave))?.value === "true";
+    }
+
     /** Starts a process on an entry VM; an earlier one must have ended. */
     startEntry(name: string): StandinEntry {
         const timer = PausableTimer.create(this.timer);
@@ -294,28 +315,17 @@
             feed: {
                 next: async since => {
                     if (since !== undefined) {
-                        const changes = await store.feed(listsKey.table, since, 2000);
+                        const changes = await store.feed(operatorTable, since, 2000);
                         if (changes.kind === "changes") {
-                            const lists = changes.rows.at(-1)?.value;
-                            return {
-                                version: changes.version,
-                                waves: [],
-                                ...(lists !== undefined && { lists }),
-                            };
+                            return newsOf(changes.rows, changes.version);
                         }
                     }
-                    const page = await store.read({ table: listsKey.table, part: "" });
-                    const lists = page.rows[0]?.value;
-                    return { version: page.version, waves: [], ...(lists !== undefined && { lists }) };
+                    const page = await store.read({ table: operatorTable, part: "" });
+                    return newsOf(page.rows, page.version);
                 },
             },
             decodeLists: text => this.decodeLists(text),
-            waveStatusRow: (wave, isFinished) => ({
-                table: "status",
-                part: "",
-                key: String(wave),
-                value: String(isFinished),
-            }),
+            waveStatusRow: (wave, isFinished) => ({ ...statusKey(wave), value: String(isFinished) }),
         };
     }
 
@@ -420,9 +430,9 @@
                 await sleep(timer, orderMs);
                 return this.take(vm, VmPhase.Moving, moveMs, pool);
             },
-            service: async vm => {
+            service: async (vm, wave) => {
                 await sleep(timer, orderMs);
-                return this.take(vm, VmPhase.InService, serviceMs, undefined);
+                return this.serviceVm(vm, wave);
             },
         };
     }
@@ -439,6 +449,25 @@
         };
     }
 
+    private serviceVm(vm: string, wave: number): VmOrderResult {
+        const done = this.serviced.get(wave) ?? new Set();
+        if (this.waves.get(wave)?.vms.includes(vm) !== true) {
+            return VmOrderResult.NotInWave;
+        }
+        if (done.has(vm)) {
+            return VmOrderResult.Done;
+        }
+        const result = this.take(vm, VmPhase.InService, serviceMs, undefined);
+        if (result === VmOrderResult.Done) {
+            this.serviced.set(wave, done.add(vm));
+            this.mostOut = Math.max(
+                this.mostOut,
+                this.vms.filter(({ phase }) => phase === VmPhase.InService).length,
+            );
+        }
+        return result;
+    }
+
     private take(name: string, phase: VmPhase, ms: number, pool: string | undefined): VmOrderResult {
         const vm = this.vms.find(candidate => candidate.vm === name);
         if (vm === undefined) {
@@ -459,6 +488,17 @@
     }
 }
 
+function statusKey(wave: number): RowKey {
+    return { table: "status", part: "", key: String(wave) };
+}
+
+function newsOf(rows: readonly StoredRow[], version: number): OperatorNews {
+    const lists = rows.findLast(({ key }) => key === listsKey.key)?.value;
+    const waves = rows.filter(({ key }) => key.startsWith(waveKeyPrefix))
+        .map(({ value }) => JSON.parse(value) as WaveOrder);
+    return { version, waves, ...(lists !== undefined && { lists }) };
+}
+
 /** A step with defaults, for tests. */
 export function stepOf(step: Partial<StepSpec> = {}): StepSpec {
     return {
--- /dev/null
+++ b/test/fleet-plan.test.ts
@@ -0,0 +1,170 @@
+import { describe, expect, test } from "vitest";
+import { DemandMeter } from "../src/pool/demand.js";
+import { Durations } from "../src/pool/durations.js";
+import { CordonReason, type FleetView, planFleet, type PlannedVm } from "../src/pool/fleet-plan.js";
+import { JobBook } from "../src/pool/job-book.js";
+import { VmPhase } from "../src/pool/ports.js";
+import type { Directory } from "../src/version/directory.js";
+import { jobOf } from "../standin/site/site.js";
+
+const cores = (n: number): number => n * 1000;
+
+function vm(name: string, pool: string, change: Partial<PlannedVm> = {}): PlannedVm {
+    return {
+        vm: name,
+        pool,
+        phase: VmPhase.Up,
+        rack: "r1",
+        cpu: cores(32),
+        runs: 0,
+        services: 0,
+        isCordoned: false,
+        isUsable: true,
+        dueWave: undefined,
+        ...change,
+    };
+}
+
+function view(change: Partial<FleetView>): FleetView {
+    return { vms: [], needs: [], waves: [], reserve: 0, least: 1, ...change };
+}
+
+const spare = { pool: "spare", isSpare: true, cpu: 0, spread: 0 };
+const bench = { pool: "bench", isSpare: false, cpu: cores(20), spread: 0 };
+
+describe("VMs follow the demand", () => {
+    test("idle VMs beyond the need are emptied, and parked once they are empty", () => {
+        const vms = [vm("a", "bench", { runs: 2 }), vm("b", "bench"), vm("c", "bench")];
+        expect(planFleet(view({ vms, needs: [bench, spare] }))).toEqual([
+            { kind: "cordon", vm: "b", why: CordonReason.Surplus },
+            { kind: "cordon", vm: "c", why: CordonReason.Surplus },
+        ]);
+        const emptied = vms.map(each => each.vm === "a" ? each : { ...each, isCordoned: true });
+        expect(planFleet(view({ vms: emptied, needs: [bench, spare] }))).toEqual([
+            { kind: "move", vm: "b", pool: "spare" },
+            { kind: "move", vm: "c", pool: "spare" },
+        ]);
+    });
+
+    test("a burst brings back VMs that are being emptied before any is moved", () => {
+        const vms = [
+            vm("a", "bench", { runs: 2 }),
+            vm("b", "bench", { isCordoned: true, runs: 1 }),
+            vm("c", "spare"),
+        ];
+        const needs = [{ ...bench, cpu: cores(80) }, spare];
+        expect(planFleet(view({ vms, needs }))).toEqual([
+            { kind: "uncordon", vm: "b" },
+            { kind: "move", vm: "c", pool: "bench" },
+        ]);
+    });
+
+    test("an emptied VM of one pool goes straight to the pool that bursts", () => {
+        const vms = [
+            vm("a", "bench"),
+            vm("b", "atelier", { runs: 1 }),
+            vm("c", "atelier", { isCordoned: true }),
+        ];
+        const needs = [{ ...bench, cpu: cores(50) }, { ...bench, pool: "atelier" }, spare];
+        expect(planFleet(view({ vms, needs }))).toEqual([{ kind: "move", vm: "c", pool: "bench" }]);
+    });
+
+    test("a VM with services is never sent away for lack of work", () => {
+        const vms = [vm("a", "bench", { services: 1, runs: 1 }), vm("b", "bench", { services: 1, runs: 1 })];
+        expect(planFleet(view({ vms, needs: [bench, spare] }))).toEqual([]);
+    });
+
+    test("VMs stay where they are when no pool is spare", () => {
+        const vms = [vm("a", "bench"), vm("b", "bench"), vm("c", "bench")];
+        expect(planFleet(view({ vms, needs: [bench] }))).toEqual([]);
+    });
+});
+
+describe("VMs that are due for service", () => {
+    test("are taken while they are parked, no more than the wave lets out", () => {
+        const vms = ["a", "b", "c"].map(name => vm(name, "spare", { dueWave: 1 }));
+        const waves = [{ wave: 1, free: 2, emptyAtOnce: 0 }];
+        expect(planFleet(view({ vms, needs: [spare], waves }))).toEqual([
+            { kind: "service", vm: "a", wave: 1 },
+            { kind: "service", vm: "b", wave: 1 },
+        ]);
+    });
+
+    test("are the last to be brought into a pool", () => {
+        const vms = [vm("a", "spare", { dueWave: 1 }), vm("b", "spare")];
+        const waves = [{ wave: 1, free: 0, emptyAtOnce: 0 }];
+        expect(planFleet(view({ vms, needs: [bench, spare], waves }))).toEqual([
+            { kind: "move", vm: "b", pool: "bench" },
+        ]);
+    });
+
+    test("are emptied while in use when the wave asks for it, and others take their place", () => {
+        const vms = [vm("a", "bench", { runs: 3, services: 1, dueWave: 1 }), vm("b", "spare")];
+        const waves = [{ wave: 1, free: 1, emptyAtOnce: 1 }];
+        expect(planFleet(view({ vms, needs: [bench, spare], waves }))).toEqual([
+            { kind: "cordon", vm: "a", why: CordonReason.DueForService },
+            { kind: "move", vm: "b", pool: "bench" },
+        ]);
+    });
+});
+
+describe("the demand of a pool", () => {
+    const queue = {
+        name: "q",
+        host: "h",
+        pathPrefix: "/",
+        pool: "bench",
+        isOpen: true,
+        priority: 0,
+        maxAttempts: 3,
+        stretch: 2,
+        objectiveMs: 500,
+        timeoutMs: 3000,
+        needsAdvice: false,
+    };
+    const directory: Directory = {
+        version: 1,
+        queues: [queue],
+        pools: new Map([["bench", { name: "bench", guardsCapacity: true, isSpare: false }]]),
+        teams: new Map(),
+        keys: new Map(),
+    };
+
+    function demandOf(acceptedAtMs: number): number {
+        const jobs = JobBook.create();
+        for (let i = 0; i < 10; i++) {
+            jobs.accept({ id: `j${i}`, queue: "q", team: "", acceptedAtMs, spec: jobOf({ tasks: 8 }) });
+        }
+        const meter = DemandMeter.create();
+        meter.measure({ jobs, directory, durations: Durations.create(), now: 0, wallMs: 100_000 });
+        return meter.cpuOf("bench", 0);
+    }
+
+    test("counts work that can be on time in full", () => {
+        expect(demandOf(100_000)).toBe(cores(80));
+    });
+
+    test("counts a backlog that is late, as after an outage, at a fraction", () => {
+        expect(demandOf(97_000)).toBe(cores(20));
+        expect(demandOf(80_000)).toBe(cores(8));
+    });
+
+    test("is remembered for a moment after a burst", () => {
+        const jobs = JobBook.create();
+        const entry = jobs.accept({
+            id: "j",
+            queue: "q",
+            team: "",
+            acceptedAtMs: 100_000,
+            spec: jobOf({ tasks: 8 }),
+        });
+        const meter = DemandMeter.create();
+        const durations = Durations.create();
+        meter.measure({ jobs, directory, durations, now: 0, wallMs: 100_000 });
+        jobs.cancel(entry, 100);
+        meter.measure({ jobs, directory, durations, now: 1500, wallMs: 101_500 });
+        expect(meter.cpuOf("bench", 1500)).toBe(cores(8));
+        meter.measure({ jobs, directory, durations, now: 2500, wallMs: 102_500 });
+        expect(meter.cpuOf("bench", 2500)).toBe(0);
+    });
+});
--- a/test/site.test.ts
+++ b/test/site.test.ts
@@ -409,6 +409,40 @@
     });
 });
 
+describe("a wave of VM service", () => {
+    const vms = Array.from({ length: 6 }, (_, i) => `vm-${i}`);
+
+    test("is done in its time and within its cap while a service keeps its disruption budget", async () => {
+        const site = await siteWith({ keepsVms: true, vmsPerPool: 6, spareVms: 2 });
+        const service = { tasks: 4, isService: true, perWorker: 2, disruptionBudget: 1 };
+        await accepted(site, "s1", service);
+        await site.timer.advance(3000);
+        site.orderWave({ wave: 1, vms, durationMs: 20_000, cap: 2 });
+        let least = Infinity;
+        for (let i = 0; i < 400; i++) {
+            await site.timer.advance(50);
+            least = Math.min(least, site.workers.reduce((sum, { running }) => sum + running.size, 0));
+        }
+        expect([...site.serviced.get(1) ?? []].sort()).toEqual(vms);
+        expect(site.isWaveFinished(1)).toBe(true);
+        expect(site.mostOut).toBeLessThanOrEqual(2);
+        expect(least).toBeGreaterThanOrEqual(3);
+        expect(site.checker.breaches).toEqual([]);
+    });
+
+    test("is finished by the next owner when the first is killed in its midst", async () => {
+        const site = await siteWith({ keepsVms: true, vmsPerPool: 6, spareVms: 2 });
+        await site.timer.advance(3000);
+        site.orderWave({ wave: 1, vms, durationMs: 30_000, cap: 2 });
+        await site.timer.advance(3000);
+        site.kill(ownerOf(site));
+        await site.timer.advance(20_000);
+        expect([...site.serviced.get(1) ?? []].sort()).toEqual(vms);
+        expect(site.isWaveFinished(1)).toBe(true);
+        expect(site.mostOut).toBeLessThanOrEqual(2);
+    });
+});
+
 function parked(site: StandinSite): number {
     return Array.from({ length: 14 }, (_, i) => site.poolOf(`vm-${i}`)).filter(pool => pool === "spare")
         .length;
