Bring VMs at the first arrivals of a burst, and see their workers sooner

Change: three arrivals within a second count as a burst; the pool then gets VMs for 1.2 times their work; the list of workers is read every 150 ms while VMs join; the keeper looks every 100 ms.

--- a/src/pool/demand.ts
+++ b/src/pool/demand.ts
@@ -19,6 +19,13 @@
     [Urgency.BeyondShare]: 0.1,
 };
 
+/** Time over which arrivals are counted to notice the beginning of a burst, in milliseconds. */
+const arrivalWindowMs = 1000;
+/** Arrivals in that time from which they count as a burst and not as chance. */
+const burstJobs = 3;
+/** Growth that is expected of a burst until VMs that are ordered now can work. */
+const burstGrowth = 1.2;
+
 /** What demand is measured from. */
 export interface DemandView {
     readonly jobs: JobBook;
@@ -48,6 +55,7 @@
     measure({ jobs, directory, durations, now, wallMs }: DemandView): void {
         const queues = new Map(directory.queues.map(queue => [queue.name, queue]));
         const cpu = new Map<string, number>();
+        const arrivals = new Map<string, Arrivals>();
         this.spreads.clear();
         for (const entry of jobs.activeEntries) {
             const queue = queues.get(entry.job.queue);
@@ -55,12 +63,16 @@
                 const { pool } = queue;
                 const { urgency } = outlookOf({ entry, queue, durations, wallMs });
                 cpu.set(pool, (cpu.get(pool) ?? 0) + usableCpu(jobs, entry) * demandShare[urgency]);
+                if (!entry.isService && wallMs - entry.job.acceptedAtMs < arrivalWindowMs) {
+                    arrivals.set(pool, addArrival(arrivals.get(pool), entry, durations));
+                }
                 this.spreads.set(pool, Math.max(this.spreads.get(pool) ?? 0, spreadOf(entry)));
             }
         }
         for (const pool of directory.pools.keys()) {
             const recent = (this.samples.get(pool) ?? []).filter(({ at }) => now - at < holdMs);
-            this.samples.set(pool, [...recent, { at: now, cpu: cpu.get(pool) ?? 0 }]);
+            const usable = Math.max(cpu.get(pool) ?? 0, expectedCpu(arrivals.get(pool)));
+            this.samples.set(pool, [...recent, { at: now, cpu: usable }]);
         }
     }
 
@@ -76,6 +88,27 @@
     }
 }
 
+interface Arrivals {
+    readonly jobs: number;
+    /** Thousandths of a core, for a millisecond each. */
+    readonly work: number;
+}
+
+function addArrival(before: Arrivals | undefined, { job }: JobEntry, durations: Durations): Arrivals {
+    const work = job.spec.steps.reduce(
+        (sum, step) => sum + step.tasks * step.needs.cpu * durations.expect(job.queue, step.estimateMs),
+        0,
+    );
+    return { jobs: (before?.jobs ?? 0) + 1, work: (before?.work ?? 0) + work };
+}
+
+/** Thousandths of a core that a burst will keep busy; 0 without a burst. */
+function expectedCpu(arrivals: Arrivals | undefined): number {
+    return arrivals === undefined || arrivals.jobs < burstJobs
+        ? 0
+        : arrivals.work / arrivalWindowMs * burstGrowth;
+}
+
 function usableCpu(jobs: JobBook, entry: JobEntry): number {
     let cpu = 0;
     const { steps } = entry.job.spec;
--- a/src/pool/fleet-keeper.ts
+++ b/src/pool/fleet-keeper.ts
@@ -35,7 +35,7 @@
     readonly moveMs: number;
 }
 
-const tickMs = 200;
+const tickMs = 100;
 /** Period of reading the inventory while VMs change, and while none does. */
 const busyListMs = 500;
 const idleListMs = 2500;
@@ -286,6 +286,9 @@
         this.note("move", vm, result, { pool });
         if (result === VmOrderResult.Done) {
             this.cordoned.delete(vm);
+            if (this.options.directory()?.pools.get(pool)?.isSpare !== true) {
+                tenure.expectWorkers(moveMs + settleMs);
+            }
         }
         else if (result !== VmOrderResult.Unknown) {
             this.ordered.delete(vm);
--- a/src/pool/tenure.ts
+++ b/src/pool/tenure.ts
@@ -70,6 +70,8 @@
 const feedPauseMs = 400;
 const feedWaitMs = 2000;
 const retryMs = 150;
+/** Period of reading the list of workers while VMs join a pool. */
+const quickRosterMs = 150;
 const stopRepeatMs = 300;
 /** Longest wait for the storing of ends before a worker is held again, in milliseconds; its leases need renewal. */
 const longestAckWaitMs = 800;
@@ -105,6 +107,7 @@
     private isHandingOver = false;
     private confirmedAt: number;
     private wallOffset: number;
+    private rosterSoonUntil = -Infinity;
     private readonly cancels: Cancel[] = [];
     private readonly unstarted = new Set<RunRecord>();
     private readonly held = new Set<string>();
@@ -233,6 +236,11 @@
         return pending;
     }
 
+    /** Reads the list of workers more often for a while, since VMs are about to join a pool. */
+    expectWorkers(forMs: number): void {
+        this.rosterSoonUntil = Math.max(this.rosterSoonUntil, this.options.timer.now() + forMs);
+    }
+
     /** Asks for the stop of a run. */
     stopRun(record: RunRecord, reason: StopReason): void {
         record.stopReason ??= reason;
@@ -646,7 +654,7 @@
                 }
                 isLost = true;
             }
-            await sleep(timer, times.rosterMs);
+            await sleep(timer, timer.now() < this.rosterSoonUntil ? quickRosterMs : times.rosterMs);
         }
     }
 
--- a/test/fleet-plan.test.ts
+++ b/test/fleet-plan.test.ts
@@ -149,6 +149,21 @@
         expect(demandOf(80_000)).toBe(cores(8));
     });
 
+    test("rises with the arrivals of a burst before its later steps are open, but not with a single job", () => {
+        const usable = (jobCount: number): number => {
+            const jobs = JobBook.create();
+            for (let i = 0; i < jobCount; i++) {
+                const spec = jobOf({ tasks: 4 }, { tasks: 4, after: [0] }, { tasks: 4, after: [1] });
+                jobs.accept({ id: `j${i}`, queue: "q", team: "", acceptedAtMs: 100_000, spec });
+            }
+            const meter = DemandMeter.create();
+            meter.measure({ jobs, directory, durations: Durations.create(), now: 0, wallMs: 100_500 });
+            return meter.cpuOf("bench", 0);
+        };
+        expect(usable(1)).toBe(cores(4));
+        expect(usable(10)).toBeGreaterThan(cores(60));
+    });
+
     test("is remembered for a moment after a burst", () => {
         const jobs = JobBook.create();
         const entry = jobs.accept({
