Split the owner's tenure by what its parts look after; judge impossible jobs by every kind of VM seen

Change: run-desk (orders), worker-watch (list and holds), run-watch (time), job-source (store), tenure-context; the kinds of all VMs, parked ones included, decide, and only jobs that have not begun are judged.

--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -19,7 +19,8 @@
 import { decodeMember, memberKey, memberPart, type MemberRow } from "./member-rows.js";
 import { decodeOwner, type Owner, ownerKey, ownerSilenceMs, shouldTakeOver, tables } from "./ownership.js";
 import type { Adviser, Roster, WorkerCalls } from "./ports.js";
-import { Tenure, type TenureTimes } from "./tenure.js";
+import type { TenureTimes } from "./tenure-context.js";
+import { Tenure } from "./tenure.js";
 
 /** Options of `Domain.create`. */
 export interface DomainOptions {
--- a/src/pool/fleet-keeper.ts
+++ b/src/pool/fleet-keeper.ts
@@ -134,6 +134,7 @@
         this.listedAt = now;
         try {
             this.inventory = await vms.list();
+            this.options.tenure.workers.noteKinds(this.inventory);
             this.settleOrders(now);
             this.isLost = false;
         }
@@ -287,7 +288,7 @@
         if (result === VmOrderResult.Done) {
             this.cordoned.delete(vm);
             if (this.options.directory()?.pools.get(pool)?.isSpare !== true) {
-                tenure.expectWorkers(moveMs + settleMs);
+                tenure.watch.expectWorkers(moveMs + settleMs);
             }
         }
         else if (result !== VmOrderResult.Unknown) {
@@ -355,7 +356,7 @@
             worker.isCordoned = true;
             for (const record of worker.runs.values()) {
                 if (record.step.isService && record.stopReason === undefined && this.mayDisrupt(record)) {
-                    this.options.tenure.stopRun(record, StopReason.VmLeaving);
+                    this.options.tenure.desk.stop(record, StopReason.VmLeaving);
                 }
             }
         }
--- a/src/pool/index.ts
+++ b/src/pool/index.ts
@@ -5,4 +5,5 @@
 export { type MemberRow } from "./member-rows.js";
 export * from "./ownership.js";
 export * from "./ports.js";
-export type { Tenure, TenureTimes } from "./tenure.js";
+export type { TenureTimes } from "./tenure-context.js";
+export type { Tenure } from "./tenure.js";
--- /dev/null
+++ b/src/pool/job-source.ts
@@ -0,0 +1,124 @@
+/** Reads the stored jobs of a domain when a tenure begins, and follows those that entries add later. */
+import { type AcceptedJob, decodeState } from "../job/index.js";
+import { messageOf } from "../process/errors.js";
+import { EventId, Severity } from "../process/events.js";
+import { readAll } from "../process/rows.js";
+import { sleep } from "../process/timer.js";
+import { acceptedRange, decodeJobRow, JobRowKind } from "./job-rows.js";
+import { tables } from "./ownership.js";
+import { retryMs, type TenureContext } from "./tenure-context.js";
+
+/** Takes the jobs and cancellations that were read. */
+export interface JobSink {
+    accept(job: AcceptedJob): void;
+    cancel(id: string): void;
+}
+
+/** Pause between reads of the feed; most jobs arrive sooner by the hint of the entry that took them. */
+const feedPauseMs = 400;
+const feedWaitMs = 2000;
+
+/** Source of a tenure's jobs. */
+export class JobSource {
+    constructor(
+        private readonly ctx: TenureContext,
+        private readonly domain: string,
+        private readonly sink: JobSink,
+    ) {}
+
+    /** Reads all stored jobs; returns the version to follow from, or undefined when the tenure ended meanwhile. */
+    async load(): Promise<number | undefined> {
+        const { store, timer, log } = this.ctx.options;
+        while (this.ctx.isActive) {
+            try {
+                const progress = await readAll(store, { table: tables.progress, part: this.domain });
+                const jobs = await readAll(store, acceptedRange);
+                this.restore(
+                    new Map(progress.rows.map(row => [row.key, row.value])),
+                    jobs.rows.map(row => decodeJobRow(row)),
+                );
+                return jobs.version;
+            }
+            catch (err) {
+                log.write(Severity.Warn, EventId.StoreUnavailable, { err: messageOf(err) });
+                await sleep(timer, retryMs);
+            }
+        }
+        return undefined;
+    }
+
+    /** Follows jobs and cancellations that entries store, until the tenure ends. */
+    async follow(since: number): Promise<void> {
+        const { store, timer, log } = this.ctx.options;
+        let version = since;
+        while (this.ctx.isActive) {
+            try {
+                const result = await store.feed(tables.jobs, version, feedWaitMs);
+                if (result.kind === "history-lost") {
+                    log.write(Severity.Warn, EventId.StoreHistoryLost, { table: tables.jobs, version });
+                    const page = await readAll(store, acceptedRange);
+                    page.rows.forEach(row => this.takeJobRow(row));
+                    version = page.version;
+                }
+                else {
+                    result.rows.forEach(row => this.takeJobRow(row));
+                    version = Math.max(version, result.version);
+                }
+                await sleep(timer, feedPauseMs);
+            }
+            catch (err) {
+                log.write(Severity.Warn, EventId.StoreUnavailable, {
+                    table: tables.jobs,
+                    err: messageOf(err),
+                });
+                await sleep(timer, retryMs);
+            }
+        }
+    }
+
+    private restore(
+        progress: ReadonlyMap<string, string>,
+        rows: readonly ReturnType<typeof decodeJobRow>[],
+    ): void {
+        const now = this.ctx.options.timer.now();
+        for (const row of rows) {
+            if (row.kind === JobRowKind.Accepted) {
+                const text = progress.get(row.job.id);
+                const state = text === undefined ? undefined : decodeState(row.job, text);
+                if (text !== undefined && state === undefined) {
+                    this.ctx.options.log.write(Severity.Error, EventId.RowMalformed, { job: row.job.id });
+                    continue;
+                }
+                if (state === undefined) {
+                    this.ctx.jobs.accept(row.job);
+                }
+                else {
+                    this.ctx.jobs.restore(row.job, state, now);
+                }
+            }
+        }
+        for (const record of this.ctx.jobs.runs.values()) {
+            this.ctx.workers.addRun(record);
+        }
+        for (const row of rows) {
+            if (row.kind === JobRowKind.Cancelled) {
+                this.sink.cancel(row.id);
+            }
+        }
+    }
+
+    private takeJobRow(stored: Parameters<typeof decodeJobRow>[0]): void {
+        const row = decodeJobRow(stored);
+        switch (row.kind) {
+            case JobRowKind.Accepted:
+                this.sink.accept(row.job);
+                return;
+            case JobRowKind.Cancelled:
+                this.sink.cancel(row.id);
+                return;
+            case JobRowKind.Refused:
+            case JobRowKind.Other:
+                return;
+        }
+    }
+}
--- a/src/pool/plan-starts.ts
+++ b/src/pool/plan-starts.ts
@@ -4,7 +4,7 @@
 import type { Directory, Queue } from "../version/directory.js";
 import type { Durations } from "./durations.js";
 import type { JobBook, JobEntry } from "./job-book.js";
-import { type Candidate, chooseWorker, mayRun, type Placeable } from "./placement.js";
+import { type Candidate, chooseWorker, type Placeable } from "./placement.js";
 import { compareOutlooks, type Outlook, outlookOf } from "./urgency.js";
 import { freeOf, type WorkerState } from "./worker-book.js";
 
@@ -220,12 +220,6 @@
         && !worker.isCordoned && now >= worker.avoidUntil;
 }
 
-/** Whether no worker of a pool could ever run a task of the step, were it empty. */
-export function isImpossible(step: StepSpec, workers: readonly WorkerState[]): boolean {
-    return workers.length > 0
-        && workers.every(worker => !mayRun(step, { worker, free: worker.listed.capacity, sameStep: 0 }));
-}
-
 /** Whether a step asks for more than its team may ever have running. */
 export function exceedsCap(step: StepSpec, cap: Resources): boolean {
     const times = step.isGang ? step.tasks : 1;
--- a/src/pool/worker-book.ts
+++ b/src/pool/worker-book.ts
@@ -1,5 +1,6 @@
 /** The workers of a domain as its owner knows them: the platform's list joined with what they answer themselves. */
-import { addResources, noResources, type Resources } from "../process/resources.js";
+import type { StepSpec } from "../job/index.js";
+import { addResources, fitsInto, noResources, type Resources } from "../process/resources.js";
 import type { RunRecord } from "./job-book.js";
 import { LeaseClock } from "./lease.js";
 import type { ListedWorker } from "./ports.js";
@@ -43,11 +44,20 @@
     readonly inheritedUntil: number;
 }
 
+/** Size and labels of a worker, present or possible. */
+export interface WorkerKind {
+    readonly capacity: Resources;
+    readonly labels: readonly string[];
+}
+
 const slownessRate = 0.2;
+/** Kinds that are remembered; with more, nothing is taken for impossible. */
+const mostKinds = 2000;
 
 /** Workers of a domain. */
 export class WorkerBook {
     readonly workers = new Map<string, WorkerState>();
+    private readonly kinds = new Map<string, WorkerKind>();
     private inheritedUntil: number;
 
     private constructor({ inheritedUntil }: WorkerBookOptions) {
@@ -60,6 +70,7 @@
 
     /** Takes over a list of workers; returns those that are new or began a new life. */
     update(list: readonly ListedWorker[]): readonly WorkerState[] {
+        this.noteKinds(list);
         const fresh: WorkerState[] = [];
         const ids = new Set<string>();
         for (const listed of list) {
@@ -82,6 +93,28 @@
         return fresh;
     }
 
+    /** Takes note of VMs that could become workers, parked ones included. */
+    noteKinds(kinds: readonly WorkerKind[]): void {
+        for (const kind of kinds) {
+            const { cpu, memory, accelerators } = kind.capacity;
+            const key = `${cpu}/${memory}/${accelerators}/${kind.labels.join("/")}`;
+            if (this.kinds.size < mostKinds) {
+                this.kinds.set(key, kind);
+            }
+        }
+    }
+
+    /** Whether some worker that was ever seen could run a task of the step, were it empty. */
+    couldEverRun(step: StepSpec): boolean {
+        if (this.kinds.size === 0 || this.kinds.size >= mostKinds) {
+            return true;
+        }
+        return [...this.kinds.values()].some(({ capacity, labels }) =>
+            fitsInto(reservedBy({ step }), capacity)
+            && (step.label === undefined || labels.includes(step.label))
+        );
+    }
+
     /** Notes the life in which a worker answered; true when it is a new one. */
     noteLife(worker: WorkerState, born: number): boolean {
         if (born <= worker.born) {
