Gangs share run number and saved progress and stop together; VMs are called by every resource and label

Cause: members of a gang could be claimed under different run numbers, and the rest waited when one could not start; the planner counted processors only, and a step that needs a label or an accelerator of a parked VM waited for ever. Change: claims take the gang's number and progress; a member's end stops the others; demand is measured in all resources; steps that no VM of their pool can run bring one that can.

--- a/src/job/state.ts
+++ b/src/job/state.ts
@@ -134,11 +134,28 @@
     return { ...state, tasks: state.tasks.with(at, { ...state.tasks[at]!, ...change }) };
 }
 
-/** Records that the next run of a task goes to a worker. */
-export function claimTask(state: JobState, at: number, worker: string, born: number): JobState {
-    const run = state.tasks[at]!.run + 1;
-    const claimed = withTask(state, at, { phase: TaskPhase.Claimed, run, worker, born });
-    return state.phase === JobPhase.Queued ? { ...claimed, phase: JobPhase.Running } : claimed;
+/** Where a claimed run goes. */
+export interface Claim {
+    readonly worker: string;
+    /** Life of the worker. */
+    readonly born: number;
+}
+
+/** Records that the next run of a task goes to a worker. Members of a gang share run number and saved progress. */
+export function claimTask(job: AcceptedJob, state: JobState, at: number, { worker, born }: Claim): JobState {
+    const task = state.tasks[at]!;
+    const isGang = job.spec.steps[task.step]!.isGang;
+    const members = isGang ? state.tasks.filter(other => isSameStep(task, other)) : [task];
+    const claimed = members.filter(({ phase }) => phase === TaskPhase.Claimed);
+    const run = claimed[0]?.run ?? Math.max(...members.map(member => member.run)) + 1;
+    const saved = members.find(member => member.saved !== "")?.saved ?? "";
+    const next = withTask(state, at, { phase: TaskPhase.Claimed, run, worker, born, saved });
+    return state.phase === JobPhase.Queued ? { ...next, phase: JobPhase.Running } : next;
+}
+
+/** Whether two tasks belong to the same step of the same occurrence. */
+export function isSameStep(a: TaskState, b: TaskState): boolean {
+    return a.step === b.step && a.occurrence === b.occurrence;
 }
 
 /** What `endRun` needs to know of the queue. */
@@ -159,6 +176,9 @@
     const step = job.spec.steps[task.step]!;
     const saved = end.saved === undefined || end.saved === "" ? task.saved : end.saved;
     const released = { worker: "", born: 0, saved };
+    if (task.phase === TaskPhase.Done) {
+        return state;
+    }
     if (isFinal(state.phase)) {
         return withTask(state, at, { ...released, phase: TaskPhase.Failed });
     }
--- a/src/pool/advice-book.ts
+++ b/src/pool/advice-book.ts
@@ -58,6 +58,12 @@
         return ticket;
     }
 
+    /** Drops the tickets of a run's step, one of which was refused. */
+    forget({ entry, at }: RunRecord): void {
+        const { occurrence, step } = entry.state.tasks[at]!;
+        this.known.delete(stepName(entry, occurrence, step));
+    }
+
     /** Asks for the steps of these waiting tasks, unless tickets are known or were just asked for. */
     ask(entry: JobEntry, open: readonly number[], workers: readonly string[], onAnswer: () => void): void {
         const now = this.options.timer.now();
--- a/src/pool/demand.ts
+++ b/src/pool/demand.ts
@@ -2,7 +2,9 @@
  * How much work each pool could do at once, held for a moment so that VMs are not sent away between two jobs. Work
  * that is late already counts little: it is worth a fraction and can fill the trough after a burst.
  */
+import { addResources, noResources, type Resources } from "../process/resources.js";
 import type { Directory } from "../version/directory.js";
+import type { StepSpec } from "../job/index.js";
 import type { Durations } from "./durations.js";
 import type { JobBook, JobEntry } from "./job-book.js";
 import { outlookOf, Urgency } from "./urgency.js";
@@ -39,7 +41,7 @@
 
 interface Sample {
     readonly at: number;
-    readonly cpu: number;
+    readonly needs: Resources;
 }
 
 /** Measures the demand of pools. */
@@ -54,7 +56,7 @@
     /** Takes a sample of all pools. */
     measure({ jobs, directory, durations, now, wallMs }: DemandView): void {
         const queues = new Map(directory.queues.map(queue => [queue.name, queue]));
-        const cpu = new Map<string, number>();
+        const usable = new Map<string, Resources>();
         const arrivals = new Map<string, Arrivals>();
         this.spreads.clear();
         for (const entry of jobs.activeEntries) {
@@ -62,7 +64,8 @@
             if (queue !== undefined) {
                 const { pool } = queue;
                 const { urgency } = outlookOf({ entry, queue, durations, wallMs });
-                cpu.set(pool, (cpu.get(pool) ?? 0) + usableCpu(jobs, entry) * demandShare[urgency]);
+                const needs = usableNow(jobs, entry);
+                usable.set(pool, addResources(usable.get(pool) ?? noResources, needs, demandShare[urgency]));
                 if (!entry.isService && wallMs - entry.job.acceptedAtMs < arrivalWindowMs) {
                     arrivals.set(pool, addArrival(arrivals.get(pool), entry, durations));
                 }
@@ -71,15 +74,15 @@
         }
         for (const pool of directory.pools.keys()) {
             const recent = (this.samples.get(pool) ?? []).filter(({ at }) => now - at < holdMs);
-            const usable = Math.max(cpu.get(pool) ?? 0, expectedCpu(arrivals.get(pool)));
-            this.samples.set(pool, [...recent, { at: now, cpu: usable }]);
+            const needs = largest([usable.get(pool) ?? noResources, expectedOf(arrivals.get(pool))]);
+            this.samples.set(pool, [...recent, { at: now, needs }]);
         }
     }
 
-    /** Thousandths of a core that a pool could use, as a peak over the last moments. */
-    cpuOf(pool: string, now: number): number {
+    /** What a pool could use at once, as a peak over the last moments. */
+    needsOf(pool: string, now: number): Resources {
         const recent = this.samples.get(pool)?.filter(({ at }) => now - at < holdMs) ?? [];
-        return Math.max(0, ...recent.map(({ cpu }) => cpu));
+        return largest(recent.map(({ needs }) => needs));
     }
 
     /** VMs over which a pool's services have to be spread. */
@@ -90,37 +93,46 @@
 
 interface Arrivals {
     readonly jobs: number;
-    /** Thousandths of a core, for a millisecond each. */
-    readonly work: number;
+    /** What their tasks take, each amount times the milliseconds that it is taken for. */
+    readonly work: Resources;
 }
 
 function addArrival(before: Arrivals | undefined, { job }: JobEntry, durations: Durations): Arrivals {
     const work = job.spec.steps.reduce(
-        (sum, step) => sum + step.tasks * step.needs.cpu * durations.expect(job.queue, step.estimateMs),
-        0,
+        (sum, step) => addResources(sum, step.needs, step.tasks * durations.expect(job.queue, step.estimateMs)),
+        before?.work ?? noResources,
     );
-    return { jobs: (before?.jobs ?? 0) + 1, work: (before?.work ?? 0) + work };
+    return { jobs: (before?.jobs ?? 0) + 1, work };
 }
 
-/** Thousandths of a core that a burst will keep busy; 0 without a burst. */
-function expectedCpu(arrivals: Arrivals | undefined): number {
+/** What a burst will keep busy; nothing without a burst. */
+function expectedOf(arrivals: Arrivals | undefined): Resources {
     return arrivals === undefined || arrivals.jobs < burstJobs
-        ? 0
-        : arrivals.work / arrivalWindowMs * burstGrowth;
+        ? noResources
+        : addResources(noResources, arrivals.work, burstGrowth / arrivalWindowMs);
 }
 
-function usableCpu(jobs: JobBook, entry: JobEntry): number {
-    let cpu = 0;
+function usableNow(jobs: JobBook, entry: JobEntry): Resources {
+    let needs = noResources;
     const { steps } = entry.job.spec;
-    for (const at of jobs.openTasks(entry)) {
-        const step = steps[entry.state.tasks[at]!.step]!;
-        cpu += step.isBestEffort ? 0 : step.needs.cpu;
-    }
+    const add = (step: StepSpec): void => {
+        needs = addResources(needs, step.isBestEffort ? { ...step.needs, cpu: 0 } : step.needs);
+    };
+    jobs.openTasks(entry).forEach(at => add(steps[entry.state.tasks[at]!.step]!));
     for (const task of entry.runs === 0 ? [] : entry.state.tasks) {
-        const step = steps[task.step]!;
-        cpu += task.worker !== "" && !step.isBestEffort ? step.needs.cpu : 0;
+        if (task.worker !== "") {
+            add(steps[task.step]!);
+        }
     }
-    return cpu;
+    return needs;
+}
+
+function largest(amounts: readonly Resources[]): Resources {
+    return {
+        cpu: Math.max(0, ...amounts.map(({ cpu }) => cpu)),
+        memory: Math.max(0, ...amounts.map(({ memory }) => memory)),
+        accelerators: Math.max(0, ...amounts.map(({ accelerators }) => accelerators)),
+    };
 }
 
 function spreadOf({ isService, job }: JobEntry): number {
--- a/src/pool/fleet-keeper.ts
+++ b/src/pool/fleet-keeper.ts
@@ -1,5 +1,5 @@
 /** Task of the owner that moves and services VMs: reads the inventory, carries out the plan, reports waves. */
-import { TaskPhase } from "../job/index.js";
+import { type StepSpec, TaskPhase } from "../job/index.js";
 import { messageOf } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
 import type { Log } from "../process/log.js";
@@ -9,7 +9,7 @@
 import type { Directory } from "../version/directory.js";
 import type { WaveOrder } from "../version/operator-feed.js";
 import { DemandMeter } from "./demand.js";
-import { type FleetAction, planFleet, type PlannedVm } from "./fleet-plan.js";
+import { couldRun, type FleetAction, planFleet, type PlannedVm } from "./fleet-plan.js";
 import { type RunRecord, StopReason } from "./job-book.js";
 import { type VmCalls, type VmEntry, VmOrderResult, VmPhase } from "./ports.js";
 import type { Tenure } from "./tenure.js";
@@ -183,14 +183,16 @@
         }
         const { jobs, durations } = tenure;
         this.demand.measure({ jobs, directory, durations, now, wallMs: this.options.timer.wall() });
+        const vms = this.inventory.map(entry => this.describe(entry));
         const needs = [...directory.pools.values()].map(({ name, isSpare }) => ({
             pool: name,
             isSpare,
-            cpu: this.demand.cpuOf(name, now),
+            needs: this.demand.needsOf(name, now),
             spread: this.demand.spreadOf(name),
+            stranded: this.strandedIn(name, vms),
         }));
         return planFleet({
-            vms: this.inventory.map(entry => this.describe(entry)),
+            vms,
             needs,
             waves: this.book.open(now),
             reserve: reserveVms,
@@ -207,7 +209,8 @@
             pool: ordered?.pool ?? entry.pool,
             phase: ordered?.phase ?? entry.phase,
             rack: entry.labels[1] ?? "",
-            cpu: entry.capacity.cpu,
+            capacity: entry.capacity,
+            labels: entry.labels,
             runs: this.countRuns(entry, worker),
             services: runs.filter(({ step }) => step.isService).length,
             isCordoned: this.cordoned.has(entry.vm),
@@ -216,6 +219,26 @@
         };
     }
 
+    /** Waiting steps that no VM of a pool could run; one of each kind of need. */
+    private strandedIn(pool: string, vms: readonly PlannedVm[]): readonly StepSpec[] {
+        const { tenure, directory } = this.options;
+        const queues = new Set(directory()?.queues.filter(queue => queue.pool === pool).map(({ name }) => name));
+        const mine = vms.filter(vm => vm.pool === pool && vm.phase !== VmPhase.Down);
+        const stranded = new Map<string, StepSpec>();
+        for (const entry of tenure.jobs.activeEntries) {
+            if (queues.has(entry.job.queue)) {
+                for (const at of tenure.jobs.openTasks(entry)) {
+                    const step = entry.job.spec.steps[entry.state.tasks[at]!.step]!;
+                    const kind = `${step.label ?? ""}/${step.needs.accelerators > 0}`;
+                    if (!stranded.has(kind) && !mine.some(vm => couldRun(step, vm))) {
+                        stranded.set(kind, step);
+                    }
+                }
+            }
+        }
+        return [...stranded.values()];
+    }
+
     /** Runs on a VM; one whose worker is not known counts as busy, unless it is parked. */
     private countRuns({ pool }: VmEntry, worker: WorkerState | undefined): number {
         if (worker?.isListed === true) {
--- a/src/pool/fleet-plan.ts
+++ b/src/pool/fleet-plan.ts
@@ -3,6 +3,8 @@
  * queues that burst one after the other: VMs follow the demand, those that no pool needs are parked in the spare
  * pool, and VMs that are due for service are emptied and serviced while they are parked.
  */
+import type { StepSpec } from "../job/index.js";
+import { fitsInto, noResources, type Resources } from "../process/resources.js";
 import { VmPhase } from "./ports.js";
 
 /** A VM as the plan sees it. */
@@ -11,8 +13,8 @@
     readonly pool: string;
     readonly phase: VmPhase;
     readonly rack: string;
-    /** Thousandths of a core. */
-    readonly cpu: number;
+    readonly capacity: Resources;
+    readonly labels: readonly string[];
     /** Runs on its worker. */
     readonly runs: number;
     /** Runs of services among them. */
@@ -29,8 +31,10 @@
 export interface PoolNeed {
     readonly pool: string;
     readonly isSpare: boolean;
-    /** Thousandths of a core that could be used at once. */
-    readonly cpu: number;
+    /** What could be used at once. */
+    readonly needs: Resources;
+    /** Steps that wait although no VM of the pool could run them, were it empty. */
+    readonly stranded: readonly StepSpec[];
     /** VMs that its services need because of their spread. */
     readonly spread: number;
 }
@@ -76,14 +80,23 @@
     return FleetPlanner.create(view).plan();
 }
 
-/** VMs that a pool should have. */
+/** VMs of a size that a pool should have. */
 export function wantedVms(
     need: PoolNeed,
-    cpuPerVm: number,
-    view: Pick<FleetView, "reserve" | "least">,
+    capacity: Resources,
+    { reserve, least }: Pick<FleetView, "reserve" | "least">,
 ): number {
-    const forWork = Math.ceil(need.cpu / (cpuPerVm * fillable)) + view.reserve;
-    return Math.max(view.least, need.spread, forWork);
+    const shares = [
+        need.needs.cpu / Math.max(1, capacity.cpu),
+        need.needs.memory / Math.max(1, capacity.memory),
+        need.needs.accelerators / Math.max(1, capacity.accelerators),
+    ];
+    return Math.max(least, need.spread, Math.ceil(Math.max(...shares) / fillable) + reserve);
+}
+
+/** Whether a VM could run a task of a step, were it empty. */
+export function couldRun(step: StepSpec, { capacity, labels }: Pick<PlannedVm, "capacity" | "labels">): boolean {
+    return fitsInto(step.needs, capacity) && (step.label === undefined || labels.includes(step.label));
 }
 
 class FleetPlanner {
@@ -106,6 +119,7 @@
         this.emptyDue();
         const active = this.view.needs.filter(({ isSpare }) => !isSpare);
         const deficits = active.map(need => ({ need, missing: this.missing(need) }));
+        active.forEach(need => this.rescue(need));
         for (const { need, missing } of deficits.sort((a, b) => b.missing - a.missing)) {
             this.fill(need.pool, missing);
         }
@@ -147,9 +161,9 @@
 
     private missing(need: PoolNeed): number {
         const mine = this.membersOf(need.pool);
-        const cpu = mine.concat(this.view.vms)[0]?.cpu ?? 1;
+        const capacity = mine.concat(this.view.vms)[0]?.capacity ?? noResources;
         const present = mine.filter(vm => this.counts(vm)).length;
-        return wantedVms(need, Math.max(1, cpu), this.view) - present;
+        return wantedVms(need, capacity, this.view) - present;
     }
 
     private membersOf(pool: string): readonly PlannedVm[] {
@@ -180,14 +194,25 @@
         }
     }
 
+    /** Brings a VM for each kind of step that no VM of the pool can run. */
+    private rescue({ pool, stranded }: PoolNeed): void {
+        for (const step of stranded) {
+            const vm = this.bestFor(pool, candidate => couldRun(step, candidate));
+            if (vm !== undefined) {
+                this.taken.add(vm.vm);
+                this.actions.push({ kind: "move", vm: vm.vm, pool });
+            }
+        }
+    }
+
     /** The VM to bring into a pool: parked or idle elsewhere, rather serviced already, of a rack that it has few of. */
-    private bestFor(pool: string): PlannedVm | undefined {
+    private bestFor(pool: string, isFit: (vm: PlannedVm) => boolean = () => true): PlannedVm | undefined {
         const racks = new Map<string, number>();
         for (const { rack } of this.membersOf(pool)) {
             racks.set(rack, (racks.get(rack) ?? 0) + 1);
         }
         const free = this.view.vms.filter(vm =>
-            vm.phase === VmPhase.Up && vm.pool !== pool && vm.runs === 0 && !this.taken.has(vm.vm)
+            isFit(vm) && vm.phase === VmPhase.Up && vm.pool !== pool && vm.runs === 0 && !this.taken.has(vm.vm)
             && (vm.pool === this.spare || this.cordoned.has(vm.vm))
         );
         return free.sort((a, b) =>
--- a/src/pool/job-book.ts
+++ b/src/pool/job-book.ts
@@ -11,6 +11,7 @@
     failJob,
     initialState,
     isFinal,
+    isSameStep,
     isServiceJob,
     JobPhase,
     type JobState,
@@ -79,6 +80,8 @@
     VmLeaving = "vm-leaving",
     /** It makes no progress. */
     Stalled = "stalled",
+    /** Another member of its gang ended or could not start. */
+    GangBroken = "gang-broken",
     /** The run is not known here. */
     Unknown = "unknown-run",
 }
@@ -153,7 +156,7 @@
 
     /** Claims the next run of a waiting task for a worker. */
     claim(entry: JobEntry, at: number, worker: string, born: number, now: number): RunRecord {
-        this.change(entry, claimTask(entry.state, at, worker, born));
+        this.change(entry, claimTask(entry.job, entry.state, at, { worker, born }));
         entry.hasBegun = true;
         return this.addRun(entry, at, StartStatus.Recorded, now);
     }
@@ -207,6 +210,14 @@
         return entry.open;
     }
 
+    /** Runs of the other members of a gang. */
+    gangOf({ entry, at, step }: RunRecord): readonly RunRecord[] {
+        const task = entry.state.tasks[at]!;
+        return !step.isGang ? [] : entry.state.tasks
+            .filter((other, position) => position !== at && isSameStep(task, other))
+            .flatMap(other => this.runs.get(nameOf(entry, other)) ?? []);
+    }
+
     /** Takes up to `limit` jobs with changes that are to be stored; the caller stores them or marks them again. */
     takeDirty(limit: number): readonly JobEntry[] {
         const taken: JobEntry[] = [];
@@ -300,17 +311,12 @@
         this.usage.set(team, addResources(this.usageOf(team), step.needs, times));
     }
 
-    /** One member's success stands for the whole gang. */
-    private endGang(record: RunRecord): void {
-        const { entry } = record;
-        const { occurrence, step, run } = entry.state.tasks[record.at]!;
-        for (const [at, task] of entry.state.tasks.entries()) {
-            if (task.occurrence === occurrence && task.step === step && task.phase !== TaskPhase.Done) {
-                const other = this.runs.get(nameOf(entry, task));
-                if (other !== undefined && other.run === run) {
-                    this.dropRun(other);
-                }
-                this.change(entry, withTask(entry.state, at, { phase: TaskPhase.Done, worker: "", born: 0 }));
+    /** One member's success stands for the whole gang; the other runs are dropped when their own ends arrive. */
+    private endGang({ entry, at }: RunRecord): void {
+        const ended = entry.state.tasks[at]!;
+        for (const [position, task] of entry.state.tasks.entries()) {
+            if (isSameStep(ended, task) && task.phase !== TaskPhase.Done) {
+                this.change(entry, withTask(entry.state, position, { phase: TaskPhase.Done, worker: "", born: 0 }));
             }
         }
         this.change(entry, settle(entry.job, entry.state));
--- a/src/pool/run-desk.ts
+++ b/src/pool/run-desk.ts
@@ -58,6 +58,7 @@
         const now = timer.now();
         const worker = this.ctx.workers.of(record);
         this.learn(record, worker, how, now);
+        const gang = how === RunEnd.Done ? [] : this.ctx.jobs.gangOf(record);
         this.ctx.workers.dropRun(record);
         this.unstarted.delete(record);
         this.ctx.jobs.end(record, { how, saved }, this.maxFailuresOf(record.entry), now);
@@ -71,6 +72,7 @@
             ageMs: Math.round(now - record.startedAt),
             phase: record.entry.state.phase,
         });
+        gang.forEach(member => this.stop(member, StopReason.GangBroken));
         this.ctx.pump();
     }
 
@@ -150,6 +152,9 @@
                 });
                 metrics.count("celerywind_runs_refused_total", { reason: result.reason });
                 this.noteRefusal(worker, result.reason);
+                if (result.reason === StartRefusal.TicketInvalid) {
+                    this.ctx.advice.forget(record);
+                }
                 this.end({ record, how: RunEnd.Lost, saved: "" });
                 return;
             case "unknown":
--- a/src/pool/worker-watch.ts
+++ b/src/pool/worker-watch.ts
@@ -13,6 +13,8 @@
 const quickRosterMs = 150;
 /** Longest wait for the storing of ends before a worker is held again, in milliseconds; its leases need renewal. */
 const longestAckWaitMs = 800;
+/** Pause in placing work on a worker that has runs nobody wants, in milliseconds. */
+const unwantedAvoidMs = 300;
 /** Pause between holds of a worker that is no longer listed, in milliseconds. */
 const unlistedRetryMs = 600;
 
@@ -201,6 +203,10 @@
             this.noteRunning(record, report.percent, report.reading, now);
         }
         found.ended.forEach(end => this.desk.end(end));
+        if (found.unwanted.length > 0) {
+            // They take room that is not accounted for until they have stopped.
+            worker.avoidUntil = Math.max(worker.avoidUntil, now + unwantedAvoidMs);
+        }
         for (const { task, run } of found.unwanted) {
             void this.ctx.options.calls.stop(targetOf(worker), task, run, this.ctx.fence);
         }
--- a/test/fleet-plan.test.ts
+++ b/test/fleet-plan.test.ts
@@ -4,8 +4,9 @@
 import { CordonReason, type FleetView, planFleet, type PlannedVm } from "../src/pool/fleet-plan.js";
 import { JobBook } from "../src/pool/job-book.js";
 import { VmPhase } from "../src/pool/ports.js";
+import type { Resources } from "../src/process/resources.js";
 import type { Directory } from "../src/version/directory.js";
-import { jobOf } from "../standin/site/site.js";
+import { jobOf, stepOf } from "../standin/site/site.js";
 
 const cores = (n: number): number => n * 1000;
 
@@ -15,7 +16,8 @@
         pool,
         phase: VmPhase.Up,
         rack: "r1",
-        cpu: cores(32),
+        capacity: { cpu: cores(32), memory: 128_000, accelerators: 0 },
+        labels: ["a", "r1"],
         runs: 0,
         services: 0,
         isCordoned: false,
@@ -29,8 +31,12 @@
     return { vms: [], needs: [], waves: [], reserve: 0, least: 1, ...change };
 }
 
-const spare = { pool: "spare", isSpare: true, cpu: 0, spread: 0 };
-const bench = { pool: "bench", isSpare: false, cpu: cores(20), spread: 0 };
+function cpuOnly(cpu: number): Resources {
+    return { cpu, memory: 0, accelerators: 0 };
+}
+
+const spare = { pool: "spare", isSpare: true, needs: cpuOnly(0), spread: 0, stranded: [] };
+const bench = { pool: "bench", isSpare: false, needs: cpuOnly(cores(20)), spread: 0, stranded: [] };
 
 describe("VMs follow the demand", () => {
     test("idle VMs beyond the need are emptied, and parked once they are empty", () => {
@@ -52,7 +58,7 @@
             vm("b", "bench", { isCordoned: true, runs: 1 }),
             vm("c", "spare"),
         ];
-        const needs = [{ ...bench, cpu: cores(80) }, spare];
+        const needs = [{ ...bench, needs: cpuOnly(cores(80)) }, spare];
         expect(planFleet(view({ vms, needs }))).toEqual([
             { kind: "uncordon", vm: "b" },
             { kind: "move", vm: "c", pool: "bench" },
@@ -65,7 +71,7 @@
             vm("b", "atelier", { runs: 1 }),
             vm("c", "atelier", { isCordoned: true }),
         ];
-        const needs = [{ ...bench, cpu: cores(50) }, { ...bench, pool: "atelier" }, spare];
+        const needs = [{ ...bench, needs: cpuOnly(cores(50)) }, { ...bench, pool: "atelier" }, spare];
         expect(planFleet(view({ vms, needs }))).toEqual([{ kind: "move", vm: "c", pool: "bench" }]);
     });
 
@@ -74,6 +80,18 @@
         expect(planFleet(view({ vms, needs: [bench, spare] }))).toEqual([]);
     });
 
+    test("memory alone can be what a pool lacks", () => {
+        const vms = [vm("a", "bench", { runs: 2 }), vm("b", "spare")];
+        const needs = [{ ...bench, needs: { cpu: cores(4), memory: 200_000, accelerators: 0 } }, spare];
+        expect(planFleet(view({ vms, needs }))).toEqual([{ kind: "move", vm: "b", pool: "bench" }]);
+    });
+
+    test("a parked VM with the label that a step needs is brought, however idle the pool is", () => {
+        const vms = [vm("a", "bench"), vm("b", "spare"), vm("c", "spare", { labels: ["gold", "r1"] })];
+        const needs = [{ ...bench, stranded: [stepOf({ label: "gold" })] }, spare];
+        expect(planFleet(view({ vms, needs }))).toEqual([{ kind: "move", vm: "c", pool: "bench" }]);
+    });
+
     test("VMs stay where they are when no pool is spare", () => {
         const vms = [vm("a", "bench"), vm("b", "bench"), vm("c", "bench")];
         expect(planFleet(view({ vms, needs: [bench] }))).toEqual([]);
@@ -137,7 +155,7 @@
         }
         const meter = DemandMeter.create();
         meter.measure({ jobs, directory, durations: Durations.create(), now: 0, wallMs: 100_000 });
-        return meter.cpuOf("bench", 0);
+        return meter.needsOf("bench", 0).cpu;
     }
 
     test("counts work that can be on time in full", () => {
@@ -158,7 +176,7 @@
             }
             const meter = DemandMeter.create();
             meter.measure({ jobs, directory, durations: Durations.create(), now: 0, wallMs: 100_500 });
-            return meter.cpuOf("bench", 0);
+            return meter.needsOf("bench", 0).cpu;
         };
         expect(usable(1)).toBe(cores(4));
         expect(usable(10)).toBeGreaterThan(cores(60));
@@ -178,8 +196,8 @@
         meter.measure({ jobs, directory, durations, now: 0, wallMs: 100_000 });
         jobs.cancel(entry, 100);
         meter.measure({ jobs, directory, durations, now: 1500, wallMs: 101_500 });
-        expect(meter.cpuOf("bench", 1500)).toBe(cores(8));
+        expect(meter.needsOf("bench", 1500).cpu).toBe(cores(8));
         meter.measure({ jobs, directory, durations, now: 2500, wallMs: 102_500 });
-        expect(meter.cpuOf("bench", 2500)).toBe(0);
+        expect(meter.needsOf("bench", 2500).cpu).toBe(0);
     });
 });
