--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -41,7 +41,7 @@
     /** Called when the members change. */
     readonly onMembers: (members: ReadonlyMap<string, MemberRow>) => void;
     /** Makes the keeper of the VMs for a tenure that begins. */
-    readonly keeper: (tenure: Tenure, isFirst: boolean) => { start(): void; stop(): void };
+    readonly keeper: (tenure: Tenure, isPreviousGone: boolean) => { start(): void; stop(): void };
 }
 
 interface Beacon {
@@ -341,7 +341,7 @@
         this.current = tenure;
         this.heardAt = timer.now();
         this.sendBeacon();
-        this.keeper = this.options.keeper(tenure, previous === undefined);
+        this.keeper = this.options.keeper(tenure, isPreviousGone);
         this.keeper.start();
         await tenure.start();
     }
--- a/src/site-core.ts
+++ b/src/site-core.ts
@@ -143,11 +143,11 @@
                 keepFinalMs,
             },
             onMembers,
-            keeper: (tenure, isFirst) => this.createKeeper(tenure, isFirst),
+            keeper: (tenure, isPreviousGone) => this.createKeeper(tenure, isPreviousGone),
         });
     }
 
-    private createKeeper(tenure: Tenure, isFirst: boolean): FleetKeeper {
+    private createKeeper(tenure: Tenure, isPreviousGone: boolean): FleetKeeper {
         const { settings, timer, log, metrics } = this.options;
         const { vms, waveStatusRow } = this.platform;
         const { holderGapMs, serviceMs, moveMs } = settings.bounds;
@@ -163,7 +163,7 @@
             timer,
             log,
             metrics,
-            quietUntil: timer.now() + (isFirst ? 0 : holderGapMs),
+            quietUntil: timer.now() + (isPreviousGone ? 0 : holderGapMs),
             serviceMs,
             moveMs,
         });
