--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,16 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["dist/**", "target/**", "deploy/**", "node_modules/**", "vitest.config.ts", "eslint.config.js"] },
+    {
+        ignores: [
+            "dist/**",
+            "target/**",
+            "deploy/**",
+            "node_modules/**",
+            "vitest.config.ts",
+            "eslint.config.js",
+        ],
+    },
     ...tseslint.configs.recommendedTypeChecked,
     {
         languageOptions: { parserOptions: { projectService: true } },
--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -41,7 +41,13 @@
     /** Called when the members change. */
     readonly onMembers: (members: ReadonlyMap<string, MemberRow>) => void;
     /** Makes the keeper of the VMs for a tenure that begins. */
-    readonly keeper: (tenure: Tenure, isPreviousGone: boolean) => { start(): void; stop(): void };
+    readonly keeper: (tenure: Tenure, isPreviousGone: boolean) => Keeper;
+}
+
+/** Looks after the VMs during a tenure. */
+export interface Keeper {
+    start(): void;
+    stop(): Promise<void>;
 }
 
 interface Beacon {
@@ -86,7 +92,7 @@
     private heardAt: number;
     private beacon: Beacon | undefined;
     private current: Tenure | undefined;
-    private keeper: { start(): void; stop(): void } | undefined;
+    private keeper: Keeper | undefined;
     private isRunning = false;
     private isStopping = false;
     private isBusy = false;
@@ -129,7 +135,7 @@
         this.isStopping = true;
         const tenure = this.current;
         if (tenure !== undefined) {
-            this.keeper?.stop();
+            await this.keeper?.stop();
             const head = await tenure.handOver();
             this.current = undefined;
             const outcome = await store.transact(release(head));
@@ -364,7 +370,7 @@
 
     private noteSuperseded(tenure: Tenure): void {
         if (this.current === tenure) {
-            this.keeper?.stop();
+            void this.keeper?.stop();
             this.current = undefined;
             this.heardAt = this.options.timer.now();
             this.beacon = undefined;
--- a/src/pool/fleet-keeper.ts
+++ b/src/pool/fleet-keeper.ts
@@ -5,7 +5,7 @@
 import type { Log } from "../process/log.js";
 import type { Metrics } from "../process/metrics.js";
 import { readAll, type RowPut, type RowStore, TransactKind } from "../process/rows.js";
-import type { Cancel, Timer } from "../process/timer.js";
+import { type Cancel, sleep, type Timer } from "../process/timer.js";
 import type { Directory } from "../version/directory.js";
 import type { WaveOrder } from "../version/operator-feed.js";
 import { DemandMeter } from "./demand.js";
@@ -42,6 +42,9 @@
 /** Added to the time that a move or service takes, before the inventory's word is believed again. */
 const settleMs = 300;
 const maxOrdersAtOnce = 16;
+/** Longest wait for orders under way at the end of a tenure, and the period of looking at them, in milliseconds. */
+const longestOrderMs = 500;
+const stopCheckMs = 10;
 /** VMs that a pool keeps beyond its need, and at least. */
 const reserveVms = 1;
 const leastVms = 2;
@@ -80,9 +83,14 @@
         this.cancel = this.options.timer.every(tickMs, () => void this.tick());
     }
 
-    /** Orders nothing any more. */
-    stop(): void {
+    /** Orders nothing any more; resolves when the orders under way are answered. */
+    async stop(): Promise<void> {
         this.cancel();
+        const { timer } = this.options;
+        const deadline = timer.now() + longestOrderMs;
+        while (this.isBusy && timer.now() < deadline) {
+            await sleep(timer, stopCheckMs);
+        }
     }
 
     private async tick(): Promise<void> {
@@ -194,7 +202,7 @@
         return planFleet({
             vms,
             needs,
-            waves: this.book.open(now),
+            waves: this.book.open(now, this.inService()),
             reserve: reserveVms,
             least: leastVms,
         });
@@ -219,10 +227,17 @@
         };
     }
 
+    private inService(): ReadonlySet<string> {
+        const out = this.inventory.filter(({ phase }) => phase === VmPhase.InService);
+        return new Set(out.map(({ vm }) => vm));
+    }
+
     /** Waiting steps that no VM of a pool could run; one of each kind of need. */
     private strandedIn(pool: string, vms: readonly PlannedVm[]): readonly StepSpec[] {
         const { tenure, directory } = this.options;
-        const queues = new Set(directory()?.queues.filter(queue => queue.pool === pool).map(({ name }) => name));
+        const queues = new Set(
+            directory()?.queues.filter(queue => queue.pool === pool).map(({ name }) => name),
+        );
         const mine = vms.filter(vm => vm.pool === pool && vm.phase !== VmPhase.Down);
         const stranded = new Map<string, StepSpec>();
         for (const entry of tenure.jobs.activeEntries) {
--- a/src/pool/fleet-plan.ts
+++ b/src/pool/fleet-plan.ts
@@ -95,7 +95,10 @@
 }
 
 /** Whether a VM could run a task of a step, were it empty. */
-export function couldRun(step: StepSpec, { capacity, labels }: Pick<PlannedVm, "capacity" | "labels">): boolean {
+export function couldRun(
+    step: StepSpec,
+    { capacity, labels }: Pick<PlannedVm, "capacity" | "labels">,
+): boolean {
     return fitsInto(step.needs, capacity) && (step.label === undefined || labels.includes(step.label));
 }
 
@@ -212,7 +215,8 @@
             racks.set(rack, (racks.get(rack) ?? 0) + 1);
         }
         const free = this.view.vms.filter(vm =>
-            isFit(vm) && vm.phase === VmPhase.Up && vm.pool !== pool && vm.runs === 0 && !this.taken.has(vm.vm)
+            isFit(vm) && vm.phase === VmPhase.Up && vm.pool !== pool && vm.runs === 0
+            && !this.taken.has(vm.vm)
             && (vm.pool === this.spare || this.cordoned.has(vm.vm))
         );
         return free.sort((a, b) =>
--- a/src/pool/job-book.ts
+++ b/src/pool/job-book.ts
@@ -316,7 +316,10 @@
         const ended = entry.state.tasks[at]!;
         for (const [position, task] of entry.state.tasks.entries()) {
             if (isSameStep(ended, task) && task.phase !== TaskPhase.Done) {
-                this.change(entry, withTask(entry.state, position, { phase: TaskPhase.Done, worker: "", born: 0 }));
+                this.change(
+                    entry,
+                    withTask(entry.state, position, { phase: TaskPhase.Done, worker: "", born: 0 }),
+                );
             }
         }
         this.change(entry, settle(entry.job, entry.state));
--- a/src/pool/wave-book.ts
+++ b/src/pool/wave-book.ts
@@ -85,19 +85,25 @@
         return undefined;
     }
 
-    /** Waves that still have VMs due, with what may be taken out now. */
-    open(now: number) {
+    /**
+     * Waves that still have VMs due, with what may be taken out now. VMs that the inventory shows in service count as
+     * out as well: an earlier owner may have ordered them.
+     */
+    open(now: number, inService: ReadonlySet<string>) {
         return [...this.waves].flatMap(([wave, state]) => {
             const left = state.order.vms.filter(vm =>
                 !state.done.has(vm) && !state.excluded.has(vm) && !state.out.has(vm)
             ).length;
             const cap = Math.max(1, state.order.cap);
+            const out = state.order.vms.filter(vm =>
+                state.out.has(vm) || inService.has(vm)
+            ).length;
             const timeLeftMs = state.seenAt + state.order.durationMs - now;
             const neededMs = Math.ceil(left / cap) * (this.serviceMs + roundOverheadMs);
             const isUrgent = neededMs > timeLeftMs * urgentShare;
             const isDue = now - state.seenAt > state.order.durationMs * patientShare;
             const emptyAtOnce = isUrgent ? cap : isDue ? Math.min(cap, emptiedPatiently) : 0;
-            return left === 0 ? [] : [{ wave, free: Math.max(0, cap - state.out.size), emptyAtOnce }];
+            return left === 0 ? [] : [{ wave, free: Math.max(0, cap - out), emptyAtOnce }];
         });
     }
 
--- a/test/site.test.ts
+++ b/test/site.test.ts
@@ -430,6 +430,24 @@
         expect(site.checker.breaches).toEqual([]);
     });
 
+    test("keeps its cap when the owner hands over right after it has taken VMs out", async () => {
+        const site = await siteWith({ keepsVms: true, vmsPerPool: 6, spareVms: 4 });
+        await site.timer.advance(3000);
+        site.orderWave({
+            wave: 1,
+            vms: [...vms, "vm-6", "vm-7", "vm-8", "vm-9"],
+            durationMs: 20_000,
+            cap: 3,
+        });
+        for (let i = 0; i < 40 && site.mostOut === 0; i++) {
+            await site.timer.advance(10);
+        }
+        void ownerOf(site).core.leave();
+        await site.timer.advance(15_000);
+        expect(site.mostOut).toBe(3);
+        expect(site.isWaveFinished(1)).toBe(true);
+    });
+
     test("is finished by the next owner when the first is killed in its midst", async () => {
         const site = await siteWith({ keepsVms: true, vmsPerPool: 6, spareVms: 2 });
         await site.timer.advance(3000);
