Pools in need of VMs go before a wave that has time

Change: idle VMs are serviced after deficits are filled, unless the wave is urgent, which it is from half its time on.

--- a/src/pool/fleet-plan.ts
+++ b/src/pool/fleet-plan.ts
@@ -44,6 +44,8 @@
     readonly wave: number;
     /** VMs that may be taken out now without exceeding the cap. */
     readonly free: number;
+    /** Whether the time left hardly suffices. */
+    readonly isUrgent: boolean;
     /** VMs in use that may be emptied for it at the same time. */
     readonly emptyAtOnce: number;
 }
@@ -118,7 +120,7 @@
     }
 
     plan(): readonly FleetAction[] {
-        this.serviceIdle();
+        this.serviceIdle(({ isUrgent }) => isUrgent);
         this.emptyDue();
         const active = this.view.needs.filter(({ isSpare }) => !isSpare);
         const deficits = active.map(need => ({ need, missing: this.missing(need) }));
@@ -126,6 +128,7 @@
         for (const { need, missing } of deficits.sort((a, b) => b.missing - a.missing)) {
             this.fill(need.pool, missing);
         }
+        this.serviceIdle(({ isUrgent }) => !isUrgent);
         for (const { need, missing } of deficits) {
             this.shed(need.pool, -missing);
         }
@@ -133,12 +136,12 @@
         return this.actions;
     }
 
-    /** Takes parked and idle VMs out for the service that they are due for. */
-    private serviceIdle(): void {
-        for (const { wave, free } of this.view.waves) {
+    /** Takes parked and idle VMs out for the service that they are due for; pools in need go first. */
+    private serviceIdle(isMeant: (wave: OpenWave) => boolean): void {
+        for (const { wave, free } of this.view.waves.filter(isMeant)) {
             const due = this.view.vms
                 .filter(vm => vm.dueWave === wave && vm.phase === VmPhase.Up && vm.runs === 0)
-                .filter(vm => vm.pool === this.spare || this.cordoned.has(vm.vm))
+                .filter(vm => (vm.pool === this.spare || this.cordoned.has(vm.vm)) && !this.taken.has(vm.vm))
                 .sort((a, b) => Number(b.pool === this.spare) - Number(a.pool === this.spare));
             for (const { vm } of due.slice(0, free)) {
                 this.taken.add(vm);
--- a/src/pool/wave-book.ts
+++ b/src/pool/wave-book.ts
@@ -21,7 +21,7 @@
 const waveRow = z.object({ done: z.array(z.string()) });
 
 /** Share of the time left that the remaining rounds of service may need before VMs are emptied as fast as allowed. */
-const urgentShare = 0.75;
+const urgentShare = 0.5;
 /** Share of a wave's time in which only idle VMs are serviced; later, VMs in use are emptied a few at a time. */
 const patientShare = 0.1;
 const emptiedPatiently = 2;
@@ -103,7 +103,7 @@
             const isUrgent = neededMs > timeLeftMs * urgentShare;
             const isDue = now - state.seenAt > state.order.durationMs * patientShare;
             const emptyAtOnce = isUrgent ? cap : isDue ? Math.min(cap, emptiedPatiently) : 0;
-            return left === 0 ? [] : [{ wave, free: Math.max(0, cap - out), emptyAtOnce }];
+            return left === 0 ? [] : [{ wave, free: Math.max(0, cap - out), isUrgent, emptyAtOnce }];
         });
     }
 
--- a/test/fleet-plan.test.ts
+++ b/test/fleet-plan.test.ts
@@ -101,16 +101,26 @@
 describe("VMs that are due for service", () => {
     test("are taken while they are parked, no more than the wave lets out", () => {
         const vms = ["a", "b", "c"].map(name => vm(name, "spare", { dueWave: 1 }));
-        const waves = [{ wave: 1, free: 2, emptyAtOnce: 0 }];
+        const waves = [{ wave: 1, free: 2, isUrgent: false, emptyAtOnce: 0 }];
         expect(planFleet(view({ vms, needs: [spare], waves }))).toEqual([
             { kind: "service", vm: "a", wave: 1 },
             { kind: "service", vm: "b", wave: 1 },
         ]);
     });
 
+    test("wait for it while a burst needs them, unless the wave is urgent", () => {
+        const vms = [vm("a", "spare", { dueWave: 1 }), vm("b", "bench", { runs: 9 })];
+        const needs = [{ ...bench, needs: cpuOnly(cores(50)) }, spare];
+        const wave = { wave: 1, free: 1, isUrgent: false, emptyAtOnce: 0 };
+        expect(planFleet(view({ vms, needs, waves: [wave] }))).toEqual([{ kind: "move", vm: "a", pool: "bench" }]);
+        expect(planFleet(view({ vms, needs, waves: [{ ...wave, isUrgent: true }] }))).toEqual([
+            { kind: "service", vm: "a", wave: 1 },
+        ]);
+    });
+
     test("are the last to be brought into a pool", () => {
         const vms = [vm("a", "spare", { dueWave: 1 }), vm("b", "spare")];
-        const waves = [{ wave: 1, free: 0, emptyAtOnce: 0 }];
+        const waves = [{ wave: 1, free: 0, isUrgent: false, emptyAtOnce: 0 }];
         expect(planFleet(view({ vms, needs: [bench, spare], waves }))).toEqual([
             { kind: "move", vm: "b", pool: "bench" },
         ]);
@@ -118,7 +128,7 @@
 
     test("are emptied while in use when the wave asks for it, and others take their place", () => {
         const vms = [vm("a", "bench", { runs: 3, services: 1, dueWave: 1 }), vm("b", "spare")];
-        const waves = [{ wave: 1, free: 1, emptyAtOnce: 1 }];
+        const waves = [{ wave: 1, free: 1, isUrgent: false, emptyAtOnce: 1 }];
         expect(planFleet(view({ vms, needs: [bench, spare], waves }))).toEqual([
             { kind: "cordon", vm: "a", why: CordonReason.DueForService },
             { kind: "move", vm: "b", pool: "bench" },
