A slow owner gives the domain up; unanswered starts are settled within half a second

Cause: (1) a start without an answer waited 400 ms and then for the hold that lay at the worker, up to 1.2 s, before its task could start elsewhere; each late order made its job late. Tests for both fail before.

--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -7,6 +7,7 @@
 import { EventId, Severity } from "../process/events.js";
 import { run } from "../process/flow.js";
 import type { Task } from "../process/hub.js";
+import type { LagMeter } from "../process/lag.js";
 import type { Log } from "../process/log.js";
 import type { Metrics } from "../process/metrics.js";
 import type { Peer, Peers } from "../process/peers.js";
@@ -38,6 +39,7 @@
     readonly log: Log;
     readonly metrics: Metrics;
     readonly times: TenureTimes;
+    readonly lag: LagMeter;
     /** Called when the members change. */
     readonly onMembers: (members: ReadonlyMap<string, MemberRow>) => void;
     /** Makes the keeper of the VMs for a tenure that begins. */
@@ -70,6 +72,8 @@
 
 const beaconMs = 200;
 const checkMs = 100;
+/** Places by which a slow entry stands back behind the others when the domain has no owner. */
+const slowRank = 12;
 const feedWaitMs = 4000;
 const retryMs = 200;
 const heardTimeoutMs = 200;
@@ -121,6 +125,7 @@
     start(): Promise<void> {
         const { timer } = this.options;
         this.isRunning = true;
+        this.options.lag.start();
         this.listen();
         this.cancels.push(timer.every(beaconMs, () => this.sendBeacon()));
         this.cancels.push(timer.every(checkMs, () => void this.check()));
@@ -148,9 +153,47 @@
         const left = await store.transact({ conditions: [], puts: [], removals: [memberKey(entry)] });
         log.write(Severity.Info, EventId.MemberGone, { entry, outcome: left.kind });
         this.isRunning = false;
+        this.options.lag.stop();
         this.cancels.forEach(cancel => cancel());
     }
 
+    /** Stops ordering and lets another entry take the domain over without waiting. */
+    private async giveUp(cause: string): Promise<void> {
+        const { store, log, peers, lag } = this.options;
+        const tenure = this.current;
+        if (tenure === undefined) {
+            return;
+        }
+        await this.keeper?.stop();
+        const head = await tenure.handOver();
+        this.current = undefined;
+        const outcome = await store.transact(release(head));
+        this.owner = { ...head.owner, entry: "" };
+        this.heardAt = this.options.timer.now();
+        peers.broadcast(Topic.Released, { fence: head.owner.fence });
+        log.write(Severity.Info, EventId.OwnerReleased, {
+            fence: head.owner.fence,
+            cause,
+            lagMs: Math.round(lag.medianMs),
+            outcome: outcome.kind,
+        });
+    }
+
+    /** Gives the domain up when this process is too slow for it and another entry can take it. */
+    private async giveWay(): Promise<void> {
+        const { lag, peers } = this.options;
+        if (this.isBusy || !lag.isSlow || peers.connected().length === 0) {
+            return;
+        }
+        this.isBusy = true;
+        try {
+            await this.giveUp("slow");
+        }
+        finally {
+            this.isBusy = false;
+        }
+    }
+
     /** Tells the owner of a job that was just stored. */
     tellAccepted(job: AcceptedJob): void {
         this.tell(tenure => tenure.accept(job), Topic.Accepted, job);
@@ -256,6 +299,10 @@
     }
 
     private async check(): Promise<void> {
+        if (this.current?.isReady === true && !this.isStopping) {
+            await this.giveWay();
+            return;
+        }
         if (
             this.isBusy || this.current !== undefined || !this.isRunning
             || !this.wouldTakeOver(this.silentMs())
@@ -291,7 +338,7 @@
             ownerSilentMs,
             ownerStoreAgeMs: this.beacon === undefined ? 0 : this.beacon.storeAgeMs,
             storeAgeMs,
-            rank: candidates.indexOf(entry),
+            rank: candidates.indexOf(entry) + (this.options.lag.isSlow ? slowRank : 0),
             isStopping: this.isStopping,
         });
     }
--- a/src/pool/run-desk.ts
+++ b/src/pool/run-desk.ts
@@ -19,7 +19,11 @@
     /** Runs that were claimed and wait for their record to be stored. */
     private readonly unstarted = new Set<RunRecord>();
 
-    constructor(private readonly ctx: TenureContext) {}
+    constructor(
+        private readonly ctx: TenureContext,
+        /** Looks at a worker at once, because its next answer tells whether a run exists. */
+        private readonly look: (worker: WorkerState) => void,
+    ) {}
 
     /** Number of runs that wait for their record to be stored. */
     get unstartedCount(): number {
@@ -92,10 +96,18 @@
         void calls.stop(targetOf(worker), record.name, record.run, this.ctx.fence).then(result => {
             if (result.kind === "done") {
                 record.stopConfirmedAt = timer.now();
+                this.onStopConfirmed(worker, record);
             }
         });
     }
 
+    /** A stop that was answered decides the fate of an uncertain start; the worker's next answer tells it. */
+    private onStopConfirmed(worker: WorkerState, record: RunRecord): void {
+        if (record.start === StartStatus.Uncertain && this.ctx.isActive) {
+            this.look(worker);
+        }
+    }
+
     private async startRun(record: RunRecord): Promise<void> {
         const { timer, times, calls, metrics } = this.ctx.options;
         const worker = this.ctx.workers.of(record);
--- a/src/pool/tenure.ts
+++ b/src/pool/tenure.ts
@@ -66,7 +66,7 @@
         this.workers = WorkerBook.create({ inheritedUntil: now + trusted + longestLeaseMs(times.leaseMs) });
         this.share = TeamShare.create(timer, options.directory);
         this.advice = AdviceBook.create({ adviser: options.adviser, timer, log: options.log });
-        this.desk = new RunDesk(this);
+        this.desk = new RunDesk(this, worker => this.watch.look(worker));
         this.watch = new WorkerWatch(this, this.desk);
         this.runWatch = new RunWatch(this, this.desk);
         this.source = new JobSource(this, head.domain, this);
--- a/src/pool/worker-watch.ts
+++ b/src/pool/worker-watch.ts
@@ -43,6 +43,18 @@
         this.quickUntil = Math.max(this.quickUntil, this.ctx.options.timer.now() + forMs);
     }
 
+    /** Asks a worker for its runs beside the hold that waits there. */
+    look(worker: WorkerState): void {
+        const { options, fence } = this.ctx;
+        const sentAt = options.timer.now();
+        const order = { fence, acknowledged: worker.acknowledged, waitMs: 0 };
+        void options.calls.hold(targetOf(worker), order).then(result => {
+            if (result.kind === "held" && this.ctx.isActive) {
+                this.noteHold(worker, result, sentAt);
+            }
+        });
+    }
+
     /** Workers with ends that are applied and not yet acknowledged. */
     endsSeen(): readonly SeenEnds[] {
         return [...this.ctx.workers.workers.values()]
--- a/src/site-entry.ts
+++ b/src/site-entry.ts
@@ -128,6 +128,7 @@
         metrics.gauge("celerywind_lists_age_ms", {}, () => this.core.lists.ageMs);
         metrics.gauge("celerywind_store_age_ms", {}, () => this.core.store.ageMs);
         metrics.gauge("celerywind_peers", {}, () => this.mesh.connected().length);
+        metrics.gauge("celerywind_lag_ms", {}, () => this.core.lag.medianMs);
         metrics.gauge("celerywind_is_owner", {}, () => this.core.domain.tenure === undefined ? 0 : 1);
         metrics.gauge(
             "celerywind_active_jobs",
--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -76,7 +76,7 @@
 }
 
 const orderMs = 1;
-const orderTimeoutMs = 400;
+const orderTimeoutMs = 200;
 const moveMs = 1500;
 const serviceMs = 2000;
 const sparePool = "spare";
--- a/test/fleet-plan.test.ts
+++ b/test/fleet-plan.test.ts
@@ -112,7 +112,11 @@
         const vms = [vm("a", "spare", { dueWave: 1 }), vm("b", "bench", { runs: 9 })];
         const needs = [{ ...bench, needs: cpuOnly(cores(50)) }, spare];
         const wave = { wave: 1, free: 1, isUrgent: false, emptyAtOnce: 0 };
-        expect(planFleet(view({ vms, needs, waves: [wave] }))).toEqual([{ kind: "move", vm: "a", pool: "bench" }]);
+        expect(planFleet(view({ vms, needs, waves: [wave] }))).toEqual([{
+            kind: "move",
+            vm: "a",
+            pool: "bench",
+        }]);
         expect(planFleet(view({ vms, needs, waves: [{ ...wave, isUrgent: true }] }))).toEqual([
             { kind: "service", vm: "a", wave: 1 },
         ]);
--- a/test/site.test.ts
+++ b/test/site.test.ts
@@ -182,6 +182,32 @@
         expect(owner.core.domain.tenure).toBeUndefined();
     });
 
+    test("is asked for by an owner that gets too little processor time", async () => {
+        const site = await siteWith();
+        await site.settle(site.submit(site.entries[0]!, "j1", jobOf({ tasks: 4 }), { workMs: 3000 }));
+        const owner = ownerOf(site);
+        for (let i = 0; i < 20; i++) {
+            owner.timer.pause();
+            await site.timer.advance(150);
+            owner.timer.resume();
+            await site.timer.advance(10);
+        }
+        expect(ownerOf(site)).not.toBe(owner);
+        await site.timer.advance(4000);
+        await expectPhase(site, "j1", "succeeded");
+        expect(site.checker.starts).toBe(4);
+    });
+
+    test("is not asked for after a single pause", async () => {
+        const site = await siteWith();
+        const owner = ownerOf(site);
+        owner.timer.pause();
+        await site.timer.advance(500);
+        owner.timer.resume();
+        await site.timer.advance(3000);
+        expect(ownerOf(site)).toBe(owner);
+    });
+
     test("goes to an entry that reaches the store when the owner does not", async () => {
         const site = await siteWith();
         const owner = ownerOf(site);
@@ -259,6 +285,24 @@
         }
     });
 
+    test("leaves one order unanswered holds up its task for less than half a second", async () => {
+        const site = await siteWith();
+        const [worker] = site.workers;
+        for (const each of site.workers) {
+            each.faults.lateMs = 5000;
+        }
+        await site.settle(site.submit(site.entries[0]!, "j1", jobOf({}), { workMs: 2000 }));
+        await site.timer.advance(100);
+        for (const each of site.workers) {
+            each.faults.lateMs = 0;
+        }
+        await site.timer.advance(600);
+        expect(site.workers.flatMap(({ running }) => [...running.values()])).toEqual([2]);
+        await site.timer.advance(6000);
+        await expectPhase(site, "j1", "succeeded");
+        expect(worker?.running.size).toBe(0);
+    });
+
     test("makes no progress has its runs stopped and started elsewhere", async () => {
         const site = await siteWith();
         await accepted(site, "j1", { tasks: 1 });
