Take over only from the owner that was suspected; notice a silent or cut-off owner sooner

An owner that the store refused was replaced after 1.4 s. Change: a takeover names the fence it replaces; silence counts after 600 ms, a stale store after 800 ms, the list of workers is read every 400 ms.

--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -361,7 +361,11 @@
             ownerStoreAgeMs: Math.round(this.beacon?.storeAgeMs ?? 0),
             probeMs: Math.round(probeMs),
         });
-        const result = await run(takeOver(name, entry, incarnation), effect => this.performLedger(effect));
+        const suspectFence = this.owner?.fence ?? 0;
+        const result = await run(
+            takeOver(name, { entry, incarnation, suspectFence }),
+            effect => this.performLedger(effect),
+        );
         switch (result.kind) {
             case "lost":
                 this.heardAt = Math.max(this.heardAt, timer.now() - ownerSilenceMs + lostRacePauseMs);
--- a/src/pool/ledger.ts
+++ b/src/pool/ledger.ts
@@ -88,17 +88,26 @@
     }
 }
 
+/** Who wants to become the owner, and whom it wants to replace. */
+export interface Candidate {
+    readonly entry: string;
+    readonly incarnation: string;
+    /** Fence of the owner that was found wanting; an owner with another fence is left alone. */
+    readonly suspectFence: number;
+}
+
 /** Tries to become the owner; the fence rises by one. */
-export function* takeOver(
-    domain: string,
-    entry: string,
-    incarnation: string,
-): Flow<LedgerEffect, TakeoverResult> {
+export function* takeOver(domain: string, candidate: Candidate): Flow<LedgerEffect, TakeoverResult> {
+    const { entry, incarnation, suspectFence } = candidate;
     const key = ownerKey(domain);
     const chain = chainKey(domain);
     for (let attempt = 0; attempt < takeoverAttempts; attempt++) {
         const row = (yield { kind: "read-owner" }) as StoredRow | undefined;
         const previous = decodeOwner(row);
+        const isSuspect = previous === undefined || previous.entry === "" || previous.fence === suspectFence;
+        if (!isSuspect && previous.incarnation !== incarnation) {
+            return { kind: "lost" };
+        }
         const owner: Owner = { entry, incarnation, fence: (previous?.fence ?? 0) + 1 };
         const outcome = (yield {
             kind: "transact",
--- a/src/pool/ownership.ts
+++ b/src/pool/ownership.ts
@@ -83,11 +83,11 @@
 }
 
 /** Silence after which an owner is taken for dead. Fencing makes a mistake harmless, so it may be short. */
-export const ownerSilenceMs = 800;
+export const ownerSilenceMs = 600;
 /** Delay between the candidates of successive rank, which keeps them from racing. */
 const rankStepMs = 150;
 /** Age of the owner's last store answer from which another entry serves better, if its own is fresh. */
-const staleStoreMs = 1200;
+const staleStoreMs = 800;
 /** Age up to which this entry's own contact with the store counts as fresh. */
 const freshStoreMs = 600;
 
--- a/src/process/site-settings.ts
+++ b/src/process/site-settings.ts
@@ -52,7 +52,7 @@
         holdWaitMs: milliseconds.default(1200),
         /** Time without confirmed ownership after which an owner gives no more orders. */
         trustMs: milliseconds.default(12_000),
-        rosterMs: milliseconds.default(700),
+        rosterMs: milliseconds.default(400),
         /** How long the outcome of a job is remembered. */
         keepFinalMs: milliseconds.default(600_000),
         /** Delay between failing readiness and closing the listener on a planned stop. */
