An owner that steps down says so, and its successor waits for its leases only

Change: whoever is superseded tells its peers; the successor then waits for one lease. VMs are ordered at once only after a holder that has ended or was stopping, since a slow one may still count as their holder. One log line an outage of the members' feed. The new test fails before.

--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -43,7 +43,7 @@
     /** Called when the members change. */
     readonly onMembers: (members: ReadonlyMap<string, MemberRow>) => void;
     /** Makes the keeper of the VMs for a tenure that begins. */
-    readonly keeper: (tenure: Tenure, isPreviousGone: boolean) => Keeper;
+    readonly keeper: (tenure: Tenure, hasHolderEnded: boolean) => Keeper;
 }
 
 /** Looks after the VMs during a tenure. */
@@ -63,6 +63,7 @@
     Beacon = "owner.beacon",
     Heard = "owner.heard",
     Released = "owner.released",
+    SteppedDown = "owner.stepped-down",
     Accepted = "job.accepted",
     Cancelled = "job.cancelled",
     Phase = "job.phase",
@@ -96,6 +97,10 @@
     private heardAt: number;
     private beacon: Beacon | undefined;
     private current: Tenure | undefined;
+    /** The owner before this entry's tenure, while it may still give orders. */
+    private predecessor: Owner | undefined;
+    /** Highest fence whose owner is known to give no more orders. */
+    private goneFence = 0;
     private keeper: Keeper | undefined;
     private isRunning = false;
     private isStopping = false;
@@ -143,7 +148,7 @@
             await this.keeper?.stop();
             const head = await tenure.handOver();
             this.current = undefined;
-            const outcome = await store.transact(release(head));
+            const outcome = await store.transact(release(head, this.isStopping));
             peers.broadcast(Topic.Released, { fence: head.owner.fence });
             log.write(Severity.Info, EventId.OwnerReleased, {
                 fence: head.owner.fence,
@@ -167,7 +172,7 @@
         await this.keeper?.stop();
         const head = await tenure.handOver();
         this.current = undefined;
-        const outcome = await store.transact(release(head));
+        const outcome = await store.transact(release(head, this.isStopping));
         this.owner = { ...head.owner, entry: "" };
         this.heardAt = this.options.timer.now();
         peers.broadcast(Topic.Released, { fence: head.owner.fence });
@@ -257,6 +262,7 @@
             () => ({ silentMs: timer.now() - this.heardAt, isOwner: this.current !== undefined }),
         );
         peers.on(Topic.Released, (_, body) => this.hearRelease((body as { fence: number }).fence));
+        peers.on(Topic.SteppedDown, (_, body) => this.notePredecessorGone((body as { fence: number }).fence));
         peers.on(Topic.Accepted, (_, body) => this.current?.accept(body as AcceptedJob));
         peers.on(Topic.Cancelled, (_, body) => this.current?.cancel((body as { id: string }).id));
         peers.on(Topic.Phase, (_, body) => this.answerPhase((body as { id: string }).id));
@@ -396,9 +402,10 @@
             onSuperseded: () => this.noteSuperseded(tenure),
         });
         this.current = tenure;
+        this.predecessor = isPreviousGone ? undefined : previous;
         this.heardAt = timer.now();
         this.sendBeacon();
-        this.keeper = this.options.keeper(tenure, isPreviousGone);
+        this.keeper = this.options.keeper(tenure, this.hasHolderEnded(previous));
         this.keeper.start();
         await tenure.start();
     }
@@ -406,7 +413,13 @@
     /** Whether an earlier owner can give no more orders: it gave up, or its VM runs another process by now. */
     private isGone(previous: Owner | undefined): boolean {
         return previous === undefined || previous.entry === "" || previous.entry === this.options.entry
-            || this.hasEnded(previous);
+            || previous.fence <= this.goneFence || this.hasEnded(previous);
+    }
+
+    /** Whether the process that ordered VMs before this one has ended or is ending. */
+    private hasHolderEnded(previous: Owner | undefined): boolean {
+        return previous === undefined || previous.entry === this.options.entry || this.hasEnded(previous)
+            || (previous.entry === "" && previous.hasLeft === true);
     }
 
     /** Whether the VM of an owner runs another process by now. */
@@ -419,12 +432,22 @@
         return current !== undefined && current !== owner.incarnation;
     }
 
+    /** Notes that the owner before this entry gives no more orders, so that its leases end soon. */
+    private notePredecessorGone(fence: number): void {
+        this.goneFence = Math.max(this.goneFence, fence);
+        if (this.current !== undefined && this.predecessor?.fence === fence) {
+            this.predecessor = undefined;
+            this.current.notePredecessorGone();
+        }
+    }
+
     private noteSuperseded(tenure: Tenure): void {
         if (this.current === tenure) {
             void this.keeper?.stop();
             this.current = undefined;
             this.heardAt = this.options.timer.now();
             this.beacon = undefined;
+            this.options.peers.broadcast(Topic.SteppedDown, { fence: tenure.fence });
         }
     }
 
@@ -459,15 +482,18 @@
     private async follow(): Promise<void> {
         const { timer, log } = this.options;
         let version: number | undefined;
+        let isLost = false;
         while (this.isRunning) {
             try {
                 version = version === undefined ? await this.readCluster() : await this.feedCluster(version);
+                isLost = false;
             }
             catch (err) {
-                log.write(Severity.Warn, EventId.StoreUnavailable, {
-                    table: tables.cluster,
-                    err: messageOf(err),
-                });
+                if (!isLost) {
+                    const fields = { table: tables.cluster, err: messageOf(err) };
+                    log.write(Severity.Warn, EventId.StoreUnavailable, fields);
+                }
+                isLost = true;
                 await this.askMembers();
                 await sleep(timer, retryMs);
             }
@@ -533,6 +559,9 @@
         }
         else {
             this.members.set(row.key, member);
+            if (this.predecessor !== undefined && this.hasEnded(this.predecessor)) {
+                this.notePredecessorGone(this.predecessor.fence);
+            }
         }
     }
 
--- a/src/pool/ledger.ts
+++ b/src/pool/ledger.ts
@@ -137,9 +137,9 @@
 }
 
 /** Gives the domain up, so that another entry may take it without waiting. */
-export function release(head: LedgerHead): RowTransaction {
+export function release(head: LedgerHead, hasLeft: boolean): RowTransaction {
     const key = ownerKey(head.domain);
-    const owner: Owner = { ...head.owner, entry: "" };
+    const owner: Owner = { ...head.owner, entry: "", hasLeft };
     return {
         conditions: [{ ...key, version: head.ownerVersion }],
         puts: [{ ...key, value: JSON.stringify(owner) }],
--- a/src/pool/ownership.ts
+++ b/src/pool/ownership.ts
@@ -23,9 +23,16 @@
     readonly entry: string;
     readonly incarnation: string;
     readonly fence: number;
+    /** Whether the domain was given up by a process that was stopping. */
+    readonly hasLeft?: boolean;
 }
 
-const ownerRow = z.object({ entry: z.string(), incarnation: z.string(), fence: z.number() });
+const ownerRow = z.object({
+    entry: z.string(),
+    incarnation: z.string(),
+    fence: z.number(),
+    hasLeft: z.boolean().exactOptional(),
+});
 const chainRow = z.object({ incarnation: z.string(), batch: z.number() });
 
 /** Key of a domain's owner row. */
--- a/src/pool/tenure.ts
+++ b/src/pool/tenure.ts
@@ -185,6 +185,13 @@
         return pending;
     }
 
+    /** Notes that the owner before this one gives no more orders. */
+    notePredecessorGone(): void {
+        const { timer, times, log } = this.options;
+        this.workers.inherit(timer.now() + longestLeaseMs(times.leaseMs));
+        log.write(Severity.Info, EventId.OwnerGone, { domain: this.head.domain, fence: this.fence });
+    }
+
     /** Whether a task's run is at work by its worker's latest word. */
     isAtWork(entry: JobEntry, at: number): boolean {
         const { occurrence, step, index } = entry.state.tasks[at]!;
--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -45,6 +45,7 @@
     OwnerReleased = 2004,
     OwnerUnconfirmed = 2005,
     OwnerSuspected = 2006,
+    OwnerGone = 2007,
     StoreHistoryLost = 2101,
     RowMalformed = 2102,
     JobStored = 2201,
--- a/src/site-core.ts
+++ b/src/site-core.ts
@@ -147,11 +147,11 @@
             },
             lag: this.lag,
             onMembers,
-            keeper: (tenure, isPreviousGone) => this.createKeeper(tenure, isPreviousGone),
+            keeper: (tenure, hasHolderEnded) => this.createKeeper(tenure, hasHolderEnded),
         });
     }
 
-    private createKeeper(tenure: Tenure, isPreviousGone: boolean): FleetKeeper {
+    private createKeeper(tenure: Tenure, hasHolderEnded: boolean): FleetKeeper {
         const { settings, timer, log, metrics } = this.options;
         const { vms, waveStatusRow } = this.platform;
         const { holderGapMs, serviceMs, moveMs } = settings.bounds;
@@ -167,7 +167,7 @@
             timer,
             log,
             metrics,
-            quietUntil: timer.now() + (isPreviousGone ? 0 : holderGapMs),
+            quietUntil: timer.now() + (hasHolderEnded ? 0 : holderGapMs),
             serviceMs,
             moveMs,
         });
--- a/test/site.test.ts
+++ b/test/site.test.ts
@@ -220,6 +220,21 @@
         await expectPhase(site, "j1", "succeeded");
     });
 
+    test("from a live owner leaves no lost run waiting longer than its lease", async () => {
+        const site = await siteWith();
+        await accepted(site, "j1", { tasks: 1, isService: true });
+        await site.timer.advance(1000);
+        const worker = site.workers.find(({ running }) => running.size > 0)!;
+        const owner = ownerOf(site);
+        owner.storeFaults.isBusy = true;
+        worker.faults.isDark = true;
+        await site.timer.advance(6500);
+        expect(ownerOf(site)).not.toBe(owner);
+        const others = site.workers.filter(other => other !== worker);
+        expect(others.flatMap(({ running }) => [...running.keys()])).toEqual(["j1.0.0.0"]);
+        expect(site.checker.breaches).toEqual([]);
+    });
+
     test("does not happen while the store is down for all", async () => {
         const site = await siteWith();
         await site.settle(site.submit(site.entries[0]!, "j1", jobOf({ tasks: 2 }), { workMs: 4000 }));
