--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -73,6 +73,8 @@
 
 const beaconMs = 200;
 const checkMs = 100;
+/** How long an entry that gave the domain up for slowness leaves it to others, in milliseconds. */
+const standBackMs = 5000;
 /** Places by which a slow entry stands back behind the others when the domain has no owner. */
 const slowRank = 12;
 const feedWaitMs = 4000;
@@ -101,6 +103,7 @@
     private predecessor: Owner | undefined;
     /** Highest fence whose owner is known to give no more orders. */
     private goneFence = 0;
+    private standBackUntil = -Infinity;
     private keeper: Keeper | undefined;
     private isRunning = false;
     private isStopping = false;
@@ -191,6 +194,7 @@
             return;
         }
         this.isBusy = true;
+        this.standBackUntil = this.options.timer.now() + standBackMs;
         try {
             await this.giveUp("slow");
         }
@@ -344,11 +348,16 @@
             ownerSilentMs,
             ownerStoreAgeMs: this.beacon === undefined ? 0 : this.beacon.storeAgeMs,
             storeAgeMs,
-            rank: candidates.indexOf(entry) + (this.options.lag.isSlow ? slowRank : 0),
+            rank: candidates.indexOf(entry) + (this.standsBack() ? slowRank : 0),
             isStopping: this.isStopping,
         });
     }
 
+    /** Whether this process is slow, or was so a moment ago. */
+    private standsBack(): boolean {
+        return this.options.lag.isSlow || this.options.timer.now() < this.standBackUntil;
+    }
+
     private async tryTakeOver(): Promise<void> {
         const { store, timer, log, name, entry, incarnation } = this.options;
         const probedAt = timer.now();
--- /dev/null
+++ b/test/platform.test.ts
@@ -0,0 +1,203 @@
+import { createServer } from "node:net";
+import { afterAll, beforeAll, describe, expect, test } from "vitest";
+import { createPlatformEntry } from "../platform/entry.js";
+import { decodeManifest } from "../platform/lists.js";
+import { silentLog } from "../src/process/log.js";
+import { Metrics } from "../src/process/metrics.js";
+import { parseSiteSettings } from "../src/process/site-settings.js";
+import { SystemTimer } from "../src/process/timer.js";
+import type { SiteEntry } from "../src/site-entry.js";
+import { jobOf } from "../standin/site/site.js";
+import { WirePlatform } from "../standin/wire/platform.js";
+
+const manifest = {
+    version: 3,
+    routes: [
+        { name: "r1", host: "Jobs.Example", "path-prefix": "/open/", service: "bench", anonymous: true },
+        { name: "r2", host: "jobs.example", "path-prefix": "/keyed/", service: "bench", "max-attempts": 2 },
+    ],
+    services: [{ name: "bench", "admission-check": true }, { name: "office", headroom: true }],
+    tenants: [{ name: "t1", "api-keys": ["k1"], weight: 5, cap: { cpu: 9000, "mem-mb": 0, gpu: 0 } }],
+};
+
+async function freePort(): Promise<number> {
+    const server = createServer();
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as { port: number };
+    await new Promise(resolve => server.close(resolve));
+    return port;
+}
+
+describe("an entry on the users' platform", () => {
+    const platform = WirePlatform.create({ pool: "bench", workers: 2 });
+    const entries: SiteEntry[] = [];
+    const fronts: string[] = [];
+
+    beforeAll(async () => {
+        await platform.start();
+        platform.operate("config", manifest);
+        for (const name of ["e1", "e2"]) {
+            const ports = await Promise.all([freePort(), freePort(), freePort(), freePort()]);
+            const [callers, readiness, metrics, listen] = ports.map(port => `127.0.0.1:${port}`);
+            fronts.push(`http://${callers}`);
+            const settings = parseSiteSettings(
+                "test",
+                JSON.stringify({
+                    entry: name,
+                    callers,
+                    readiness,
+                    metrics,
+                    peers: { listen, secret: "0123456789abcdef", seeds: [] },
+                    store: platform.address,
+                    inventory: platform.address,
+                    times: { balancerDelayMs: 10 },
+                }),
+            );
+            const entry = createPlatformEntry({
+                settings,
+                incarnation: `${name}#1`,
+                timer: SystemTimer.create(),
+                metrics: Metrics.create(),
+                log: silentLog,
+            });
+            entries.push(entry);
+            await entry.start();
+        }
+        await until(() => Promise.resolve(entries.every(({ core }) => core.lists.directory !== undefined)));
+    });
+
+    afterAll(async () => {
+        await Promise.all(entries.map(entry => entry.stop()));
+        await platform.stop();
+    });
+
+    async function until(isTrue: () => Promise<boolean>): Promise<void> {
+        for (let i = 0; i < 400 && !await isTrue(); i++) {
+            await new Promise(resolve => setTimeout(resolve, 25));
+        }
+    }
+
+    async function call(
+        method: string,
+        path: string,
+        options: { entry?: number; body?: unknown; key?: string } = {},
+    ) {
+        const { entry = 0, body, key } = options;
+        const url = new URL(path, fronts[entry]);
+        const { request } = await import("undici");
+        const res = await request(url, {
+            method: method as "GET",
+            headers: { host: "jobs.example", ...(key !== undefined && { authorization: `Bearer ${key}` }) },
+            ...(body !== undefined && { body: JSON.stringify(body) }),
+        });
+        const text = await res.body.text();
+        return {
+            status: res.statusCode,
+            headers: res.headers,
+            body: JSON.parse(text) as Record<string, unknown>,
+        };
+    }
+
+    const job = { spec: "text", steps: [{ count: 3, cpu: 500, "mem-mb": 10, "estimate-ms": 100 }] };
+
+    test("runs a submitted job and shows its states at every entry", async () => {
+        const id = "00000000000000a1";
+        platform.expect(id, jobOf({ tasks: 3 }));
+        expect((await call("POST", `/open/${id}`, { body: job })).status).toBe(200);
+        await until(async () =>
+            (await call("GET", `/open/${id}`, { entry: 1 })).body["state"] === "succeeded"
+        );
+        expect((await call("GET", `/open/${id}`)).body).toEqual({ state: "succeeded" });
+        expect(platform.checker.starts).toBe(3);
+        expect(platform.checker.breaches).toEqual([]);
+        const start = platform.calls.find(({ path }) => path === "/v1/run-start")?.body;
+        expect(start).toMatchObject({ task: `${id}.0.0.0`, run: 1, spec: "text", fence: 1 });
+    });
+
+    test("cancels a service and stops its tasks", async () => {
+        const id = "00000000000000a2";
+        platform.expect(id, jobOf({ tasks: 2, isService: true }));
+        const service = {
+            spec: "s",
+            steps: [{ count: 2, cpu: 100, "mem-mb": 1, "long-running": true, "may-miss": 1 }],
+        };
+        expect((await call("POST", `/open/${id}`, { body: service })).status).toBe(200);
+        await until(async () => (await call("GET", `/open/${id}`)).body["state"] === "running");
+        expect((await call("DELETE", `/open/${id}`, { entry: 1 })).status).toBe(200);
+        await until(async () => (await call("GET", `/open/${id}`)).body["state"] === "cancelled");
+        expect((await call("GET", `/open/${id}`)).body).toEqual({ state: "cancelled" });
+        await until(() => Promise.resolve(platform.calls.some(({ path }) => path === "/v1/run-stop")));
+        expect(platform.calls.some(({ path }) => path === "/v1/run-stop")).toBe(true);
+    });
+
+    test.each([
+        ["GET", "/open/00000000000000ff", {}, 410],
+        ["DELETE", "/open/00000000000000ff", {}, 410],
+        ["GET", "/nowhere/00000000000000ff", {}, 404],
+        ["POST", "/open/short", { body: job }, 404],
+        ["POST", "/open/00000000000000fe", { body: { spec: "x", steps: [] } }, 400],
+        ["GET", "/keyed/", {}, 401],
+        ["GET", "/keyed/", { key: "k2" }, 401],
+        ["GET", "/keyed/", { key: "k1" }, 200],
+        ["GET", "/open/", { entry: 1 }, 200],
+    ])("answers %s %s %o with %i", async (method, path, options, status) => {
+        expect((await call(method, path, options)).status).toBe(status);
+    });
+
+    test("counts the jobs of a queue that have not begun", async () => {
+        expect((await call("GET", "/open/")).body).toEqual({ pending: 0 });
+    });
+
+    test("tells the operator when a wave is under way and when it is done", async () => {
+        platform.operate("wave/4", { wave: 4, machines: ["m-w-0", "m-w-1"], "duration-s": 4, cap: 1 });
+        await until(() => Promise.resolve(platform.statusOf(4) !== undefined));
+        expect(JSON.parse(platform.statusOf(4)!)).toEqual({ state: "running" });
+        await until(() => Promise.resolve(platform.statusOf(4)?.includes("succeeded") === true));
+        expect(JSON.parse(platform.statusOf(4)!)).toEqual({ state: "succeeded" });
+    });
+});
+
+describe("the manifest", () => {
+    test("is decoded into queues, pools, teams and keys", () => {
+        const directory = decodeManifest(JSON.stringify(manifest))!;
+        expect(directory.version).toBe(3);
+        expect(directory.queues[0]).toMatchObject({
+            host: "jobs.example",
+            pool: "bench",
+            isOpen: true,
+            maxAttempts: 4,
+        });
+        expect(directory.queues[1]).toMatchObject({ isOpen: false, maxAttempts: 2, needsAdvice: false });
+        expect(directory.pools.get("office")?.isSpare).toBe(true);
+        expect(directory.teams.get("t1")).toMatchObject({ weight: 5, cap: { cpu: 9000, memory: 0 } });
+        expect(directory.keys.get("k1")).toBe("t1");
+    });
+
+    test.each(["", "{", "{}", "[]", '{"version":"1"}'])("that is malformed (%s) is refused", text => {
+        expect(decodeManifest(text)).toBeUndefined();
+    });
+});
+
+describe("settings of a site", () => {
+    const good = {
+        entry: "e",
+        callers: "10.0.0.1:80",
+        readiness: "10.0.0.1:81",
+        metrics: "10.0.0.1:82",
+        peers: { listen: "10.0.0.1:83", secret: "0123456789abcdef" },
+        store: "10.0.0.2:80",
+    };
+
+    test.each([
+        [{ callers: "nowhere" }, /callers: found "nowhere"; give host and port/],
+        [{ peers: { listen: "h:1", secret: "x" } }, /peers\.secret: found "x"; give the shared secret/],
+        [{ entry: undefined }, /entry: found nothing; give this VM's id/],
+        [{ times: { leaseMs: 0 } }, /times\.leaseMs/],
+    ])("%o are refused with path, finding and remedy", (change, message) => {
+        expect(() => parseSiteSettings("s.jsonc", JSON.stringify({ ...good, ...change }))).toThrow(message);
+    });
+
+    test("may have comments", () => {
+        expect(parseSiteSettings("s.jsonc", `// a comment\n${JSON.stringify(good)}`).entry).toBe("e");
+    });
+});
