--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -10,7 +10,6 @@
     VmPhase,
     type WorkerCalls,
 } from "../../src/pool/ports.js";
-import { PlatformError } from "../../src/process/errors.js";
 import { EventId, type Severity } from "../../src/process/events.js";
 import type { Log, LogFields } from "../../src/process/log.js";
 import { Metrics } from "../../src/process/metrics.js";
@@ -27,7 +26,7 @@
 import { PausableTimer } from "../world/pausable.js";
 import { Checker } from "./checker.js";
 import { noRowFaults, type RowFaults, StandinRows } from "./rows.js";
-import { StandinWorker, type TaskFacts } from "./worker.js";
+import { GangBoard, StandinWorker, type TaskFacts } from "./worker.js";
 
 /** One entry process of the site. */
 export interface StandinEntry {
@@ -76,6 +75,7 @@
 }
 
 const orderMs = 1;
+const adviceMs = 30;
 const orderTimeoutMs = 200;
 const moveMs = 1500;
 const serviceMs = 2000;
@@ -97,6 +97,10 @@
     /** Most VMs of one wave that were out of service at the same time. */
     mostOut = 0;
     private readonly waves = new Map<number, WaveOrder>();
+    /** Steps that the adviser was asked about, and what it allows. */
+    readonly questions: string[] = [];
+    allows: (step: string, worker: string) => boolean = () => true;
+    private readonly gangs = new GangBoard();
     readonly facts = new Map<string, { workMs: number; failures: number }>();
     private readonly vms: StandinVm[] = [];
     private readonly cutWorkers = new Set<string>();
@@ -274,7 +278,8 @@
         }
         const capacity = this.options.capacity ?? defaultCapacity;
         const facts = (task: string): TaskFacts | undefined => this.factsOf(task);
-        return new StandinWorker(this.timer, id, vm.pool, vm.vm, vm.rack, capacity, facts, this.checker);
+        const { timer, checker, gangs } = this;
+        return new StandinWorker(timer, id, vm.pool, vm.vm, vm.rack, capacity, facts, checker, gangs);
     }
 
     private factsOf(task: string): TaskFacts | undefined {
@@ -283,7 +288,13 @@
         const facts = id === undefined ? undefined : this.facts.get(id.job);
         return step === undefined || facts === undefined
             ? undefined
-            : { needs: step.needs, isService: step.isService, ...facts };
+            : {
+                needs: step.needs,
+                isService: step.isService,
+                ...facts,
+                ...(step.isGang
+                    && { gang: { name: `${id!.job}.${id!.occurrence}.${id!.step}`, size: step.tasks } }),
+            };
     }
 
     private logInto(lines: LoggedEvent[], timer: Timer): Log {
@@ -307,8 +318,14 @@
             },
             calls: this.callsFor(entry, timer),
             adviser: {
-                advise: () => {
-                    throw new PlatformError("the stand-in has no adviser");
+                advise: async (step, workers) => {
+                    await sleep(timer, adviceMs);
+                    this.questions.push(step);
+                    const good = workers.filter(worker => this.allows(step, worker));
+                    return {
+                        tickets: new Map(good.map(worker => [worker, `ticket-${worker}`])),
+                        validMs: 3000,
+                    };
                 },
             },
             vms: this.vmCallsFor(timer),
--- a/standin/site/worker.ts
+++ b/standin/site/worker.ts
@@ -20,6 +20,33 @@
     /** Runs of it that fail by their own fault. */
     readonly failures: number;
     readonly isService: boolean;
+    /** Name and size of the gang that it belongs to. */
+    readonly gang?: { readonly name: string; readonly size: number };
+}
+
+/** The members of gangs that are present on any worker, by gang and run. */
+export class GangBoard {
+    private readonly present = new Map<string, Map<string, () => void>>();
+
+    /** Adds a member; `onBroken` is called when another one ends. */
+    join(gang: string, task: string, onBroken: () => void): void {
+        const members = this.present.get(gang) ?? new Map<string, () => void>();
+        this.present.set(gang, members.set(task, onBroken));
+    }
+
+    countOf(gang: string): number {
+        return this.present.get(gang)?.size ?? 0;
+    }
+
+    /** Takes a member off; the others break unless it was done. */
+    leave(gang: string, task: string, isDone: boolean): void {
+        const members = this.present.get(gang);
+        members?.delete(task);
+        if (!isDone) {
+            this.present.delete(gang);
+            members?.forEach(onBroken => onBroken());
+        }
+    }
 }
 
 /** What a worker reports to whoever watches the site. */
@@ -46,12 +73,16 @@
     readonly run: number;
     readonly facts: TaskFacts;
     workedMs: number;
+    waitedMs: number;
+    isBroken: boolean;
     stopAtMs: number | undefined;
 }
 
 const stepMs = 20;
 const stopMs = 60;
 const serviceStartMs = 300;
+/** Time for which a member of a gang waits for the others. */
+const gangMs = 3000;
 /** The clock of a worker may be this much slow. */
 const clockRate = 0.985;
 
@@ -81,6 +112,7 @@
         readonly capacity: Resources,
         private readonly factsOf: (task: string) => TaskFacts | undefined,
         private readonly events: WorkerEvents,
+        private readonly gangs = new GangBoard(),
     ) {
         this.born = Math.round(timer.wall());
         this.bornAt = timer.now();
@@ -152,13 +184,21 @@
         if (!fitsInto(facts.needs, addResources(this.capacity, this.used, -1))) {
             return refuse(StartRefusal.NoRoom);
         }
-        this.runs.set(order.task, {
+        const run: Run = {
             task: order.task,
             run: order.run,
             facts,
             workedMs: 0,
+            waitedMs: 0,
+            isBroken: false,
             stopAtMs: undefined,
-        });
+        };
+        this.runs.set(order.task, run);
+        if (facts.gang !== undefined) {
+            this.gangs.join(`${facts.gang.name}/${order.run}`, order.task, () => {
+                run.isBroken = true;
+            });
+        }
         this.events.started(this, order);
         return { kind: "started", clockMs };
     }
@@ -233,7 +273,9 @@
         }
         const isLapsed = this.clockMs >= this.leaseUntil;
         for (const run of [...this.runs.values()]) {
-            run.workedMs += this.faults.isHung ? 0 : stepMs;
+            const isWaiting = this.isGangWaiting(run);
+            run.workedMs += this.faults.isHung || isWaiting ? 0 : stepMs;
+            run.waitedMs += isWaiting ? stepMs : 0;
             const how = isLapsed ? ReportedEnd.Lapsed : this.endOf(run);
             if (how !== undefined) {
                 this.settle(run, how);
@@ -241,7 +283,17 @@
         }
     }
 
-    private endOf({ run, facts, workedMs, stopAtMs }: Run): ReportedEnd | undefined {
+    private isGangWaiting({ run, facts: { gang }, workedMs }: Run): boolean {
+        return gang !== undefined && workedMs === 0 && this.gangs.countOf(`${gang.name}/${run}`) < gang.size;
+    }
+
+    private endOf({ run, facts, workedMs, waitedMs, isBroken, stopAtMs }: Run): ReportedEnd | undefined {
+        if (isBroken) {
+            return ReportedEnd.GangBroken;
+        }
+        if (waitedMs >= gangMs) {
+            return ReportedEnd.GangIncomplete;
+        }
         if (stopAtMs !== undefined && this.timer.now() >= stopAtMs) {
             return ReportedEnd.Stopped;
         }
@@ -254,7 +306,10 @@
         return run <= facts.failures ? ReportedEnd.Failed : ReportedEnd.Done;
     }
 
-    private settle({ task, run }: Run, how: ReportedEnd): void {
+    private settle({ task, run, facts }: Run, how: ReportedEnd): void {
+        if (facts.gang !== undefined) {
+            this.gangs.leave(`${facts.gang.name}/${run}`, task, how === ReportedEnd.Done);
+        }
         this.runs.delete(task);
         this.settled.set(task, Math.max(run, this.settled.get(task) ?? 0));
         this.ends.push({ position: this.nextEnd++, task, run, how, saved: "" });
--- a/standin/wire/platform.ts
+++ b/standin/wire/platform.ts
@@ -64,8 +64,7 @@
             "POST /v1/rows-tx": (_, body) => this.transact(body),
             "GET /v1/rows-get": url => this.read(url),
             "GET /v1/rows-feed": url => this.feed(url),
-            "GET /v1/machines": () =>
-                Promise.resolve([200, { machines: this.machines(), "next-token": null }]),
+            "GET /v1/machines": () => Promise.resolve([200, { machines: this.machines(), "next-token": "" }]),
             "POST /v1/machine-move": () => Promise.resolve([409, { reason: "busy" }]),
             "POST /v1/machine-upkeep": () => Promise.resolve([200, {}]),
         });
