Status of a site's entry, and what became of a job, for the command-line tool

Cause: on a site `celerywind status` and `explain` had nobody to ask. Change: the metrics address answers both, from any entry; the owner explains a job (stored phase, urgency, usable workers, tasks that are not done).

--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -14,6 +14,7 @@
 import { readAll, readRow, type RowStore, type StoredRow } from "../process/rows.js";
 import { type Cancel, sleep, type Timer } from "../process/timer.js";
 import type { Directory } from "../version/directory.js";
+import { type ExplainedJob, explainJob } from "./explain.js";
 import { takeOver } from "./ledger.js";
 import type { LedgerEffect } from "./ledger.js";
 import { release } from "./ledger.js";
@@ -69,6 +70,7 @@
     Phase = "job.phase",
     Pending = "queue.pending",
     Members = "members",
+    Explain = "job.explain",
 }
 
 const beaconMs = 200;
@@ -227,6 +229,25 @@
             : this.answerPending(queue);
     }
 
+    /** What the owner knows of a job; undefined when it does not know it or did not answer. */
+    async explain(id: string): Promise<ExplainedJob | undefined> {
+        return this.current === undefined
+            ? await this.askOwner(Topic.Explain, { id }) as ExplainedJob | undefined
+            : this.explainHere(id);
+    }
+
+    /** Entries that have registered. */
+    get memberNames(): readonly string[] {
+        return [...this.members.keys()];
+    }
+
+    private explainHere(id: string): ExplainedJob | undefined {
+        const entry = this.current?.jobs.entries.get(id);
+        return this.current === undefined || entry === undefined
+            ? undefined
+            : explainJob(this.current, entry);
+    }
+
     private tell(here: (tenure: Tenure) => void, topic: Topic, body: unknown): void {
         if (this.current !== undefined) {
             here(this.current);
@@ -271,6 +292,7 @@
         peers.on(Topic.Cancelled, (_, body) => this.current?.cancel((body as { id: string }).id));
         peers.on(Topic.Phase, (_, body) => this.answerPhase((body as { id: string }).id));
         peers.on(Topic.Pending, (_, body) => this.answerPending((body as { queue: string }).queue));
+        peers.on(Topic.Explain, (_, body) => this.explainHere((body as { id: string }).id));
         peers.on(Topic.Members, () => [...this.members.entries()]);
     }
 
--- /dev/null
+++ b/src/pool/explain.ts
@@ -0,0 +1,67 @@
+/** What the owner of a domain knows of one job, for an operator who asks what became of it. */
+import { TaskPhase } from "../job/index.js";
+import type { JobEntry } from "./job-book.js";
+import { isUsable } from "./plan-starts.js";
+import { type TenureContext } from "./tenure-context.js";
+import { outlookOf, Urgency } from "./urgency.js";
+
+/** A job as it is explained. */
+export interface ExplainedJob {
+    readonly job: string;
+    readonly queue: string;
+    readonly team: string;
+    readonly phase: string;
+    /** Phase as callers are told: the one that is stored. */
+    readonly storedPhase: string;
+    readonly reason: string | undefined;
+    readonly ageMs: number;
+    readonly urgency: string;
+    /** Workers of its pool that could take work now. */
+    readonly usableWorkers: number;
+    readonly fence: number;
+    /** A line for each task that is not done. */
+    readonly tasks: readonly string[];
+}
+
+/** Explains a job. */
+export function explainJob(ctx: TenureContext, entry: JobEntry): ExplainedJob {
+    const { timer } = ctx.options;
+    const { job, state } = entry;
+    const queue = ctx.options.directory()?.queues.find(({ name }) => name === job.queue);
+    const outlook = outlookOf({ entry, queue, durations: ctx.durations, wallMs: timer.wall() });
+    const workers = [...ctx.workers.workers.values()];
+    const usable = workers.filter(worker =>
+        worker.listed.pool === queue?.pool && isUsable(worker, timer.now())
+    );
+    const open = new Set(ctx.jobs.openTasks(entry));
+    const tasks = state.tasks.flatMap((task, at) => {
+        const name = `${task.occurrence}.${task.step}.${task.index}`;
+        switch (task.phase) {
+            case TaskPhase.Done:
+                return [];
+            case TaskPhase.Claimed:
+                return [`${name}: run ${task.run} on ${task.worker}, ${task.failures} failures`];
+            case TaskPhase.Waiting:
+                return [
+                    `${name}: waits for ${
+                        open.has(at) ? "a worker" : "earlier steps"
+                    }, ${task.failures} failures`,
+                ];
+            case TaskPhase.Failed:
+                return [`${name}: out of attempts or stopped, ${task.failures} failures`];
+        }
+    });
+    return {
+        job: job.id,
+        queue: job.queue,
+        team: job.team,
+        phase: state.phase,
+        storedPhase: entry.shown,
+        reason: state.reason,
+        ageMs: Math.round(timer.wall() - job.acceptedAtMs),
+        urgency: Urgency[outlook.urgency],
+        usableWorkers: usable.length,
+        fence: ctx.fence,
+        tasks,
+    };
+}
--- a/src/site-entry.ts
+++ b/src/site-entry.ts
@@ -1,8 +1,9 @@
 /** One entry of a site: the core behind listeners for callers, balancer and metrics, and peer links. */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { sendJson } from "./connection/caller/body.js";
 import { HttpListener } from "./connection/caller/listener.js";
 import { Mesh, type PeerAddress } from "./connection/peer/index.js";
-import type { MemberRow } from "./pool/index.js";
+import type { MemberRow, Tenure } from "./pool/index.js";
 import { EventId, Severity } from "./process/events.js";
 import type { Log } from "./process/log.js";
 import type { Metrics } from "./process/metrics.js";
@@ -31,6 +32,8 @@
 const idleCheckMs = 20;
 /** Part of the grace that finishing calls may take on a planned stop. */
 const drainShare = 0.5;
+const statusPath = "/v1/status";
+const explainPath = "/v1/requests/";
 const statusOk = 200;
 const statusUnavailable = 503;
 
@@ -54,7 +57,7 @@
         });
         this.callers = this.listener(settings.callers, options.callerHandler(this.core.desk));
         this.readiness = this.listener(settings.readiness, (_, res) => this.answerReadiness(res));
-        this.metricsListener = this.listener(settings.metrics, (_, res) => this.answerMetrics(res));
+        this.metricsListener = this.listener(settings.metrics, (req, res) => this.answerOperator(req, res));
     }
 
     static create(options: SiteEntryOptions): SiteEntry {
@@ -117,9 +120,44 @@
         res.end(reason ?? "ready");
     }
 
-    private answerMetrics(res: ServerResponse): void {
-        res.writeHead(statusOk, { "content-type": "text/plain; version=0.0.4" });
-        res.end(this.options.metrics.render());
+    /** Answers on the metrics address: metrics, and what the command-line tool asks for. */
+    private answerOperator(req: IncomingMessage, res: ServerResponse): void {
+        const path = req.url ?? "";
+        if (path === statusPath) {
+            sendJson(res, statusOk, this.status());
+        }
+        else if (path.startsWith(explainPath)) {
+            void this.core.domain.explain(path.slice(explainPath.length)).then(found => {
+                sendJson(res, statusOk, { traces: found === undefined ? [] : [found] });
+            });
+        }
+        else {
+            res.writeHead(statusOk, { "content-type": "text/plain; version=0.0.4" });
+            res.end(this.options.metrics.render());
+        }
+    }
+
+    /** State of this entry, in the form that `celerywind status` shows. */
+    private status() {
+        const { core, mesh, options } = this;
+        const revision = core.lists.directory?.version ?? 0;
+        const reason = core.notReady();
+        return {
+            vm: options.settings.entry,
+            incarnation: options.incarnation,
+            ready: reason === undefined,
+            reason,
+            revision,
+            listsRevision: revision,
+            pendingWithdrawals: 0,
+            entries: [...core.domain.memberNames].sort(),
+            peers: mesh.connected().map(({ vm }) => vm),
+            activeRequests: core.desk.activeCount,
+            runningJobs: core.domain.tenure?.jobs.activeEntries.size ?? 0,
+            owner: core.domain.ownerEntry,
+            teams: [],
+            pools: core.domain.tenure === undefined ? [] : poolsOf(core.domain.tenure),
+        };
     }
 
     private registerGauges(): void {
@@ -147,3 +185,15 @@
         }
     }
 }
+
+/** Workers of each pool at the owner. */
+function poolsOf(tenure: Tenure) {
+    const pools = new Map<string, { vms: number; available: number }>();
+    for (const worker of tenure.workers.workers.values()) {
+        const pool = pools.get(worker.listed.pool) ?? { vms: 0, available: 0 };
+        pool.vms += worker.isListed ? 1 : 0;
+        pool.available += worker.isListed && worker.isReachable ? 1 : 0;
+        pools.set(worker.listed.pool, pool);
+    }
+    return [...pools].map(([pool, counts]) => ({ pool, ...counts, budget: 0, permits: 0 }));
+}
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -32,6 +32,7 @@
     const platform = WirePlatform.create({ pool: "bench", workers: 2 });
     const entries: SiteEntry[] = [];
     const fronts: string[] = [];
+    const metricsAddresses: string[] = [];
 
     beforeAll(async () => {
         await platform.start();
@@ -40,6 +41,7 @@
             const ports = await Promise.all([freePort(), freePort(), freePort(), freePort()]);
             const [callers, readiness, metrics, listen] = ports.map(port => `127.0.0.1:${port}`);
             fronts.push(`http://${callers}`);
+            metricsAddresses.push(metrics!);
             const settings = parseSiteSettings(
                 "test",
                 JSON.stringify({
@@ -130,6 +132,19 @@
         expect(platform.calls.some(({ path }) => path === "/v1/run-stop")).toBe(true);
     });
 
+    test("tells an operator at any entry what became of a job, and how the entry is", async () => {
+        const { request } = await import("undici");
+        for (const metrics of metricsAddresses) {
+            const explained = await request(`http://${metrics}/v1/requests/00000000000000a2`);
+            const { traces } = await explained.body.json() as { traces: Record<string, unknown>[] };
+            expect(traces[0]).toMatchObject({ phase: "cancelled", storedPhase: "cancelled", queue: "r1" });
+            const status = await (await request(`http://${metrics}/v1/status`)).body.json();
+            expect(status).toMatchObject({ ready: true, revision: 3, entries: ["e1", "e2"] });
+            const text = await (await request(`http://${metrics}/metrics`)).body.text();
+            expect(text).toContain("celerywind_lists_version 3");
+        }
+    });
+
     test.each([
         ["GET", "/open/00000000000000ff", {}, 410],
         ["DELETE", "/open/00000000000000ff", {}, 410],
