--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,6 +7,7 @@
 import { control } from "./measures/control.js";
 import { latency } from "./measures/latency.js";
 import { overload } from "./measures/overload.js";
+import { owner } from "./measures/owner.js";
 import { routing } from "./measures/routing.js";
 import { service } from "./measures/service.js";
 import { shares } from "./measures/shares.js";
@@ -23,6 +24,7 @@
     service,
     latency,
     slopes,
+    owner,
 ];
 
 const { values } = parseArgs({
