Forget jobs that have been final for three minutes

Cause: rows and memory of ended jobs grew for ever, and each takeover read them all; the setting for it was not used. Change: the owner removes the rows of a job's acceptance, then its progress with the next batch, in this order, since a job without progress looks new; progress without a job is removed after a takeover. Before: the new test fails (the job is still known after 210 s).

--- a/src/pool/job-rows.ts
+++ b/src/pool/job-rows.ts
@@ -66,6 +66,11 @@
     return onlyOnce({ ...cancelKey(id), value: "{}" });
 }
 
+/** Removes all rows of jobs. */
+export function removalOf(ids: readonly string[]): RowTransaction {
+    return { conditions: [], puts: [], removals: ids.flatMap(id => [jobKey(id), cancelKey(id)]) };
+}
+
 function onlyOnce(put: RowPut): RowTransaction {
     const { table, key } = put;
     return { conditions: [{ table, part, key, version: 0 }], puts: [put], removals: [] };
--- a/src/pool/job-source.ts
+++ b/src/pool/job-source.ts
@@ -2,7 +2,7 @@
 import { type AcceptedJob, decodeState } from "../job/index.js";
 import { messageOf } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
-import { readAll } from "../process/rows.js";
+import { readAll, type StoredRow } from "../process/rows.js";
 import { sleep } from "../process/timer.js";
 import { acceptedRange, decodeJobRow, JobRowKind } from "./job-rows.js";
 import { tables } from "./ownership.js";
@@ -12,6 +12,8 @@
 export interface JobSink {
     accept(job: AcceptedJob): void;
     cancel(id: string): void;
+    /** A row of progress without a job. */
+    dropProgress(id: string): void;
 }
 
 /** Pause between reads of the feed; most jobs arrive sooner by the hint of the entry that took them. */
@@ -37,6 +39,7 @@
                     new Map(progress.rows.map(row => [row.key, row.value])),
                     jobs.rows.map(row => decodeJobRow(row)),
                 );
+                this.dropOrphans(progress.rows, jobs.rows);
                 return jobs.version;
             }
             catch (err) {
@@ -107,6 +110,12 @@
         }
     }
 
+    /** Drops progress whose job was forgotten when the last owner ended; a job that cannot be read keeps its own. */
+    private dropOrphans(progress: readonly StoredRow[], jobs: readonly StoredRow[]): void {
+        const known = new Set(jobs.map(({ key }) => key));
+        progress.filter(({ key }) => !known.has(key)).forEach(({ key }) => this.sink.dropProgress(key));
+    }
+
     private takeJobRow(stored: Parameters<typeof decodeJobRow>[0]): void {
         const row = decodeJobRow(stored);
         switch (row.kind) {
--- a/src/pool/tenure.ts
+++ b/src/pool/tenure.ts
@@ -6,11 +6,12 @@
 import { messageOf } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
 import { run } from "../process/flow.js";
-import { readRow, type RowPut } from "../process/rows.js";
+import { readRow, type RowKey, type RowPut, TransactKind } from "../process/rows.js";
 import { type Cancel, sleep } from "../process/timer.js";
 import { AdviceBook } from "./advice-book.js";
 import { Durations } from "./durations.js";
 import { JobBook, type JobEntry } from "./job-book.js";
+import { removalOf } from "./job-rows.js";
 import { JobSource } from "./job-source.js";
 import { longestLeaseMs } from "./lease.js";
 import { commitBatch, type LedgerEffect, type LedgerHead, maxBatchRows, progressKey } from "./ledger.js";
@@ -25,6 +26,9 @@
 
 const tickMs = 100;
 const paceTickMs = 200;
+/** Period of forgetting old jobs, and how many are forgotten at once; a transaction holds two rows of each. */
+const sweepMs = 5000;
+const forgottenAtOnce = 40;
 /** Period of looking at a hand-over that waits for the batch in flight. */
 const handOverCheckMs = 15;
 /** Most starts of one batch; keeps one burst from delaying the ends of others. */
@@ -54,6 +58,8 @@
     private wallOffset: number;
     private readonly cancels: Cancel[] = [];
     private readonly extraRows = new Map<string, RowPut>();
+    /** Rows of progress whose jobs are forgotten. */
+    private readonly removals = new Map<string, RowKey>();
     private readonly earlyCancels = new Set<string>();
 
     private constructor(readonly options: TenureOptions) {
@@ -105,6 +111,7 @@
     /** Loads the stored jobs and begins to give orders. */
     async start(): Promise<void> {
         this.every(tickMs, () => this.runWatch.check());
+        this.every(sweepMs, () => void this.forgetFinal());
         this.every(paceTickMs, () => this.runWatch.adjustPaces());
         const version = await this.source.load();
         if (version === undefined) {
@@ -262,15 +269,17 @@
         const batch = this.jobs.takeDirty(maxBatchRows - this.extraRows.size);
         const extra = [...this.extraRows.values()];
         this.extraRows.clear();
-        if (batch.length === 0 && extra.length === 0) {
+        const removals = [...this.removals.values()].slice(0, maxBatchRows - extra.length - batch.length);
+        if (batch.length === 0 && extra.length === 0 && removals.length === 0) {
             return;
         }
         const acknowledged = this.jobs.dirtyCount === 0 ? this.watch.endsSeen() : [];
         const snapshot = batch.map(entry => ({ entry, phase: entry.state.phase }));
-        const stored = await this.store([...batch.map(entry => this.progressRow(entry)), ...extra]);
+        const stored = await this.store([...batch.map(entry => this.progressRow(entry)), ...extra], removals);
         if (!stored) {
             return;
         }
+        removals.forEach(({ key }) => this.removals.delete(key));
         snapshot.forEach(({ entry, phase }) => this.show(entry, phase));
         this.watch.acknowledge(acknowledged);
         this.desk.startStored(new Set(batch));
@@ -295,10 +304,13 @@
         return { ...progressKey(this.head.domain, entry.job.id), value: encodeState(entry.state) };
     }
 
-    private async store(puts: readonly RowPut[]): Promise<boolean> {
+    private async store(puts: readonly RowPut[], removals: readonly RowKey[]): Promise<boolean> {
         const { timer, metrics } = this.options;
         const sentAt = timer.now();
-        const result = await run(commitBatch(this.head, puts), effect => this.performLedger(effect));
+        const result = await run(
+            commitBatch(this.head, puts, removals),
+            effect => this.performLedger(effect),
+        );
         metrics.observe("celerywind_batch_ms", timer.now() - sentAt);
         metrics.count("celerywind_batch_rows_total", {}, puts.length);
         switch (result.kind) {
@@ -338,6 +350,36 @@
         }
     }
 
+    /** Takes note of progress whose job is forgotten already; its row goes with the next batch. */
+    dropProgress(id: string): void {
+        this.removals.set(id, progressKey(this.head.domain, id));
+    }
+
+    /**
+     * Forgets jobs that have been final for long: first the rows of their acceptance, then their progress. In the
+     * other order a job whose progress is gone would look like a new one to the next owner.
+     */
+    private async forgetFinal(): Promise<void> {
+        const { timer, times, store } = this.options;
+        const before = timer.now() - times.keepFinalMs;
+        const old = [...this.jobs.entries.values()]
+            .filter(({ finalAt, runs, isDirty }) =>
+                finalAt !== undefined && finalAt < before && runs === 0 && !isDirty
+            )
+            .slice(0, forgottenAtOnce);
+        if (old.length === 0 || !this.isLoaded || !this.mayOrder()) {
+            return;
+        }
+        const outcome = await store.transact(removalOf(old.map(({ job }) => job.id)));
+        if (outcome.kind === TransactKind.Committed && this.isActive) {
+            for (const entry of old) {
+                this.jobs.forget(entry);
+                this.dropProgress(entry.job.id);
+            }
+            this.pump();
+        }
+    }
+
     private place(): void {
         const directory = this.options.directory();
         if (directory === undefined || this.isHandingOver) {
--- a/src/process/site-settings.ts
+++ b/src/process/site-settings.ts
@@ -53,8 +53,8 @@
         /** Time without confirmed ownership after which an owner gives no more orders. */
         trustMs: milliseconds.default(6000),
         rosterMs: milliseconds.default(400),
-        /** How long the outcome of a job is remembered. */
-        keepFinalMs: milliseconds.default(600_000),
+        /** How long the outcome of a job is remembered; callers may ask for two minutes. */
+        keepFinalMs: milliseconds.default(180_000),
         /** Delay between failing readiness and closing the listener on a planned stop. */
         balancerDelayMs: milliseconds.default(1200),
     }).prefault({}),
--- a/test/site.test.ts
+++ b/test/site.test.ts
@@ -91,6 +91,21 @@
         expect(site.workers.flatMap(({ running }) => [...running])).toEqual([]);
     });
 
+    test("forgets a job that has been final for long, in memory and in the store", async () => {
+        const site = await siteWith();
+        await accepted(site, "j1", { tasks: 2 });
+        await accepted(site, "j2", { tasks: 1, isService: true });
+        await site.timer.advance(150_000);
+        await expectPhase(site, "j1", "succeeded");
+        await site.timer.advance(60_000);
+        expect(await site.settle(site.phaseOf(site.entries[1]!, "j1"))).toBe("absent");
+        expect(await site.settle(site.phaseOf(site.entries[1]!, "j2"))).toBe("running");
+        expect(ownerOf(site).core.domain.tenure?.jobs.entries.size).toBe(1);
+        expect(site.rows.find({ table: "jobs", part: "all", key: "j1" })).toBeUndefined();
+        expect(site.rows.find({ table: "progress", part: "main", key: "j1" })).toBeUndefined();
+        expect(site.rows.find({ table: "progress", part: "main", key: "j2" })).toBeDefined();
+    });
+
     test("keeps a team's running work within its cap", async () => {
         const site = StandinSite.create();
         await site.start({ ...lists, caps: { team: { cpu: 3000, memory: 0, accelerators: 0 } } });
