--- a/standin/site/rows.ts
+++ b/standin/site/rows.ts
@@ -34,6 +34,16 @@
     return { isSilent: false, isBusy: false, slowness: 1, lostShare: 0, lateShare: 0, lateMs: 2000 };
 }
 
+/** What happens to one transaction that a test picks by its number. */
+export enum PickedFault {
+    /** It takes effect and its answer is lost. */
+    Lost = "lost",
+    /** It is not answered and takes effect seconds later. */
+    Late = "late",
+    /** It takes effect and the process that sent it ends. */
+    Kill = "kill",
+}
+
 const readMs = 6;
 const transactMs = 12;
 const timeoutMs = 2500;
@@ -54,6 +64,12 @@
     private oldestKept = 0;
     /** Calls answered or refused. */
     calls = 0;
+    /** Transactions that were sent. */
+    transactions = 0;
+    /** Fault of a transaction by its number, the first being 1. */
+    readonly picked = new Map<number, PickedFault>();
+    /** Called when a transaction that was picked for it has taken effect; ends the sender. */
+    onKill: (sender: Timer) => void = () => undefined;
 
     private constructor(private readonly timer: Timer, private readonly random: Random) {}
 
@@ -103,6 +119,10 @@
             return { kind: TransactKind.Unknown, reason: "timeout" };
         }
         const copy = structuredClone(tx);
+        const fault = this.picked.get(++this.transactions);
+        if (fault !== undefined) {
+            return this.suffer(fault, copy, timer);
+        }
         if (this.random.chance(Math.max(...faults.map(({ lateShare }) => lateShare)))) {
             this.timer.after(this.faults.lateMs, () => this.apply(copy));
             await sleep(timer, timeoutMs);
@@ -121,6 +141,24 @@
         });
     }
 
+    private async suffer(fault: PickedFault, tx: RowTransaction, timer: Timer): Promise<TransactOutcome> {
+        switch (fault) {
+            case PickedFault.Lost:
+                this.timer.after(transactMs, () => this.apply(tx));
+                break;
+            case PickedFault.Late:
+                this.timer.after(this.faults.lateMs + timeoutMs, () => this.apply(tx));
+                break;
+            case PickedFault.Kill:
+                this.timer.after(transactMs, () => {
+                    this.apply(tx);
+                    this.onKill(timer);
+                });
+        }
+        await sleep(timer, timeoutMs);
+        return { kind: TransactKind.Unknown, reason: "timeout" };
+    }
+
     private apply(tx: RowTransaction): TransactOutcome {
         const current = tx.conditions.map(condition => ({
             condition,
--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -230,6 +230,9 @@
         for (let ms = 0; ms < limitMs && !isSettled; ms += 10) {
             await this.timer.advance(10);
         }
+        if (!isSettled) {
+            throw new Error(`nothing came of it within ${limitMs} ms; its process may have ended`);
+        }
         return work;
     }
 
