Split members, the line to the owner, and evacuation from the files they had grown into

Cause: domain.ts held ownership, members and questions about jobs; a planned stop repeated the hand-over of an owner that gives way; fleet-keeper.ts decided on disruption budgets beside its input and output. Change: membership.ts, owner-line.ts, evacuation.ts; stop uses the one hand-over, and leaves the members beside it. A member row that was not stored is written again at the next look.

--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -2,7 +2,6 @@
  * Task that takes part in the ownership of a domain: follows the owner row and the members, hears the owner, takes
  * the domain over when the owner falls silent, and answers questions about jobs here or at the owner.
  */
-import type { AcceptedJob, JobPhase } from "../job/index.js";
 import { messageOf } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
 import { run } from "../process/flow.js";
@@ -11,14 +10,15 @@
 import type { Log } from "../process/log.js";
 import type { Metrics } from "../process/metrics.js";
 import type { Peer, Peers } from "../process/peers.js";
-import { readAll, readRow, type RowStore, type StoredRow } from "../process/rows.js";
+import { readRow, type RowStore, type StoredRow } from "../process/rows.js";
 import { type Cancel, sleep, type Timer } from "../process/timer.js";
 import type { Directory } from "../version/directory.js";
-import { type ExplainedJob, explainJob } from "./explain.js";
 import { takeOver } from "./ledger.js";
 import type { LedgerEffect } from "./ledger.js";
 import { release } from "./ledger.js";
-import { decodeMember, memberKey, memberPart, type MemberRow } from "./member-rows.js";
+import { memberPart, type MemberRow } from "./member-rows.js";
+import { Membership } from "./membership.js";
+import { OwnerLine } from "./owner-line.js";
 import { decodeOwner, type Owner, ownerKey, ownerSilenceMs, shouldTakeOver, tables } from "./ownership.js";
 import type { Adviser, Roster, WorkerCalls } from "./ports.js";
 import type { TenureTimes } from "./tenure-context.js";
@@ -65,12 +65,6 @@
     Heard = "owner.heard",
     Released = "owner.released",
     SteppedDown = "owner.stepped-down",
-    Accepted = "job.accepted",
-    Cancelled = "job.cancelled",
-    Phase = "job.phase",
-    Pending = "queue.pending",
-    Members = "members",
-    Explain = "job.explain",
 }
 
 const beaconMs = 200;
@@ -82,18 +76,12 @@
 const feedWaitMs = 4000;
 const retryMs = 200;
 const heardTimeoutMs = 200;
-const questionMs = 500;
 /** Longest time for a read of the owner row by which this entry counts as better placed than the owner. */
 const quickProbeMs = 300;
 /** Pause after a takeover that another entry won. */
 const lostRacePauseMs = 500;
-/** Silence after which a member's row is removed by the owner; a living member writes it again. */
-const memberSilenceMs = 30_000;
 const memberSweepMs = 5000;
 
-/** The phase of a job, or that it is unknown; undefined without a sound answer. */
-export type PhaseAnswer = { readonly phase: JobPhase | undefined } | undefined;
-
 /** This entry's part in a domain. */
 export class Domain implements Task {
     readonly name = "domain";
@@ -110,12 +98,22 @@
     private isRunning = false;
     private isStopping = false;
     private isBusy = false;
-    private readonly members = new Map<string, MemberRow>();
+    /** How to speak with the owner about jobs. */
+    readonly line: OwnerLine;
+    private readonly members: Membership;
     private readonly cancels: Cancel[] = [];
-    private readonly memberHeardAt = new Map<string, number>();
 
     private constructor(private readonly options: DomainOptions) {
         this.heardAt = options.timer.now();
+        this.members = Membership.create(options);
+        const { peers, metrics, log } = options;
+        this.line = OwnerLine.create({
+            peers,
+            metrics,
+            log,
+            tenure: () => this.current,
+            owner: () => this.owner?.entry,
+        });
     }
 
     static create(options: DomainOptions): Domain {
@@ -139,29 +137,17 @@
         this.listen();
         this.cancels.push(timer.every(beaconMs, () => this.sendBeacon()));
         this.cancels.push(timer.every(checkMs, () => void this.check()));
-        this.cancels.push(timer.every(memberSweepMs, () => void this.sweepMembers()));
+        this.cancels.push(
+            timer.every(memberSweepMs, () => void this.members.sweep(this.current !== undefined)),
+        );
         void this.follow();
         return Promise.resolve();
     }
 
     /** Hands the domain over, if it is owned here, and leaves the members. */
     async stop(): Promise<void> {
-        const { store, log, peers, entry } = this.options;
         this.isStopping = true;
-        const tenure = this.current;
-        if (tenure !== undefined) {
-            await this.keeper?.stop();
-            const head = await tenure.handOver();
-            this.current = undefined;
-            const outcome = await store.transact(release(head, this.isStopping));
-            peers.broadcast(Topic.Released, { fence: head.owner.fence });
-            log.write(Severity.Info, EventId.OwnerReleased, {
-                fence: head.owner.fence,
-                outcome: outcome.kind,
-            });
-        }
-        const left = await store.transact({ conditions: [], puts: [], removals: [memberKey(entry)] });
-        log.write(Severity.Info, EventId.MemberGone, { entry, outcome: left.kind });
+        await Promise.all([this.giveUp("stopping"), this.members.leave()]);
         this.isRunning = false;
         this.options.lag.stop();
         this.cancels.forEach(cancel => cancel());
@@ -205,78 +191,9 @@
         }
     }
 
-    /** Tells the owner of a job that was just stored. */
-    tellAccepted(job: AcceptedJob): void {
-        this.tell(tenure => tenure.accept(job), Topic.Accepted, job);
-    }
-
-    /** Tells the owner of a cancellation that was just stored. */
-    tellCancelled(id: string): void {
-        this.tell(tenure => tenure.cancel(id), Topic.Cancelled, { id });
-    }
-
-    /** Asks the owner for the phase of a job. */
-    async phaseOf(id: string): Promise<PhaseAnswer> {
-        return this.current === undefined
-            ? await this.askOwner(Topic.Phase, { id }) as PhaseAnswer
-            : this.answerPhase(id);
-    }
-
-    /** Asks the owner how many jobs of a queue have not begun; undefined without a sound answer. */
-    async pendingOf(queue: string): Promise<number | undefined> {
-        return this.current === undefined
-            ? await this.askOwner(Topic.Pending, { queue }) as number | undefined
-            : this.answerPending(queue);
-    }
-
-    /** What the owner knows of a job; undefined when it does not know it or did not answer. */
-    async explain(id: string): Promise<ExplainedJob | undefined> {
-        return this.current === undefined
-            ? await this.askOwner(Topic.Explain, { id }) as ExplainedJob | undefined
-            : this.explainHere(id);
-    }
-
     /** Entries that have registered. */
     get memberNames(): readonly string[] {
-        return [...this.members.keys()];
-    }
-
-    private explainHere(id: string): ExplainedJob | undefined {
-        const entry = this.current?.jobs.entries.get(id);
-        return this.current === undefined || entry === undefined
-            ? undefined
-            : explainJob(this.current, entry);
-    }
-
-    private tell(here: (tenure: Tenure) => void, topic: Topic, body: unknown): void {
-        if (this.current !== undefined) {
-            here(this.current);
-        }
-        else if (this.owner !== undefined) {
-            this.options.peers.notify(this.owner.entry, topic, body);
-        }
-    }
-
-    private async askOwner(topic: Topic, body: unknown): Promise<unknown> {
-        if (this.owner === undefined || this.owner.entry === "") {
-            return undefined;
-        }
-        try {
-            return await this.options.peers.ask(this.owner.entry, topic, body, questionMs);
-        }
-        catch (err) {
-            this.options.metrics.count("celerywind_owner_questions_failed_total", { topic });
-            this.options.log.write(Severity.Info, EventId.OwnerSuspected, { topic, err: messageOf(err) });
-            return undefined;
-        }
-    }
-
-    private answerPhase(id: string): PhaseAnswer {
-        return this.current?.isReady === true ? { phase: this.current.phaseOf(id) } : undefined;
-    }
-
-    private answerPending(queue: string): number | undefined {
-        return this.current?.isReady === true ? this.current.pendingOf(queue) : undefined;
+        return this.members.names;
     }
 
     private listen(): void {
@@ -288,12 +205,6 @@
         );
         peers.on(Topic.Released, (_, body) => this.hearRelease((body as { fence: number }).fence));
         peers.on(Topic.SteppedDown, (_, body) => this.notePredecessorGone((body as { fence: number }).fence));
-        peers.on(Topic.Accepted, (_, body) => this.current?.accept(body as AcceptedJob));
-        peers.on(Topic.Cancelled, (_, body) => this.current?.cancel((body as { id: string }).id));
-        peers.on(Topic.Phase, (_, body) => this.answerPhase((body as { id: string }).id));
-        peers.on(Topic.Pending, (_, body) => this.answerPending((body as { queue: string }).queue));
-        peers.on(Topic.Explain, (_, body) => this.explainHere((body as { id: string }).id));
-        peers.on(Topic.Members, () => [...this.members.entries()]);
     }
 
     private sendBeacon(): void {
@@ -459,7 +370,7 @@
             return false;
         }
         const { entry, incarnation } = this.options;
-        const current = owner.entry === entry ? incarnation : this.members.get(owner.entry)?.incarnation;
+        const current = owner.entry === entry ? incarnation : this.members.incarnationOf(owner.entry);
         return current !== undefined && current !== owner.incarnation;
     }
 
@@ -525,7 +436,7 @@
                     log.write(Severity.Warn, EventId.StoreUnavailable, fields);
                 }
                 isLost = true;
-                await this.askMembers();
+                await this.members.askPeer();
                 await sleep(timer, retryMs);
             }
         }
@@ -533,37 +444,38 @@
 
     private async readCluster(): Promise<number> {
         const { store, name } = this.options;
-        const owner = await readRow(store, ownerKey(name));
-        const page = await readAll(store, { table: tables.cluster, part: memberPart });
-        this.noteOwnerRow(owner);
-        page.rows.forEach(row => this.noteMember(row));
-        await this.register();
-        this.options.onMembers(this.members);
-        return page.version;
+        this.noteOwnerRow(await readRow(store, ownerKey(name)));
+        const version = await this.members.load();
+        this.checkPredecessor();
+        return version;
     }
 
     private async feedCluster(version: number): Promise<number | undefined> {
         const result = await this.options.store.feed(tables.cluster, version, feedWaitMs);
         if (result.kind === "history-lost") {
-            this.members.clear();
             return undefined;
         }
-        const { key } = ownerKey(this.options.name);
+        const { key, part } = ownerKey(this.options.name);
         for (const row of result.rows) {
             if (row.part === memberPart) {
-                this.noteMember(row);
+                this.members.note(row);
             }
-            else if (row.key === key && row.part === this.options.name) {
+            else if (row.key === key && row.part === part) {
                 this.noteOwnerRow(row);
             }
         }
-        if (result.rows.length > 0) {
-            await this.register();
-            this.options.onMembers(this.members);
-        }
+        await this.members.settle();
+        this.checkPredecessor();
         return Math.max(version, result.version);
     }
 
+    /** Notices that the VM of the owner before this one runs another process by now. */
+    private checkPredecessor(): void {
+        if (this.predecessor !== undefined && this.hasEnded(this.predecessor)) {
+            this.notePredecessorGone(this.predecessor.fence);
+        }
+    }
+
     private noteOwnerRow(row: StoredRow | undefined): void {
         const owner = decodeOwner(row);
         if (owner === undefined || owner.fence < (this.owner?.fence ?? 0)) {
@@ -582,72 +494,4 @@
             }
         }
     }
-
-    private noteMember(row: StoredRow): void {
-        const member = decodeMember(row);
-        if (member === undefined) {
-            this.members.delete(row.key);
-        }
-        else {
-            this.members.set(row.key, member);
-            if (this.predecessor !== undefined && this.hasEnded(this.predecessor)) {
-                this.notePredecessorGone(this.predecessor.fence);
-            }
-        }
-    }
-
-    private async register(): Promise<void> {
-        const { entry, incarnation, peerUrl, store, log } = this.options;
-        if (this.isStopping || this.members.get(entry)?.incarnation === incarnation) {
-            return;
-        }
-        const member: MemberRow = { incarnation, url: peerUrl };
-        const outcome = await store.transact({
-            conditions: [],
-            puts: [{ ...memberKey(entry), value: JSON.stringify(member) }],
-            removals: [],
-        });
-        log.write(Severity.Info, EventId.MemberRegistered, { entry, incarnation, outcome: outcome.kind });
-        this.members.set(entry, member);
-    }
-
-    /** Learns the members from a peer while the store does not answer. */
-    private async askMembers(): Promise<void> {
-        const { peers, onMembers, log } = this.options;
-        const [peer] = peers.connected();
-        if (peer === undefined || this.members.size > 0) {
-            return;
-        }
-        try {
-            const rows = await peers.ask(peer.vm, Topic.Members, {}, questionMs) as [string, MemberRow][];
-            rows.forEach(([entry, member]) => this.members.set(entry, member));
-            onMembers(this.members);
-        }
-        catch (err) {
-            log.write(Severity.Warn, EventId.PeerLost, { peer: peer.vm, err: messageOf(err) });
-        }
-    }
-
-    /** Removes the rows of members that the owner has not heard for long. */
-    private async sweepMembers(): Promise<void> {
-        const { peers, timer, entry, store, log } = this.options;
-        const now = timer.now();
-        peers.connected().forEach(({ vm }) => this.memberHeardAt.set(vm, now));
-        if (this.current === undefined) {
-            return;
-        }
-        for (const member of this.members.keys()) {
-            const heardAt = this.memberHeardAt.get(member) ?? now;
-            this.memberHeardAt.set(member, heardAt);
-            if (member !== entry && now - heardAt > memberSilenceMs) {
-                this.memberHeardAt.delete(member);
-                const outcome = await store.transact({
-                    conditions: [],
-                    puts: [],
-                    removals: [memberKey(member)],
-                });
-                log.write(Severity.Info, EventId.MemberGone, { entry: member, outcome: outcome.kind });
-            }
-        }
-    }
 }
--- a/src/pool/fleet-keeper.ts
+++ b/src/pool/fleet-keeper.ts
@@ -1,5 +1,5 @@
 /** Task of the owner that moves and services VMs: reads the inventory, carries out the plan, reports waves. */
-import { type StepSpec, TaskPhase } from "../job/index.js";
+import type { StepSpec } from "../job/index.js";
 import { messageOf } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
 import type { Log } from "../process/log.js";
@@ -9,8 +9,9 @@
 import type { Directory } from "../version/directory.js";
 import type { WaveOrder } from "../version/operator-feed.js";
 import { DemandMeter } from "./demand.js";
+import { movableRuns } from "./evacuation.js";
 import { couldRun, type FleetAction, planFleet, type PlannedVm } from "./fleet-plan.js";
-import { type RunRecord, StopReason } from "./job-book.js";
+import { StopReason } from "./job-book.js";
 import { type VmCalls, type VmEntry, VmOrderResult, VmPhase } from "./ports.js";
 import type { Tenure } from "./tenure.js";
 import { WaveBook, waveTable } from "./wave-book.js";
@@ -48,7 +49,6 @@
 /** VMs that a pool keeps beyond its need, and at least. */
 const reserveVms = 1;
 const leastVms = 2;
-const defaultDisruptionBudget = 1;
 
 interface Ordered {
     readonly pool: string;
@@ -386,32 +386,17 @@
 
     /** Moves services off VMs that are to be emptied, as fast as their disruption budgets allow. */
     private evacuate(): void {
+        const { tenure } = this.options;
         for (const entry of this.inventory) {
             const worker = this.cordoned.has(entry.vm) ? this.workerOf(entry) : undefined;
             if (worker === undefined) {
                 continue;
             }
             worker.isCordoned = true;
-            for (const record of worker.runs.values()) {
-                if (record.step.isService && record.stopReason === undefined && this.mayDisrupt(record)) {
-                    this.options.tenure.desk.stop(record, StopReason.VmLeaving);
-                }
-            }
-        }
-    }
-
-    /** Whether ending a run keeps the disruption budget of its step. */
-    private mayDisrupt(record: RunRecord): boolean {
-        const { entry, step } = record;
-        const { occurrence, step: number } = entry.state.tasks[record.at]!;
-        const budget = step.disruptionBudget ?? defaultDisruptionBudget;
-        let away = 0;
-        for (const [at, task] of entry.state.tasks.entries()) {
-            if (task.step === number && task.occurrence === occurrence && at !== record.at) {
-                away += task.phase === TaskPhase.Claimed && this.options.tenure.isAtWork(entry, at) ? 0 : 1;
+            for (const record of movableRuns(tenure, worker)) {
+                tenure.desk.stop(record, StopReason.VmLeaving);
             }
         }
-        return away < budget;
     }
 
     private async reportWaves(): Promise<void> {
--- a/src/pool/index.ts
+++ b/src/pool/index.ts
@@ -1,8 +1,9 @@
-export { Domain, type DomainOptions, type PhaseAnswer } from "./domain.js";
+export { Domain, type DomainOptions } from "./domain.js";
 export { FleetKeeper } from "./fleet-keeper.js";
 export * from "./job-rows.js";
 export { progressKey } from "./ledger.js";
 export { type MemberRow } from "./member-rows.js";
+export type { PhaseAnswer } from "./owner-line.js";
 export * from "./ownership.js";
 export * from "./ports.js";
 export type { TenureTimes } from "./tenure-context.js";
--- a/src/pool/job-book.ts
+++ b/src/pool/job-book.ts
@@ -210,6 +210,11 @@
         return entry.open;
     }
 
+    /** Run that may exist of a task; undefined without. */
+    runOf(entry: JobEntry, at: number): RunRecord | undefined {
+        return this.runs.get(nameOf(entry, entry.state.tasks[at]!));
+    }
+
     /** Runs of the other members of a gang. */
     gangOf({ entry, at, step }: RunRecord): readonly RunRecord[] {
         const task = entry.state.tasks[at]!;
--- a/src/pool/tenure.ts
+++ b/src/pool/tenure.ts
@@ -2,7 +2,7 @@
  * One entry's time as the owner of a domain: from the takeover until it is superseded, gives the domain up, or
  * stops. Everything that starts, stops, renews or paces on the domain's workers happens here.
  */
-import { type AcceptedJob, encodeState, type JobPhase, taskName } from "../job/index.js";
+import { type AcceptedJob, encodeState, type JobPhase } from "../job/index.js";
 import { messageOf } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
 import { run } from "../process/flow.js";
@@ -199,14 +199,6 @@
         log.write(Severity.Info, EventId.OwnerGone, { domain: this.head.domain, fence: this.fence });
     }
 
-    /** Whether a task's run is at work by its worker's latest word. */
-    isAtWork(entry: JobEntry, at: number): boolean {
-        const { occurrence, step, index } = entry.state.tasks[at]!;
-        const record = this.jobs.runs.get(taskName({ job: entry.job.id, occurrence, step, index }));
-        return record !== undefined && record.stopReason === undefined && record.percent >= 100
-            && this.workers.of(record).isReachable;
-    }
-
     /** Stores a row with the next batch, after which it is certain that this entry was still the owner. */
     storeRow(put: RowPut): void {
         this.extraRows.set(`${put.table}/${put.part}/${put.key}`, put);
--- a/src/request/job-desk.ts
+++ b/src/request/job-desk.ts
@@ -119,7 +119,7 @@
             ? { kind: "refused", reason: RefusalReason.Stopping, retryAfterMs: 0 }
             : await this.serve(submit(job), limitMs);
         if (result.kind === "accepted" && !result.isRepeat) {
-            domain.tellAccepted(job);
+            domain.line.tellAccepted(job);
         }
         const ms = timer.now() - startedAt;
         metrics.count("celerywind_submissions_total", { queue: queue.name, result: result.kind });
@@ -146,7 +146,7 @@
     async cancel(id: string, limitMs: number): Promise<CancelResult> {
         const result = await this.serve(cancel(id), limitMs);
         if (result.kind === "cancelled") {
-            this.options.domain.tellCancelled(id);
+            this.options.domain.line.tellCancelled(id);
         }
         this.options.metrics.count("celerywind_cancellations_total", { result: result.kind });
         this.options.log.write(Severity.Info, EventId.CancelStored, { job: id, result: result.kind });
@@ -165,7 +165,7 @@
 
     /** Counts the jobs of a queue that have not begun; undefined when it cannot be told. */
     pendingOf(queue: Queue): Promise<number | undefined> {
-        return this.options.domain.pendingOf(queue.name);
+        return this.options.domain.line.pendingOf(queue.name);
     }
 
     private async serve<T>(flow: Generator<IntakeEffect, T, unknown>, limitMs: number): Promise<T> {
@@ -192,7 +192,7 @@
             case "read-progress":
                 return this.read(progressKey(domainName, effect.id));
             case "ask-phase":
-                return domain.phaseOf(effect.id);
+                return domain.line.phaseOf(effect.id);
             case "pause":
                 await sleep(timer, effect.ms);
                 return undefined;
--- a/src/site-entry.ts
+++ b/src/site-entry.ts
@@ -127,7 +127,7 @@
             sendJson(res, statusOk, this.status());
         }
         else if (path.startsWith(explainPath)) {
-            void this.core.domain.explain(path.slice(explainPath.length)).then(found => {
+            void this.core.domain.line.explain(path.slice(explainPath.length)).then(found => {
                 sendJson(res, statusOk, { traces: found === undefined ? [] : [found] });
             });
         }
