A planned stop ends within the grace while the store refuses; waves are announced once, and never after their end

Cause: found by reading. (1) `handOver` waited without a bound for a batch that the store kept refusing, until the platform killed the process. (2) The keeper wrote "running" only in the moment in which it first saw a wave; when the store could not be read then, it was never written, and stored progress was never restored. (3) Each new owner saw all waves afresh and wrote "running" over "succeeded" until it had restored and reported them again.

Change: the hand-over waits 1 s at most; what was not stored was not acknowledged and is reported again. Waves stay in a set of unannounced ones until the write has taken effect, and the write has the condition that the row does not exist, so that neither a late execution nor a new owner hides a final state.

Before: three new tests failed (planned stop unfinished after 4 s; wave unannounced after 1.5 s; "running" over "succeeded").

--- a/src/pool/fleet-keeper.ts
+++ b/src/pool/fleet-keeper.ts
@@ -67,6 +67,8 @@
     private readonly book: WaveBook;
     private readonly demand: DemandMeter;
     private isRestored = false;
+    /** Waves of which operators have not been told yet that they are worked on. */
+    private readonly unannounced = new Set<number>();
     private cancel: Cancel = () => undefined;
 
     private constructor(private readonly options: FleetKeeperOptions) {
@@ -117,9 +119,11 @@
     }
 
     private async seeWaves(): Promise<void> {
-        const { store, domain, timer, waves, waveStatusRow } = this.options;
-        const fresh = this.book.see(waves(), timer.now());
-        if (fresh.length === 0) {
+        const { store, domain, timer, waves } = this.options;
+        for (const { wave } of this.book.see(waves(), timer.now())) {
+            this.unannounced.add(wave);
+        }
+        if (this.unannounced.size === 0) {
             return;
         }
         if (!this.isRestored) {
@@ -127,8 +131,23 @@
             this.book.restore(page.rows);
             this.isRestored = true;
         }
-        for (const { wave } of fresh) {
-            await store.transact({ conditions: [], puts: [waveStatusRow(wave, false)], removals: [] });
+        for (const wave of this.unannounced) {
+            await this.announce(wave);
+        }
+    }
+
+    /** Shows operators that a wave is worked on, unless an owner has said so, or that it is finished, before. */
+    private async announce(wave: number): Promise<void> {
+        const { store, waveStatusRow } = this.options;
+        const put = waveStatusRow(wave, false);
+        const { table, part, key } = put;
+        const outcome = await store.transact({
+            conditions: [{ table, part, key, version: 0 }],
+            puts: [put],
+            removals: [],
+        });
+        if (outcome.kind === TransactKind.Committed || outcome.kind === TransactKind.Conflict) {
+            this.unannounced.delete(wave);
         }
     }
 
@@ -412,6 +431,7 @@
             });
             if (outcome.kind === TransactKind.Committed) {
                 this.book.report(wave);
+                this.unannounced.delete(wave);
                 log.write(Severity.Info, EventId.WaveFinished, { wave });
             }
         }
--- a/src/pool/tenure.ts
+++ b/src/pool/tenure.ts
@@ -31,6 +31,8 @@
 const forgottenAtOnce = 40;
 /** Period of looking at a hand-over that waits for the batch in flight. */
 const handOverCheckMs = 15;
+/** Longest wait for it; a planned stop has a grace of some seconds in all, and the next owner waits for this one. */
+const longestHandOverMs = 1000;
 /** Most starts of one batch; keeps one burst from delaying the ends of others. */
 const startsPerBatch = 64;
 /** Difference between clocks from which the process is taken to have been suspended. */
@@ -137,13 +139,16 @@
         this.options.calls.retain(new Set());
     }
 
-    /** Stops placing work and waits for the batch in flight; the runs go on under their leases. */
+    /**
+     * Stops placing work and waits for the batch in flight; the runs go on under their leases. When the store keeps
+     * refusing, what is not stored is left to the next owner: it was not acknowledged, so workers report it again.
+     */
     async handOver(): Promise<LedgerHead> {
         this.isHandingOver = true;
         const { timer } = this.options;
-        while (
-            this.isActive && (this.isPumping || this.jobs.dirtyCount > 0 || this.desk.unstartedCount > 0)
-        ) {
+        const deadline = timer.now() + longestHandOverMs;
+        const isPending = () => this.isPumping || this.jobs.dirtyCount > 0 || this.desk.unstartedCount > 0;
+        while (this.isActive && isPending() && timer.now() < deadline) {
             this.pump();
             await sleep(timer, handOverCheckMs);
         }
--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -150,6 +150,11 @@
     }
 
     /** Whether the operator was told that a wave is finished. */
+    /** Whether the product has told operators that it works on a wave, or has finished it. */
+    isWaveAnnounced(wave: number): boolean {
+        return this.rows.find(statusKey(wave)) !== undefined;
+    }
+
     isWaveFinished(wave: number): boolean {
         return this.rows.find(statusKey(wave))?.value === "true";
     }
--- a/test/site.test.ts
+++ b/test/site.test.ts
@@ -149,6 +149,27 @@
         expect(site.checker.starts).toBe(4);
     });
 
+    test("at a planned stop is over within the grace although the store refuses a batch", async () => {
+        const site = await siteWith();
+        await site.settle(site.submit(site.entries[0]!, "j1", jobOf({ tasks: 4 }), { workMs: 300 }));
+        await site.timer.advance(250);
+        site.rows.faults.isBusy = true;
+        await site.timer.advance(300);
+        const owner = ownerOf(site);
+        let hasLeft = false;
+        void owner.core.leave().then(() => {
+            hasLeft = true;
+        });
+        await site.timer.advance(4000);
+        expect(hasLeft).toBe(true);
+        site.kill(owner);
+        site.startEntry(owner.name);
+        site.rows.faults.isBusy = false;
+        await site.timer.advance(5000);
+        await expectPhase(site, "j1", "succeeded");
+        expect(site.checker.starts).toBe(4);
+    });
+
     test("keeps ends that came while nobody owned the domain", async () => {
         const site = await siteWith();
         await site.settle(site.submit(site.entries[0]!, "j1", jobOf({ tasks: 6 }), { workMs: 600 }));
@@ -539,6 +560,40 @@
         expect(site.isWaveFinished(1)).toBe(true);
     });
 
+    test("is announced although the store could not be read when it was first seen", async () => {
+        const site = await siteWith({ keepsVms: true, vmsPerPool: 6, spareVms: 2 });
+        await site.timer.advance(3000);
+        const owner = ownerOf(site);
+        site.orderWave({ wave: 1, vms, durationMs: 30_000, cap: 1 });
+        for (let i = 0; i < 100 && !owner.log.some(({ event }) => event === EventId.WaveSeen); i++) {
+            await site.timer.advance(5);
+        }
+        site.rows.faults.isBusy = true;
+        await site.timer.advance(400);
+        site.rows.faults.isBusy = false;
+        await site.timer.advance(1100);
+        expect(ownerOf(site)).toBe(owner);
+        expect(site.isWaveAnnounced(1)).toBe(true);
+        expect(site.isWaveFinished(1)).toBe(false);
+    });
+
+    test("that is finished is never shown as running again, also by the next owner", async () => {
+        const site = await siteWith({ keepsVms: true, vmsPerPool: 6, spareVms: 2 });
+        await site.timer.advance(3000);
+        site.orderWave({ wave: 1, vms: vms.slice(0, 2), durationMs: 30_000, cap: 2 });
+        for (let i = 0; i < 400 && !site.isWaveFinished(1); i++) {
+            await site.timer.advance(50);
+        }
+        expect(site.isWaveFinished(1)).toBe(true);
+        const owner = ownerOf(site);
+        site.kill(owner);
+        site.startEntry(owner.name);
+        for (let i = 0; i < 600; i++) {
+            await site.timer.advance(10);
+            expect(site.isWaveFinished(1)).toBe(true);
+        }
+    });
+
     test("is finished by the next owner when the first is killed in its midst", async () => {
         const site = await siteWith({ keepsVms: true, vmsPerPool: 6, spareVms: 2 });
         await site.timer.advance(3000);
