A fault soak of the built daemon as separate processes

Change: soak/ plays seeded rounds: entries as processes on loopback, links that are delayed, reset, silenced or cut one way, signals, faults of store and workers, in series and overlapping; checks of what callers and workers see. The stand-in of the wire protocol got lives of workers, service of VMs, a way to the store per entry, and answers that never come (an unknown outcome was answered with 503 before, which says that nothing was done). Settings may name an advertised peer address.

--- /dev/null
+++ b/soak/entry-process.ts
@@ -0,0 +1,164 @@
+/** One entry as a process of its own: started from its settings file, and ended only by its own id. */
+import { type ChildProcess, spawn } from "node:child_process";
+import { createWriteStream, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { host } from "./loopback.js";
+
+/** Options of `EntryProcess.create`. */
+export interface EntryProcessOptions {
+    readonly name: string;
+    /** The built daemon. */
+    readonly program: string;
+    /** Folder for settings and logs. */
+    readonly folder: string;
+    readonly ports: {
+        readonly callers: number;
+        readonly readiness: number;
+        readonly metrics: number;
+        readonly peers: number;
+    };
+    /** Where peers reach it. */
+    readonly advertise: string;
+    readonly store: string;
+    readonly inventory: string;
+    /** Called when the process ends without having been asked to, or otherwise than it should. */
+    readonly onBadEnd: (text: string) => void;
+}
+
+const secret = "a-secret-of-the-soak-only";
+/** Time from SIGTERM to SIGKILL, in milliseconds; the site files say the same. */
+export const graceMs = 6000;
+const restartMs = 300;
+
+/** An entry. */
+export class EntryProcess {
+    private child: ChildProcess | undefined;
+    private isWanted = true;
+    /** Whether the process stood still at any time since it was asked to stop. */
+    private wasPaused = false;
+    private isPaused = false;
+    /** Why the next end is expected. */
+    private expected: "kill" | "term" | undefined;
+    private starts = 0;
+
+    private constructor(private readonly options: EntryProcessOptions) {}
+
+    static create(options: EntryProcessOptions): EntryProcess {
+        return new EntryProcess(options);
+    }
+
+    get name(): string {
+        return this.options.name;
+    }
+
+    get isRunning(): boolean {
+        return this.child !== undefined;
+    }
+
+    /** Starts the process, again and again until `end`. */
+    start(): void {
+        const { name, folder, program } = this.options;
+        const file = join(folder, `${name}.jsonc`);
+        writeFileSync(file, JSON.stringify(this.settings(), undefined, 4));
+        const log = createWriteStream(join(folder, `${name}.${++this.starts}.log`));
+        const child = spawn(process.execPath, [program], {
+            env: { CELERYWIND_SETTINGS: file, PATH: process.env["PATH"] },
+            stdio: ["ignore", "pipe", "pipe"],
+        });
+        child.stdout.pipe(log);
+        child.stderr.pipe(log);
+        child.once("exit", (code, signal) => this.noteEnd(code, signal));
+        this.child = child;
+        this.isPaused = false;
+    }
+
+    kill(): void {
+        if (this.child !== undefined) {
+            this.expected = "kill";
+            this.child.kill("SIGKILL");
+        }
+    }
+
+    /** Asks the process to stop; it is killed after the grace, which is a breach. */
+    term(): void {
+        const { child } = this;
+        if (child === undefined || this.expected !== undefined) {
+            return;
+        }
+        this.expected = "term";
+        this.wasPaused = this.isPaused;
+        child.kill("SIGTERM");
+        setTimeout(() => {
+            if (this.child !== child) {
+                return;
+            }
+            if (!this.wasPaused) {
+                this.options.onBadEnd(`${this.name} did not stop within ${graceMs} ms`);
+            }
+            this.kill();
+        }, graceMs);
+    }
+
+    pause(): void {
+        this.isPaused = true;
+        this.wasPaused = true;
+        this.child?.kill("SIGSTOP");
+    }
+
+    resume(): void {
+        this.isPaused = false;
+        this.child?.kill("SIGCONT");
+    }
+
+    hup(): void {
+        this.child?.kill("SIGHUP");
+    }
+
+    /** Ends the process for good; resolves when it is gone. */
+    async end(): Promise<void> {
+        this.kill();
+        await this.ended();
+    }
+
+    /** Resolves when the process has ended; it is not started again. */
+    async ended(): Promise<void> {
+        this.isWanted = false;
+        const { child } = this;
+        if (child !== undefined) {
+            await new Promise(resolve => child.once("exit", resolve));
+        }
+    }
+
+    private noteEnd(code: number | null, signal: string | null): void {
+        const { expected } = this;
+        this.child = undefined;
+        this.expected = undefined;
+        if (expected !== "kill" && !(expected === "term" && code === 0)) {
+            this.options.onBadEnd(
+                `${this.name} ended with ${code ?? signal} (${expected ?? "not asked to"})`,
+            );
+        }
+        if (this.isWanted) {
+            setTimeout(() => {
+                if (this.isWanted) {
+                    this.start();
+                }
+            }, restartMs);
+        }
+    }
+
+    private settings(): unknown {
+        const { name, ports, advertise, store, inventory } = this.options;
+        const at = (port: number): string => `${host}:${port}`;
+        return {
+            entry: name,
+            callers: at(ports.callers),
+            readiness: at(ports.readiness),
+            metrics: at(ports.metrics),
+            peers: { listen: at(ports.peers), advertise, secret, seeds: [] },
+            store,
+            inventory,
+            bounds: { graceMs },
+        };
+    }
+}
--- /dev/null
+++ b/soak/plan.ts
@@ -0,0 +1,107 @@
+/** The faults of a round, drawn from its seed: what happens when, for how long, and to whom. */
+import { Random } from "../src/process/random.js";
+import { LinkMode } from "./link.js";
+
+/** Faults that a round may hold. */
+export enum FaultKind {
+    /** SIGKILL to an entry, which starts again a little later. */
+    Kill = "kill",
+    /** SIGKILL to most entries at once. */
+    KillMany = "kill-many",
+    /** SIGTERM to an entry, which starts again once it has ended. */
+    Term = "term",
+    /** SIGTERM to all entries, one after the other. */
+    TermAll = "term-all",
+    /** SIGSTOP to an entry, and SIGCONT later. */
+    Pause = "pause",
+    /** SIGHUP to an entry. */
+    Hup = "hup",
+    /** Harm to an entry's link to the store. */
+    StoreLink = "store-link",
+    /** Harm to the links of an entry's peers to it. */
+    PeerLink = "peer-link",
+    /** Harm to the callers' link to an entry. */
+    CallerLink = "caller-link",
+    /** Harm to the link to a worker. */
+    WorkerLink = "worker-link",
+    /** The store refuses one entry, or all of them. */
+    StoreBusy = "store-busy",
+    /** The store answers nothing. */
+    StoreSilent = "store-silent",
+    /** The store takes many times as long. */
+    StoreSlow = "store-slow",
+    /** Answers of the store are lost. */
+    StoreLost = "store-lost",
+    /** Writes are carried out seconds later and not answered. */
+    StoreLate = "store-late",
+    /** The store forgets its history of changes. */
+    StoreCompact = "store-compact",
+    /** A worker dies with everything on it, and a new life begins later. */
+    WorkerCrash = "worker-crash",
+    /** A worker fails all that it starts. */
+    WorkerFails = "worker-fails",
+    /** Everything on a worker stands still. */
+    WorkerHangs = "worker-hangs",
+    /** A new version of the operator's lists. */
+    Lists = "lists",
+}
+
+/** One fault. */
+export interface Fault {
+    readonly kind: FaultKind;
+    /** Start since the beginning of the traffic, in milliseconds. */
+    readonly atMs: number;
+    readonly forMs: number;
+    /** Number of the entry or worker, taken modulo how many there are; -1 means all, where all can be meant. */
+    readonly at: number;
+    readonly link: LinkMode;
+}
+
+/** Options of `planFaults`. */
+export interface PlanOptions {
+    readonly seed: number;
+    /** Length of the part of a round in which faults begin, in milliseconds. */
+    readonly lengthMs: number;
+    /** Mean time between the starts of two faults or series of them, in milliseconds. */
+    readonly meanGapMs: number;
+    /** Only planned work: stops, reloads and new lists. */
+    readonly isPlannedOnly: boolean;
+}
+
+const plannedKinds = [FaultKind.Term, FaultKind.TermAll, FaultKind.Hup, FaultKind.Lists];
+const harms = [LinkMode.Delayed, LinkMode.Reset, LinkMode.Silent, LinkMode.OneWay];
+const shortestMs = 200;
+const meanLengthMs = 1800;
+const longestMs = 5000;
+/** Chance that a fault comes again soon, as a series of the same kind. */
+const seriesShare = 0.3;
+const seriesGapMs = 1200;
+const mostInSeries = 4;
+const allShare = 0.4;
+const targets = 64;
+
+/** Whether a kind of fault is planned work, around which no request may be lost. */
+export function isPlanned(kind: FaultKind): boolean {
+    return plannedKinds.includes(kind);
+}
+
+/** Faults in order of their start. */
+export function planFaults({ seed, lengthMs, meanGapMs, isPlannedOnly }: PlanOptions): readonly Fault[] {
+    const random = Random.createSpread(seed);
+    const kinds = isPlannedOnly ? plannedKinds : Object.values(FaultKind);
+    const faults: Fault[] = [];
+    for (let at = random.exponential(meanGapMs); at < lengthMs; at += random.exponential(meanGapMs)) {
+        const kind = random.pick(kinds);
+        const count = random.chance(seriesShare) ? 2 + random.int(mostInSeries - 1) : 1;
+        for (let i = 0; i < count; i++) {
+            faults.push({
+                kind,
+                atMs: Math.round(at + i * seriesGapMs * (0.5 + random.fraction())),
+                forMs: Math.round(Math.min(longestMs, shortestMs + random.exponential(meanLengthMs))),
+                at: random.chance(allShare) ? -1 : random.int(targets),
+                link: random.pick(harms),
+            });
+        }
+    }
+    return faults.filter(({ atMs }) => atMs < lengthMs).sort((a, b) => a.atMs - b.atMs);
+}
--- a/src/process/random.ts
+++ b/src/process/random.ts
@@ -3,6 +3,8 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 
 const resolution = 0x1000000;
+/** Odd constant that spreads small numbers over 32 bits (the golden ratio, as in Fibonacci hashing). */
+const spread = 0x9e3779b1;
 
 /** A stream of random values that is fully determined by its seed. */
 export class Random {
@@ -12,6 +14,11 @@
         return new Random(xoroshiro128plus(seed));
     }
 
+    /** A stream for one of a series of small seeds; unlike with `create`, the first values of neighbours differ. */
+    static createSpread(seed: number): Random {
+        return Random.create(Math.imul(seed, spread));
+    }
+
     /** A whole number from 0 up to but not including `below`. */
     int(below: number): number {
         return uniformInt(this.source, 0, below - 1);
--- a/src/process/site-settings.ts
+++ b/src/process/site-settings.ts
@@ -20,6 +20,8 @@
     metrics: endpoint,
     peers: z.object({
         listen: endpoint,
+        /** Where peers reach this entry when that differs from where it listens, as behind address translation. */
+        advertise: endpoint.optional(),
         secret: z.string().min(16, {
             error: "give the shared secret of the peer links, 16 characters or more",
         }),
--- a/src/site-entry.ts
+++ b/src/site-entry.ts
@@ -52,7 +52,7 @@
         this.core = SiteCore.create({
             ...options,
             peers: this.mesh,
-            peerUrl: `ws://${settings.peers.listen}`,
+            peerUrl: `ws://${settings.peers.advertise ?? settings.peers.listen}`,
             onMembers: members => this.wantMembers(members),
         });
         this.callers = this.listener(settings.callers, options.callerHandler(this.core.desk));
--- a/standin/site/checker.ts
+++ b/standin/site/checker.ts
@@ -33,6 +33,11 @@
         this.cancelledAt.set(job, this.timer.now());
     }
 
+    /** Whether a caller was told that a job is cancelled. */
+    isCancelled(job: string): boolean {
+        return this.cancelledAt.has(job);
+    }
+
     /** A caller was told that a job will never run. */
     refuse(job: string): void {
         this.refused.add(job);
@@ -105,7 +110,8 @@
         }
     }
 
-    private breach(text: string): void {
+    /** Notes a breach. */
+    breach(text: string): void {
         this.breaches.push(`${Math.round(this.timer.now())} ms: ${text}`);
     }
 }
--- /dev/null
+++ b/standin/wire/http.ts
@@ -0,0 +1,72 @@
+/** Servers on loopback that answer calls with JSON, or do not answer. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { readBody } from "../../src/connection/caller/body.js";
+import { PlatformError } from "../../src/process/errors.js";
+
+/** Status and body of an answer; undefined breaks the connection off without one. */
+export type Answer = readonly [status: number, body: unknown] | undefined;
+
+/** Answers one kind of call. */
+export type Handler = (
+    url: URL,
+    body: Record<string, unknown>,
+    req: IncomingMessage,
+) => Answer | Promise<Answer>;
+
+/** Handlers by method and path, such as `GET /v1/rows-get`. */
+export type Routes = Readonly<Record<string, Handler>>;
+
+/** Notes a call before it is answered. */
+export type CallNote = (path: string, body: Record<string, unknown>) => void;
+
+const host = "127.0.0.1";
+const bodyLimit = 2 * 1024 * 1024;
+
+/** Serves routes on a port that the system picks. */
+export async function serve(routes: Routes, note: CallNote = () => undefined): Promise<Server> {
+    const server = createServer((req, res) => void answer(routes, note, req, res));
+    await new Promise<void>(resolve => server.listen(0, host, resolve));
+    return server;
+}
+
+/** Host and port of a server. */
+export function addressOf(server: Server): string {
+    return `${host}:${(server.address() as AddressInfo).port}`;
+}
+
+/** Ends a server and its connections. */
+export async function close(server: Server): Promise<void> {
+    server.closeAllConnections();
+    await new Promise(resolve => server.close(resolve));
+}
+
+async function answer(
+    routes: Routes,
+    note: CallNote,
+    req: IncomingMessage,
+    res: ServerResponse,
+): Promise<void> {
+    const result = await handle(routes, note, req).catch((err: unknown) => {
+        if (err instanceof PlatformError || req.destroyed) {
+            return undefined;
+        }
+        throw err;
+    });
+    if (result === undefined) {
+        res.destroy();
+        return;
+    }
+    const [status, body] = result;
+    res.writeHead(status, { "content-type": "application/json" });
+    res.end(JSON.stringify(body));
+}
+
+async function handle(routes: Routes, note: CallNote, req: IncomingMessage): Promise<Answer> {
+    const url = new URL(req.url ?? "/", "http://x");
+    const text = (await readBody(req, bodyLimit))?.toString() ?? "";
+    const body = text === "" ? {} : JSON.parse(text) as Record<string, unknown>;
+    note(url.pathname, body);
+    const handler = routes[`${req.method} ${url.pathname}`];
+    return handler === undefined ? [404, {}] : handler(url, body, req);
+}
--- a/standin/wire/platform.ts
+++ b/standin/wire/platform.ts
@@ -1,35 +1,37 @@
 /** A small platform that speaks the users' protocol over HTTP on loopback: store, inventory of VMs, and workers. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
-import { readBody } from "../../src/connection/caller/body.js";
+import type { Server } from "node:http";
 import type { JobSpec } from "../../src/job/index.js";
 import { parseTaskName } from "../../src/job/index.js";
-import { type HoldOrder, type HoldResult, type StartOrder, StartRefusal } from "../../src/pool/ports.js";
 import { Random } from "../../src/process/random.js";
 import { type RowStore, type StoredRow, TransactKind } from "../../src/process/rows.js";
-import { SystemTimer } from "../../src/process/timer.js";
+import { type Cancel, SystemTimer } from "../../src/process/timer.js";
 import { Checker } from "../site/checker.js";
-import { StandinRows } from "../site/rows.js";
-import { StandinWorker } from "../site/worker.js";
+import { noRowFaults, type RowFaults, StandinRows } from "../site/rows.js";
+import { StandinWorker, type TaskFacts } from "../site/worker.js";
+import { addressOf, type Answer, close, type Routes, serve } from "./http.js";
+import { WireWorker } from "./worker.js";
 
 /** Options of `WirePlatform.create`. */
 export interface WirePlatformOptions {
     readonly pool: string;
     readonly workers: number;
+    /** Seed of the faults that strike a share of the store's calls. */
+    readonly seed?: number;
 }
 
-type Handler = (url: URL, body: Record<string, unknown>, req: IncomingMessage) => Promise<[number, unknown]>;
+interface Wave {
+    readonly machines: readonly string[];
+    readonly cap: number;
+    readonly done: Set<string>;
+}
 
-const host = "127.0.0.1";
-const bodyLimit = 2 * 1024 * 1024;
 const capacity = { cpu: 16_000, memory: 64_000, accelerators: 0 };
 const heartbeatMs = 500;
-const reasons: Partial<Record<StartRefusal, string>> = {
-    [StartRefusal.Fenced]: "fence",
-    [StartRefusal.Superseded]: "old",
-    [StartRefusal.LeasePassed]: "late",
-    [StartRefusal.NoRoom]: "room",
-};
+/** Silence after which a worker is taken off the list. */
+const expiryMs = 1500;
+/** Time that the service of a VM takes. */
+const serviceMs = 500;
+const defaultWorkMs = 100;
 
 /** The platform. */
 export class WirePlatform {
@@ -37,17 +39,18 @@
     readonly rows: StandinRows;
     /** Bodies of all calls, by path. */
     readonly calls: { readonly path: string; readonly body: Record<string, unknown> }[] = [];
+    readonly workers: WireWorker[] = [];
     private readonly timer = SystemTimer.create();
-    private readonly store: RowStore;
     private readonly servers: Server[] = [];
-    private readonly workers: StandinWorker[] = [];
-    private storeServer: Server | undefined;
-    private heartbeat: () => void = () => undefined;
+    private readonly facts = new Map<string, Partial<TaskFacts>>();
+    private readonly waves = new Map<number, Wave>();
+    private readonly inService = new Set<string>();
+    private storeAddress = "";
+    private heartbeat: Cancel = () => undefined;
 
     private constructor(private readonly options: WirePlatformOptions) {
         this.checker = new Checker(this.timer);
-        this.rows = StandinRows.create(this.timer, Random.create(1));
-        this.store = this.rows.viewFor(this.timer);
+        this.rows = StandinRows.create(this.timer, Random.create(options.seed ?? 1));
     }
 
     static create(options: WirePlatformOptions): WirePlatform {
@@ -56,20 +59,21 @@
 
     /** Host and port of store and inventory. */
     get address(): string {
-        return addressOf(this.storeServer!);
+        return this.storeAddress;
     }
 
     async start(): Promise<void> {
-        this.storeServer = await this.serve({
-            "POST /v1/rows-tx": (_, body) => this.transact(body),
-            "GET /v1/rows-get": url => this.read(url),
-            "GET /v1/rows-feed": url => this.feed(url),
-            "GET /v1/machines": () => Promise.resolve([200, { machines: this.machines(), "next-token": "" }]),
-            "POST /v1/machine-move": () => Promise.resolve([409, { reason: "busy" }]),
-            "POST /v1/machine-upkeep": () => Promise.resolve([200, {}]),
-        });
+        this.storeAddress = await this.openStore(noRowFaults());
         for (let i = 0; i < this.options.workers; i++) {
-            await this.startWorker(`w-${i}`);
+            const id = `w-${i}`;
+            const worker = await WireWorker.create({
+                id,
+                createLife: () => this.createLife(id),
+                note: (path, body) => this.calls.push({ path, body }),
+            });
+            this.servers.push(worker.server);
+            this.workers.push(worker);
+            this.beat(worker);
         }
         this.heartbeat = this.timer.every(
             heartbeatMs,
@@ -79,10 +83,17 @@
 
     async stop(): Promise<void> {
         this.heartbeat();
-        await Promise.all(this.servers.map(server => {
-            server.closeAllConnections();
-            return new Promise(resolve => server.close(resolve));
-        }));
+        await Promise.all(this.servers.map(close));
+    }
+
+    /** Opens another way to store and inventory, with faults of its own; returns its host and port. */
+    async openStore(faults: RowFaults): Promise<string> {
+        const server = await serve(
+            this.routesOf(this.rows.viewFor(this.timer, faults), faults),
+            (path, body) => this.calls.push({ path, body }),
+        );
+        this.servers.push(server);
+        return addressOf(server);
     }
 
     /** Writes as the operator does. */
@@ -90,200 +101,172 @@
         this.rows.write({ table: "op", part: "", key }, JSON.stringify(value));
     }
 
+    /** Asks for the service of VMs. */
+    orderWave(wave: number, machines: readonly string[], seconds: number, cap: number): void {
+        this.waves.set(wave, { machines, cap, done: new Set() });
+        this.operate(`wave/${wave}`, { wave, machines, "duration-s": seconds, cap });
+    }
+
     /** What the operator reads of a wave. */
     statusOf(wave: number): string | undefined {
         return this.rows.find({ table: "status", part: "", key: `wave/${wave}` })?.value;
     }
 
-    /** Tells the workers what a submitted job's tasks need. */
-    expect(id: string, spec: JobSpec): void {
+    /** Tells the workers what a submitted job's tasks need, and how they behave. */
+    expect(id: string, spec: JobSpec, facts: Partial<TaskFacts> = {}): void {
         this.checker.specs.set(id, spec);
+        this.facts.set(id, facts);
     }
 
-    private async startWorker(id: string): Promise<void> {
-        const facts = (task: string) => {
+    private createLife(id: string): StandinWorker {
+        const factsOf = (task: string): TaskFacts | undefined => {
             const name = parseTaskName(task);
             const step = name === undefined ? undefined : this.checker.specs.get(name.job)?.steps[name.step];
-            return step === undefined
-                ? undefined
-                : { needs: step.needs, workMs: 100, failures: 0, isService: step.isService };
+            return step === undefined ? undefined : {
+                needs: step.needs,
+                workMs: defaultWorkMs,
+                failures: 0,
+                isService: step.isService,
+                ...this.facts.get(name!.job),
+            };
         };
-        const worker = new StandinWorker(
-            this.timer,
-            id,
-            this.options.pool,
-            `m-${id}`,
-            "r1",
-            capacity,
-            facts,
-            this.checker,
-        );
-        this.workers.push(worker);
-        const server = await this.serve({
-            "POST /v1/run-start": (_, body, req) => this.startRun(worker, body, req),
-            "POST /v1/run-stop": (_, body) => {
-                worker.stop(String(body["task"]), Number(body["run"]), Number(body["fence"]));
-                return Promise.resolve([200, { "clock-ms": worker.clockMs }]);
-            },
-            "POST /v1/hold": (_, body) => this.hold(worker, body),
-            "POST /v1/pace": () => Promise.resolve([200, { "clock-ms": worker.clockMs }]),
-        });
-        this.addresses.set(id, addressOf(server));
-        this.beat(worker);
+        const { timer, options: { pool }, checker } = this;
+        return new StandinWorker(timer, id, pool, `m-${id}`, "r1", capacity, factsOf, checker);
     }
 
-    private readonly addresses = new Map<string, string>();
+    private beat(worker: WireWorker): void {
+        if (worker.life.isAlive) {
+            this.rows.write({ table: "servers", part: "", key: worker.id }, JSON.stringify(worker.row()));
+        }
+    }
 
-    private beat(worker: StandinWorker): void {
-        const { listed } = worker;
-        const value = {
-            service: listed.pool,
-            address: this.addresses.get(worker.id),
-            zone: "z",
-            version: "v1",
-            slots: 8,
-            state: "ready",
-            "cold-left-ms": 0,
-            capacity: { cpu: capacity.cpu, "mem-mb": capacity.memory, gpu: 0 },
-            labels: listed.labels,
-            "clock-ms": worker.clockMs,
-            sequence: listed.report,
-            born: worker.born,
-        };
-        this.rows.write({ table: "servers", part: "", key: worker.id }, JSON.stringify(value));
+    /** Ends a worker's life; its entry goes when it has been silent for long, unless it lives again by then. */
+    crash(worker: WireWorker): void {
+        worker.crash();
+        this.timer.after(expiryMs, () => {
+            if (!worker.life.isAlive) {
+                this.rows.drop({ table: "servers", part: "", key: worker.id });
+            }
+        });
     }
 
-    private startRun(
-        worker: StandinWorker,
-        body: Record<string, unknown>,
-        req: IncomingMessage,
-    ): Promise<[number, unknown]> {
-        if (req.headers["celerywind-target-instance"] !== worker.id) {
-            return Promise.resolve([421, {}]);
-        }
-        const order: StartOrder = {
-            task: String(body["task"]),
-            run: Number(body["run"]),
-            fence: Number(body["fence"]),
-            leaseUntil: Number(body["deadline-ms"]),
-            payload: String(body["spec"]),
-            saved: "",
-        };
-        const result = worker.start(order);
-        const clock = { "clock-ms": worker.clockMs };
-        return Promise.resolve(
-            result.kind === "refused" ? [409, { ...clock, reason: reasons[result.reason] }] : [200, clock],
-        );
+    /** Begins a worker's next life. */
+    revive(worker: WireWorker): void {
+        worker.revive();
+        this.beat(worker);
     }
 
-    private async hold(worker: StandinWorker, body: Record<string, unknown>): Promise<[number, unknown]> {
-        const until = body["deadline-ms"];
-        const order: HoldOrder = {
-            fence: Number(body["fence"]),
-            acknowledged: Number(body["ack-seq"]),
-            waitMs: Number(body["wait-ms"] ?? 0),
-            ...(until !== undefined && { leaseUntil: Number(until) }),
-        };
-        const result = await new Promise<HoldResult>(resolve => worker.hold(order, resolve));
-        if (result.kind !== "held") {
-            return [409, { "clock-ms": worker.clockMs, reason: "fence" }];
+    private serviceVm(body: Record<string, unknown>): Answer {
+        const machine = String(body["machine"]);
+        const wave = this.waves.get(Number(body["wave"]));
+        const worker = this.workers.find(({ life }) => life.vm === machine);
+        if (worker === undefined) {
+            return [400, {}];
+        }
+        if (wave?.machines.includes(machine) !== true) {
+            return [409, { reason: "wave" }];
+        }
+        if (wave.done.has(machine)) {
+            return [200, {}];
         }
-        const names = { "gang-broken": "broken", "gang-incomplete": "alone" } as Record<string, string>;
-        return [200, {
-            "clock-ms": result.clockMs,
-            born: result.born,
-            running: result.running.map(run => [run.task, run.run, run.saved, run.percent, run.reading]),
-            ended: result.ended.map(
-                end => [end.position, end.task, end.run, names[end.how] ?? end.how, end.saved],
-            ),
-        }];
+        if (!worker.life.isAlive) {
+            return [409, { reason: "busy" }];
+        }
+        wave.done.add(machine);
+        this.inService.add(machine);
+        const out = [...this.inService].filter(vm => wave.machines.includes(vm)).length;
+        if (out > wave.cap) {
+            this.checker.breach(`${out} VMs of a wave with cap ${wave.cap} are out of service`);
+        }
+        this.crash(worker);
+        this.timer.after(serviceMs, () => {
+            this.inService.delete(machine);
+            this.revive(worker);
+        });
+        return [200, {}];
     }
 
     private machines(): unknown[] {
-        return this.workers.map(worker => ({
-            machine: worker.vm,
-            pool: worker.pool,
-            state: "up",
+        return this.workers.map(({ life }) => ({
+            machine: life.vm,
+            pool: life.pool,
+            state: life.isAlive ? "up" : this.inService.has(life.vm) ? "upkeep" : "down",
             zone: "z",
-            labels: ["a", worker.rack],
+            labels: ["a", life.rack],
             capacity: { cpu: capacity.cpu, "mem-mb": capacity.memory, gpu: 0 },
-            id: worker.id,
+            id: life.id,
         }));
     }
 
-    private async transact(body: Record<string, unknown>): Promise<[number, unknown]> {
-        type Sent = { table: string; part: string; key: string; value?: string; "schema-version"?: number };
-        const list = (name: string): Sent[] => body[name] as Sent[];
-        const key = ({ table, part, key: name }: Sent) => ({ table, part, key: name });
-        const outcome = await this.store.transact({
-            conditions: list("expected-rev").map(row => ({
-                ...key(row),
-                version: row["schema-version"] ?? 0,
-            })),
-            puts: list("put").map(row => ({
-                ...key(row),
-                value: Buffer.from(row.value ?? "", "base64").toString(),
-            })),
-            removals: list("remove").map(key),
-        });
-        switch (outcome.kind) {
-            case TransactKind.Committed:
-                return [200, { "schema-version": outcome.version, "now-ms": 1 }];
-            case TransactKind.Conflict:
-                return [412, { rows: outcome.rows.map(encodeRow), "schema-version": 1, "now-ms": 1 }];
-            case TransactKind.Refused:
-            case TransactKind.Unknown:
-                return [503, {}];
-        }
-    }
-
-    private async read(url: URL): Promise<[number, unknown]> {
-        const from = url.searchParams.get("from") ?? "";
-        const to = url.searchParams.get("to") ?? undefined;
-        const limit = Number(url.searchParams.get("limit") ?? 500);
-        const table = url.searchParams.get("table") ?? "";
-        const part = url.searchParams.get("part") ?? "";
-        const page = await this.store.read({ table, part, from, limit, ...(to !== undefined && { to }) });
-        return [200, {
-            rows: page.rows.map(encodeRow),
-            "has-more": page.hasMore,
-            "schema-version": page.version,
-        }];
+    private routesOf(store: RowStore, faults: RowFaults): Routes {
+        const ifUp = (answer: () => Answer): Answer => {
+            if (faults.isSilent) {
+                return undefined;
+            }
+            return faults.isBusy ? [503, {}] : answer();
+        };
+        return {
+            "POST /v1/rows-tx": (_, body) => transact(store, body),
+            "GET /v1/rows-get": url => read(store, url),
+            "GET /v1/rows-feed": url => feed(store, url),
+            "GET /v1/machines": () => ifUp(() => [200, { machines: this.machines(), "next-token": "" }]),
+            "POST /v1/machine-move": () => ifUp(() => [409, { reason: "busy" }]),
+            "POST /v1/machine-upkeep": (_, body) => ifUp(() => this.serviceVm(body)),
+        };
     }
+}
 
-    private async feed(url: URL): Promise<[number, unknown]> {
-        const number = (name: string): number => Number(url.searchParams.get(name));
-        const result = await this.store.feed(
-            url.searchParams.get("table") ?? "",
-            number("after"),
-            number("wait-ms"),
-        );
-        return result.kind === "history-lost"
-            ? [410, {}]
-            : [200, { rows: result.rows.map(encodeRow), "schema-version": result.version }];
+async function transact(store: RowStore, body: Record<string, unknown>): Promise<Answer> {
+    type Sent = { table: string; part: string; key: string; value?: string; "schema-version"?: number };
+    const list = (name: string): Sent[] => body[name] as Sent[];
+    const key = ({ table, part, key: name }: Sent) => ({ table, part, key: name });
+    const outcome = await store.transact({
+        conditions: list("expected-rev").map(row => ({
+            ...key(row),
+            version: row["schema-version"] ?? 0,
+        })),
+        puts: list("put").map(row => ({
+            ...key(row),
+            value: Buffer.from(row.value ?? "", "base64").toString(),
+        })),
+        removals: list("remove").map(key),
+    });
+    switch (outcome.kind) {
+        case TransactKind.Committed:
+            return [200, { "schema-version": outcome.version, "now-ms": 1 }];
+        case TransactKind.Conflict:
+            return [412, { rows: outcome.rows.map(encodeRow), "schema-version": 1, "now-ms": 1 }];
+        case TransactKind.Refused:
+            return [503, {}];
+        case TransactKind.Unknown:
+            return undefined;
     }
+}
 
-    private async serve(routes: Readonly<Record<string, Handler>>): Promise<Server> {
-        const server = createServer((req, res) => void this.answer(routes, req, res));
-        this.servers.push(server);
-        await new Promise<void>(resolve => server.listen(0, host, resolve));
-        return server;
-    }
+async function read(store: RowStore, url: URL): Promise<Answer> {
+    const from = url.searchParams.get("from") ?? "";
+    const to = url.searchParams.get("to") ?? undefined;
+    const limit = Number(url.searchParams.get("limit") ?? 500);
+    const table = url.searchParams.get("table") ?? "";
+    const part = url.searchParams.get("part") ?? "";
+    const page = await store.read({ table, part, from, limit, ...(to !== undefined && { to }) });
+    return [200, {
+        rows: page.rows.map(encodeRow),
+        "has-more": page.hasMore,
+        "schema-version": page.version,
+    }];
+}
 
-    private async answer(
-        routes: Readonly<Record<string, Handler>>,
-        req: IncomingMessage,
-        res: ServerResponse,
-    ): Promise<void> {
-        const url = new URL(req.url ?? "/", "http://x");
-        const text = (await readBody(req, bodyLimit))?.toString() ?? "";
-        const body = text === "" ? {} : JSON.parse(text) as Record<string, unknown>;
-        this.calls.push({ path: url.pathname, body });
-        const handler = routes[`${req.method} ${url.pathname}`];
-        const [status, answer] = handler === undefined ? [404, {}] : await handler(url, body, req);
-        res.writeHead(status, { "content-type": "application/json" });
-        res.end(JSON.stringify(answer));
-    }
+async function feed(store: RowStore, url: URL): Promise<Answer> {
+    const number = (name: string): number => Number(url.searchParams.get(name));
+    const result = await store.feed(
+        url.searchParams.get("table") ?? "",
+        number("after"),
+        number("wait-ms"),
+    );
+    return result.kind === "history-lost"
+        ? [410, {}]
+        : [200, { rows: result.rows.map(encodeRow), "schema-version": result.version }];
 }
 
 function encodeRow(row: StoredRow): unknown {
@@ -293,7 +276,3 @@
         ? { ...fields, tombstone: true }
         : { ...fields, value: Buffer.from(value).toString("base64") };
 }
-
-function addressOf(server: Server): string {
-    return `${host}:${(server.address() as AddressInfo).port}`;
-}
--- /dev/null
+++ b/standin/wire/worker.ts
@@ -0,0 +1,145 @@
+/** A worker that speaks the users' protocol; it lives on after a crash under the same id and address. */
+import type { IncomingMessage, Server } from "node:http";
+import { type HoldOrder, type HoldResult, type StartOrder, StartRefusal } from "../../src/pool/ports.js";
+import type { StandinWorker } from "../site/worker.js";
+import { addressOf, type Answer, type CallNote, serve } from "./http.js";
+
+/** Options of `WireWorker.create`. */
+export interface WireWorkerOptions {
+    readonly id: string;
+    /** Begins a life of the worker. */
+    readonly createLife: () => StandinWorker;
+    readonly note: CallNote;
+}
+
+const reasons: Partial<Record<StartRefusal, string>> = {
+    [StartRefusal.Fenced]: "fence",
+    [StartRefusal.Superseded]: "old",
+    [StartRefusal.LeasePassed]: "late",
+    [StartRefusal.NoRoom]: "room",
+};
+const endNames: Readonly<Record<string, string>> = { "gang-broken": "broken", "gang-incomplete": "alone" };
+
+/** A worker behind its address. */
+export class WireWorker {
+    life: StandinWorker;
+    server!: Server;
+    /** Address that the list of workers shows; it may lead through a link that can be harmed. */
+    listedAddress = "";
+
+    private constructor(private readonly options: WireWorkerOptions) {
+        this.life = options.createLife();
+    }
+
+    static async create(options: WireWorkerOptions): Promise<WireWorker> {
+        const worker = new WireWorker(options);
+        worker.server = await serve({
+            "POST /v1/run-start": (_, body, req) => worker.start(body, req),
+            "POST /v1/run-stop": (_, body) => worker.stop(body),
+            "POST /v1/hold": (_, body) => worker.hold(body),
+            "POST /v1/pace": () => [200, worker.clock],
+        }, options.note);
+        worker.listedAddress = addressOf(worker.server);
+        return worker;
+    }
+
+    get id(): string {
+        return this.options.id;
+    }
+
+    /** Ends the life and all that runs in it; calls are not answered until `revive`. */
+    crash(): void {
+        this.life.end();
+        this.server.closeAllConnections();
+    }
+
+    /** Begins the next life, which knows nothing of the one before. */
+    revive(): void {
+        this.life.end();
+        this.life = this.options.createLife();
+    }
+
+    /** Its entry in the list of workers. */
+    row(): unknown {
+        const { life } = this;
+        const { capacity } = life;
+        const { labels, pool, report } = life.listed;
+        return {
+            service: pool,
+            address: this.listedAddress,
+            zone: "z",
+            version: "v1",
+            slots: 8,
+            state: "ready",
+            "cold-left-ms": 0,
+            capacity: { cpu: capacity.cpu, "mem-mb": capacity.memory, gpu: 0 },
+            labels,
+            "clock-ms": life.clockMs,
+            sequence: report,
+            born: life.born,
+        };
+    }
+
+    private get clock() {
+        return { "clock-ms": this.life.clockMs };
+    }
+
+    private start(body: Record<string, unknown>, req: IncomingMessage): Answer {
+        const { life } = this;
+        if (!life.isAlive) {
+            return undefined;
+        }
+        if (req.headers["celerywind-target-instance"] !== this.id) {
+            return [421, {}];
+        }
+        const order: StartOrder = {
+            task: String(body["task"]),
+            run: Number(body["run"]),
+            fence: Number(body["fence"]),
+            leaseUntil: Number(body["deadline-ms"]),
+            payload: String(body["spec"]),
+            saved: "",
+        };
+        const result = life.start(order);
+        return result.kind === "refused"
+            ? [409, { ...this.clock, reason: reasons[result.reason] }]
+            : [200, this.clock];
+    }
+
+    private stop(body: Record<string, unknown>): Answer {
+        if (!this.life.isAlive) {
+            return undefined;
+        }
+        const { kind } = this.life.stop(String(body["task"]), Number(body["run"]), Number(body["fence"]));
+        return kind === "failed" ? [409, { ...this.clock, reason: "fence" }] : [200, this.clock];
+    }
+
+    private async hold(body: Record<string, unknown>): Promise<Answer> {
+        const { life } = this;
+        if (!life.isAlive) {
+            return undefined;
+        }
+        const until = body["deadline-ms"];
+        const order: HoldOrder = {
+            fence: Number(body["fence"]),
+            acknowledged: Number(body["ack-seq"]),
+            waitMs: Number(body["wait-ms"] ?? 0),
+            ...(until !== undefined && { leaseUntil: Number(until) }),
+        };
+        const result = await new Promise<HoldResult>(resolve => life.hold(order, resolve));
+        if (!life.isAlive) {
+            return undefined;
+        }
+        if (result.kind !== "held") {
+            return [409, { "clock-ms": life.clockMs, reason: "fence" }];
+        }
+        return [200, {
+            "clock-ms": result.clockMs,
+            born: result.born,
+            running: result.running.map(run => [run.task, run.run, run.saved, run.percent, run.reading]),
+            ended: result.ended.map(
+                end => [end.position, end.task, end.run, endNames[end.how] ?? end.how, end.saved],
+            ),
+        }];
+    }
+}
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -164,7 +164,7 @@
     });
 
     test("tells the operator when a wave is under way and when it is done", async () => {
-        platform.operate("wave/4", { wave: 4, machines: ["m-w-0", "m-w-1"], "duration-s": 4, cap: 1 });
+        platform.orderWave(4, ["m-w-0", "m-w-1"], 4, 1);
         await until(() => Promise.resolve(platform.statusOf(4) !== undefined));
         expect(JSON.parse(platform.statusOf(4)!)).toEqual({ state: "running" });
         await until(() => Promise.resolve(platform.statusOf(4)?.includes("succeeded") === true));
--- /dev/null
+++ b/test/soak.test.ts
@@ -0,0 +1,180 @@
+import { type ChildProcess, execFileSync, spawn } from "node:child_process";
+import { closeSync, constants, mkdtempSync, openSync, rmSync, writeSync } from "node:fs";
+import { createServer, type Socket } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { afterAll, beforeAll, describe, expect, test } from "vitest";
+import { judgeCalls } from "../soak/judge.js";
+import { Link, LinkMode } from "../soak/link.js";
+import { host, listenAnywhere } from "../soak/loopback.js";
+import { type Fault, FaultKind, planFaults } from "../soak/plan.js";
+import { playRound, roundFolder } from "../soak/round.js";
+
+const folder = mkdtempSync(join(tmpdir(), "celerywind-soak-"));
+const program = join(folder, "celerywind-site.js");
+
+beforeAll(() => {
+    const build = fileURLToPath(new URL("../deploy/bundle/build.mjs", import.meta.url));
+    execFileSync(process.execPath, [build, program]);
+});
+
+afterAll(() => rmSync(folder, { recursive: true, force: true }));
+
+describe("the built daemon", () => {
+    const settings = JSON.stringify({
+        entry: "e",
+        callers: "127.0.0.1:0",
+        readiness: "127.0.0.1:0",
+        metrics: "127.0.0.1:0",
+        peers: { listen: "127.0.0.1:0", secret: "0123456789abcdef" },
+        store: "127.0.0.1:1",
+    });
+
+    function start(file: string): ChildProcess {
+        return spawn(process.execPath, [program], { env: { CELERYWIND_SETTINGS: file }, stdio: "ignore" });
+    }
+
+    function ended(child: ChildProcess): Promise<string> {
+        return new Promise(resolve => child.once("exit", (code, signal) => resolve(String(code ?? signal))));
+    }
+
+    test("outlives a SIGHUP, and ends well on a SIGTERM, that come before it has read its settings", async () => {
+        const file = join(folder, "settings.jsonc");
+        // Reading a pipe holds the start up until the settings are written.
+        execFileSync("mkfifo", [file]);
+        const child = start(file);
+        const end = ended(child);
+        await new Promise(resolve => setTimeout(resolve, 1500));
+        child.kill("SIGHUP");
+        await new Promise(resolve => setTimeout(resolve, 100));
+        child.kill("SIGTERM");
+        await new Promise(resolve => setTimeout(resolve, 100));
+        const pipe = openSync(file, constants.O_RDWR | constants.O_NONBLOCK);
+        writeSync(pipe, settings);
+        closeSync(pipe);
+        expect(await end).toBe("0");
+    });
+});
+
+describe("a link", () => {
+    async function echo(): Promise<{ link: Link; close: () => void; open: () => Promise<Socket> }> {
+        const { connect } = await import("node:net");
+        const server = createServer(socket => socket.on("error", () => undefined).pipe(socket));
+        const link = await Link.create(await listenAnywhere(server));
+        return {
+            link,
+            close: () => {
+                link.close();
+                server.close();
+            },
+            open: () =>
+                new Promise(resolve => {
+                    const socket: Socket = connect({ port: link.port, host }, () => resolve(socket));
+                    socket.on("error", () => resolve(socket));
+                }),
+        };
+    }
+
+    function answerOf(socket: Socket, text: string, withinMs: number): Promise<string> {
+        return new Promise(resolve => {
+            setTimeout(() => resolve("nothing"), withinMs);
+            if (socket.destroyed) {
+                resolve("closed");
+            }
+            socket.once("data", data => resolve(data.toString()));
+            socket.once("close", () => resolve("closed"));
+            socket.write(text);
+        });
+    }
+
+    test("carries bytes both ways, also late", async () => {
+        const { link, open, close } = await echo();
+        const socket = await open();
+        expect(await answerOf(socket, "a", 200)).toBe("a");
+        link.set(LinkMode.Delayed);
+        expect(await answerOf(socket, "b", 100)).toBe("nothing");
+        expect(await answerOf(socket, "c", 2000)).toMatch(/b|bc/);
+        close();
+    });
+
+    test("that fell silent stays so on its old connections and carries new ones once it is healed", async () => {
+        const { link, open, close } = await echo();
+        const socket = await open();
+        link.set(LinkMode.Silent);
+        link.set(LinkMode.Open);
+        expect(await answerOf(socket, "a", 200)).toBe("nothing");
+        expect(await answerOf(await open(), "b", 2000)).toBe("b");
+        close();
+    });
+
+    test("that is reset closes its connections", async () => {
+        const { link, open, close } = await echo();
+        const socket = await open();
+        const closed = new Promise(resolve => socket.resume().once("close", resolve));
+        link.set(LinkMode.Reset);
+        await closed;
+        expect(await answerOf(await open(), "b", 2000)).toBe("closed");
+        close();
+    });
+});
+
+describe("the faults of a round", () => {
+    test("are the same for the same seed, and differ between neighbouring seeds", () => {
+        const plan = (seed: number) =>
+            planFaults({ seed, lengthMs: 15_000, meanGapMs: 900, isPlannedOnly: false });
+        expect(plan(1)).toEqual(plan(1));
+        const starts = [1, 2, 3, 4].map(seed => plan(seed)[0]!.atMs);
+        expect(new Set(starts).size).toBe(4);
+        expect([1, 2, 3, 4].every(seed => plan(seed).length > 5)).toBe(true);
+    });
+});
+
+describe("calls of a round", () => {
+    const call = { entry: "e0", method: "GET", job: "j", sentAt: 10_000 };
+    const judge = (endedAt: number, result: { status: number } | undefined, faults: readonly Fault[] = []) =>
+        judgeCalls({
+            records: [{
+                ...call,
+                endedAt,
+                result: result === undefined
+                    ? { kind: "broken", reason: "reset" }
+                    : { kind: "answer", ...result, body: {} },
+            }],
+            faults,
+            startedAt: 0,
+            acceptedAt: new Map([["j", 5000]]),
+        });
+    const kill: Fault = { kind: FaultKind.Kill, atMs: 8000, forMs: 100, at: 0, link: LinkMode.Open };
+
+    test("may not break off in calm, nor around planned work", () => {
+        expect(judge(10_500, undefined)).toHaveLength(1);
+        expect(judge(10_500, undefined, [{ ...kill, kind: FaultKind.Term }])).toHaveLength(1);
+        expect(judge(10_500, undefined, [kill])).toEqual([]);
+        expect(judge(10_100, undefined)).toEqual([]);
+    });
+
+    test("may not be answered late in calm", () => {
+        expect(judge(14_000, { status: 200 })).toHaveLength(1);
+        expect(judge(14_000, { status: 200 }, [kill])).toEqual([]);
+    });
+
+    test("may never deny an accepted job", () => {
+        expect(judge(10_100, { status: 410 }, [kill])).toHaveLength(1);
+    });
+});
+
+describe("a round of the soak", () => {
+    test("keeps the promises under the faults of its seed", async () => {
+        const seed = 3;
+        const result = await playRound({
+            seed,
+            program,
+            folder: roundFolder(folder, seed),
+            lengthMs: 6000,
+            jobsPerSecond: 4,
+        });
+        expect(result.breaches).toEqual([]);
+        expect(result.starts).toBeGreaterThan(10);
+    }, 60_000);
+});
