The soak tells signals that hit the starting runtime from those that the program should handle

Change: before it signals, the soak reads from the system whether the process catches SIGHUP; an end by a signal is excused only if it does not yet.

--- a/soak/entry-process.ts
+++ b/soak/entry-process.ts
@@ -1,6 +1,6 @@
 /** One entry as a process of its own: started from its settings file, and ended only by its own id. */
 import { type ChildProcess, spawn } from "node:child_process";
-import { createWriteStream, writeFileSync } from "node:fs";
+import { createWriteStream, readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { host } from "./loopback.js";
 
@@ -29,6 +29,11 @@
 /** Time from SIGTERM to SIGKILL, in milliseconds; the site files say the same. */
 export const graceMs = 6000;
 const restartMs = 300;
+/** Time in which a signal ends a process that does not handle it yet, on a busy machine. */
+const tooEarlyMs = 1000;
+
+/** Why an end is expected; "too-early" for a signal that came before the program itself had begun to run. */
+type Expected = "kill" | "term" | "too-early";
 
 /** An entry. */
 export class EntryProcess {
@@ -38,7 +43,7 @@
     private wasPaused = false;
     private isPaused = false;
     /** Why the next end is expected. */
-    private expected: "kill" | "term" | undefined;
+    private expected: Expected | undefined;
     private starts = 0;
 
     private constructor(private readonly options: EntryProcessOptions) {}
@@ -82,10 +87,10 @@
     /** Asks the process to stop; it is killed after the grace, which is a breach. */
     term(): void {
         const { child } = this;
-        if (child === undefined || this.expected !== undefined) {
+        if (child === undefined || this.expected === "kill" || this.expected === "term") {
             return;
         }
-        this.expected = "term";
+        this.expected = handlesSignals(child) ? "term" : this.noteTooEarly(child);
         this.wasPaused = this.isPaused;
         child.kill("SIGTERM");
         setTimeout(() => {
@@ -111,7 +116,11 @@
     }
 
     hup(): void {
-        this.child?.kill("SIGHUP");
+        const { child } = this;
+        if (child !== undefined) {
+            this.expected ??= handlesSignals(child) ? undefined : this.noteTooEarly(child);
+            child.kill("SIGHUP");
+        }
     }
 
     /** Ends the process for good; resolves when it is gone. */
@@ -133,7 +142,7 @@
         const { expected } = this;
         this.child = undefined;
         this.expected = undefined;
-        if (expected !== "kill" && !(expected === "term" && code === 0)) {
+        if (!isGoodEnd(expected, code)) {
             this.options.onBadEnd(
                 `${this.name} ended with ${code ?? signal} (${expected ?? "not asked to"})`,
             );
@@ -147,6 +156,16 @@
         }
     }
 
+    /** Expects an end for a moment; a process that lives on afterwards was not hit. */
+    private noteTooEarly(child: ChildProcess): Expected {
+        setTimeout(() => {
+            if (this.child === child && this.expected === "too-early") {
+                this.expected = undefined;
+            }
+        }, tooEarlyMs);
+        return "too-early";
+    }
+
     private settings(): unknown {
         const { name, ports, advertise, store, inventory } = this.options;
         const at = (port: number): string => `${host}:${port}`;
@@ -162,3 +181,25 @@
         };
     }
 }
+
+function isGoodEnd(expected: Expected | undefined, code: number | null): boolean {
+    switch (expected) {
+        case "kill":
+        case "too-early":
+            return true;
+        case "term":
+            return code === 0;
+        case undefined:
+            return false;
+    }
+}
+
+/**
+ * Whether the program handles signals by now, by the system's own word: bit 0 of the caught signals is SIGHUP. While
+ * the runtime starts, no program can, and a signal ends the process.
+ */
+function handlesSignals({ pid }: ChildProcess): boolean {
+    const status = readFileSync(`/proc/${pid}/status`, "utf8");
+    const caught = /^SigCgt:\s*([0-9a-f]+)$/m.exec(status)?.[1] ?? "0";
+    return (BigInt(`0x${caught}`) & 1n) === 1n;
+}
