Successes of runs that were given up for lost are counted when their worker comes back

Worker w-4 was cut off from 6.5 to 11.5 s; its runs succeeded there, their leases lapsed, and the owner gave them up at 11.4 s (RunEnded, how lost, 3726 ms). When the worker came back 0.1 s later it listed the successes; they matched no recorded run, were dropped and acknowledged, and 1.1 s later the tasks were run a second time. The users' rules excuse this (the lease lapsed between end and acknowledgement); the callers' work was still done twice for nothing. Ruled out: an acknowledgement before storing (e0 had stored and acknowledged only what it logged).

Change: a success of an unrecorded run of a task that waits for another run is applied like any success; a next run that is recorded and not yet sent is dropped for it. Gangs and services are left out: their runs mean nothing alone.

Before: test "and comes back with successes ..." counted 6 starts for 3 tasks.

--- a/src/pool/job-book.ts
+++ b/src/pool/job-book.ts
@@ -9,6 +9,7 @@
     claimTask,
     endRun,
     failJob,
+    findTask,
     initialState,
     isFinal,
     isSameStep,
@@ -23,7 +24,7 @@
     type TaskState,
     withTask,
 } from "../job/index.js";
-import { taskName } from "../job/index.js";
+import { parseTaskName, taskName } from "../job/index.js";
 import { addResources, noResources, type Resources } from "../process/resources.js";
 
 /** What is known about the start of a run. */
@@ -187,6 +188,33 @@
         this.noteFinal(entry, now);
     }
 
+    /**
+     * Takes the success of an earlier run of a task that waits to be run again; returns its job. Nothing changes when
+     * the task has another run by now, and for gangs and services, whose runs mean nothing alone.
+     */
+    endLate(name: string, run: number, now: number): JobEntry | undefined {
+        const id = parseTaskName(name);
+        const entry = id === undefined ? undefined : this.entries.get(id.job);
+        if (id === undefined || entry === undefined) {
+            return undefined;
+        }
+        const at = findTask(entry.state, id.occurrence, id.step, id.index);
+        const task = entry.state.tasks[at];
+        const step = entry.job.spec.steps[id.step];
+        if (
+            task?.phase !== TaskPhase.Waiting || run > task.run || step === undefined || step.isGang
+            || step.isService
+        ) {
+            return undefined;
+        }
+        this.change(
+            entry,
+            endRun(entry.job, entry.state, at, { how: RunEnd.Done }, { maxFailures: Infinity }),
+        );
+        this.noteFinal(entry, now);
+        return entry;
+    }
+
     /** Ends a job as failed; its runs are to be stopped. */
     fail(entry: JobEntry, reason: string, now: number): void {
         this.change(entry, failJob(entry.state, reason));
--- a/src/pool/reconcile.ts
+++ b/src/pool/reconcile.ts
@@ -19,6 +19,8 @@
     readonly running: readonly { readonly record: RunRecord; readonly report: RunningRun }[];
     /** Runs that the worker has and nobody wants. */
     readonly unwanted: readonly RunningRun[];
+    /** Successes of runs that are not recorded any more, such as of a worker that was out of reach for long. */
+    readonly lateSuccesses: readonly EndedRun[];
     /** Highest position in the worker's list of ends. */
     readonly seen: number;
 }
@@ -44,6 +46,7 @@
 export function reconcile(view: HoldView): Findings {
     const { born, records } = view;
     const ended: FoundEnd[] = [];
+    const lateSuccesses: EndedRun[] = [];
     const accounted = new Set<RunRecord>();
     let seen = view.seen;
     for (const end of view.ended) {
@@ -53,6 +56,9 @@
             accounted.add(record);
             ended.push({ record, how: endOf(end.how), saved: end.saved });
         }
+        else if (end.how === ReportedEnd.Done) {
+            lateSuccesses.push(end);
+        }
     }
     const running: { record: RunRecord; report: RunningRun }[] = [];
     const unwanted: RunningRun[] = [];
@@ -73,7 +79,7 @@
             }
         }
     }
-    return { ended, running, unwanted, seen };
+    return { ended, running, unwanted, lateSuccesses, seen };
 }
 
 /** An order that was not answered may have been carried out by a later life than the one it was meant for. */
--- a/src/pool/run-desk.ts
+++ b/src/pool/run-desk.ts
@@ -2,7 +2,7 @@
 import { RunEnd } from "../job/index.js";
 import { EventId, Severity } from "../process/events.js";
 import { type JobEntry, type RunRecord, StartStatus, StopReason } from "./job-book.js";
-import { type StartOrder, StartRefusal, type StartResult } from "./ports.js";
+import { type EndedRun, type StartOrder, StartRefusal, type StartResult } from "./ports.js";
 import type { FoundEnd } from "./reconcile.js";
 import { queueOf, suspectAvoidMs, targetOf, type TenureContext } from "./tenure-context.js";
 import { noteDuration, type WorkerState } from "./worker-book.js";
@@ -80,6 +80,28 @@
         this.ctx.pump();
     }
 
+    /** Takes the success of a run that was given up for lost, unless the task has begun anew. */
+    endLate(worker: WorkerState, { task, run }: EndedRun): void {
+        const { timer, log } = this.ctx.options;
+        const next = this.ctx.jobs.runs.get(task);
+        if (next?.start === StartStatus.Recorded && next.run > run) {
+            // Its order has not been sent, and is not needed any more.
+            this.end({ record: next, how: RunEnd.Lost, saved: "" });
+        }
+        const entry = this.ctx.jobs.endLate(task, run, timer.now());
+        if (entry !== undefined) {
+            log.write(Severity.Info, EventId.RunEnded, {
+                task,
+                run,
+                worker: worker.id,
+                how: RunEnd.Done,
+                start: "given-up",
+                phase: entry.state.phase,
+            });
+            this.ctx.pump();
+        }
+    }
+
     /** Sends the stop of a run that is wanted and not confirmed, unless it was sent a moment ago. */
     sendStop(record: RunRecord): void {
         const { timer, calls } = this.ctx.options;
--- a/src/pool/worker-watch.ts
+++ b/src/pool/worker-watch.ts
@@ -214,6 +214,7 @@
             this.noteRunning(record, report.percent, report.reading, now);
         }
         found.ended.forEach(end => this.desk.end(end));
+        found.lateSuccesses.forEach(end => this.desk.endLate(worker, end));
         // Only now: a batch that is taken between two of these ends must not acknowledge both.
         worker.seen = Math.max(worker.seen, found.seen);
         if (found.unwanted.length > 0) {
--- a/test/site.test.ts
+++ b/test/site.test.ts
@@ -316,6 +316,20 @@
         expect(site.checker.breaches).toEqual([]);
     });
 
+    test("and comes back with successes has them counted, also those of runs that were given up", async () => {
+        const site = await siteWith({ vmsPerPool: 1 });
+        await site.settle(site.submit(site.entries[0]!, "j1", jobOf({ tasks: 3 }), { workMs: 2000 }));
+        await site.timer.advance(500);
+        const [worker] = site.workers;
+        site.cut(worker!);
+        await site.timer.advance(8000);
+        expect(worker!.running.size).toBe(0);
+        site.mend(worker!);
+        await site.timer.advance(4000);
+        await expectPhase(site, "j1", "succeeded");
+        expect(site.checker.starts).toBe(3);
+    });
+
     test("and starts again under the same id has forgotten its runs, which start anew", async () => {
         const site = await siteWith();
         await site.settle(site.submit(site.entries[0]!, "j1", jobOf({ tasks: 2 }), { workMs: 2000 }));
