--- a/src/pool/worker-watch.ts
+++ b/src/pool/worker-watch.ts
@@ -254,7 +254,10 @@
             void this.ctx.confirm();
         }
         if (wasReachable) {
-            this.ctx.options.log.write(Severity.Warn, EventId.WorkerUnreachable, {
+            // The worker of a VM that is being emptied goes when the VM is moved or serviced.
+            const severity = worker.isCordoned ? Severity.Info : Severity.Warn;
+            this.ctx.options.log.write(severity, EventId.WorkerUnreachable, {
+                isLeaving: worker.isCordoned,
                 worker: worker.id,
                 reason,
                 runs: worker.runs.size,
--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -43,6 +43,7 @@
 export interface LoggedEvent {
     readonly at: number;
     readonly event: EventId;
+    readonly severity: Severity;
     readonly fields: LogFields;
 }
 
@@ -337,8 +338,8 @@
 
     private logInto(lines: LoggedEvent[], timer: Timer): Log {
         return {
-            write: (_: Severity, event: EventId, fields: LogFields = {}) =>
-                void lines.push({ at: timer.now(), event, fields }),
+            write: (severity: Severity, event: EventId, fields: LogFields = {}) =>
+                void lines.push({ at: timer.now(), event, severity, fields }),
         };
     }
 
--- a/test/site.test.ts
+++ b/test/site.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from "vitest";
 import type { StepSpec } from "../src/job/index.js";
-import { EventId } from "../src/process/events.js";
+import { EventId, Severity } from "../src/process/events.js";
 import { jobOf, type StandinEntry, StandinSite, type StandinSiteOptions } from "../standin/site/site.js";
 
 const lists = { version: 1, queues: [{}] };
@@ -553,6 +553,8 @@
         });
         await site.timer.advance(6000);
         expect(parked(site)).toBeGreaterThanOrEqual(8);
+        const gone = ownerOf(site).log.filter(({ event }) => event === EventId.WorkerUnreachable);
+        expect(gone.map(({ severity }) => severity)).not.toContain(Severity.Warn);
         for (let i = 0; i < 6; i++) {
             const job = site.submit(site.entries[0]!, `j${i}`, jobOf({ tasks: 24 }), { workMs: 2500 });
             await site.settle(job);
