VMs with many services are emptied first for a wave, and services keep off VMs that are due

The late ones had stayed in their pools with services from the start; the plan emptied VMs with the fewest services first, and the tasks that left went to VMs that were due, too. Change: most services first; a service is placed on a VM that is due only when no other has room. Before: two new tests failed (order a, c instead of b, c; w1 instead of w2). After: they pass.

--- a/src/pool/fleet-keeper.ts
+++ b/src/pool/fleet-keeper.ts
@@ -243,6 +243,10 @@
         const ordered = this.ordered.get(entry.vm);
         const worker = this.workerOf(entry);
         const runs = [...worker?.runs.values() ?? []];
+        const dueWave = this.book.dueWave(entry.vm);
+        if (worker !== undefined) {
+            worker.isDue = dueWave !== undefined;
+        }
         return {
             vm: entry.vm,
             pool: ordered?.pool ?? entry.pool,
@@ -255,7 +259,7 @@
             isCordoned: this.cordoned.has(entry.vm),
             isFree: this.orderLog.isFree(entry.vm),
             isUsable: worker !== undefined && worker.isHeld && worker.isReachable,
-            dueWave: this.book.dueWave(entry.vm),
+            dueWave,
         };
     }
 
--- a/src/pool/fleet-plan.ts
+++ b/src/pool/fleet-plan.ts
@@ -156,7 +156,10 @@
         }
     }
 
-    /** Empties VMs in use that are due for service, as many as the wave lets out at once. */
+    /**
+     * Empties VMs in use that are due for service, as many as the wave lets out at once. Those with most services go
+     * first: their tasks leave one after the other, as their steps' budgets allow, which takes longest.
+     */
     private emptyDue(): void {
         for (const { wave, free, emptyAtOnce } of this.view.waves) {
             const due = this.view.vms.filter(vm =>
@@ -165,7 +168,7 @@
             );
             const leaving = due.filter(({ vm }) => this.cordoned.has(vm)).length;
             const staying = due.filter(({ vm }) => !this.cordoned.has(vm))
-                .sort((a, b) => a.services - b.services || a.runs - b.runs);
+                .sort((a, b) => b.services - a.services || a.runs - b.runs);
             const room = Math.max(0, Math.min(free, emptyAtOnce) - leaving);
             staying.slice(0, room).forEach(({ vm }) => this.cordon(vm, CordonReason.DueForService));
         }
--- a/src/pool/placement.ts
+++ b/src/pool/placement.ts
@@ -32,6 +32,8 @@
     Slow = 100_000,
     OtherRack = 10_000,
     Disturbs = 20_000,
+    /** A service would soon have to move again. */
+    Due = 5_000,
     Crowded = 1_000,
 }
 
@@ -74,6 +76,7 @@
     const freeShare = free.cpu / Math.max(1, capacity.cpu);
     if (step.isService) {
         const { services, fillers } = countKinds(worker);
+        cost += worker.isDue ? Penalty.Due : 0;
         return cost + (fillers > 0 ? Penalty.Disturbs : 0) + (services > 0 ? 0 : Penalty.Crowded) + freeShare;
     }
     return cost + freeShare;
--- a/src/pool/worker-book.ts
+++ b/src/pool/worker-book.ts
@@ -30,6 +30,8 @@
     used: Resources;
     /** Set while its VM is to be emptied: nothing starts there. */
     isCordoned: boolean;
+    /** Whether its VM is due for service in an open wave: services would soon have to move. */
+    isDue: boolean;
     /** Monotonic time until which nothing new is placed there. */
     avoidUntil: number;
     /** Failed runs in a row, of different tasks, since the last success. */
@@ -178,6 +180,7 @@
             runs: new Map(),
             used: noResources,
             isCordoned: false,
+            isDue: false,
             avoidUntil: -Infinity,
             failuresInRow: 0,
             slowness: 1,
--- a/test/fleet-plan.test.ts
+++ b/test/fleet-plan.test.ts
@@ -131,6 +131,17 @@
         ]);
     });
 
+    test("begin with those that have most services, which take longest to empty", () => {
+        const vms = [
+            vm("a", "bench", { runs: 5, dueWave: 1 }),
+            vm("b", "bench", { runs: 9, services: 9, dueWave: 1 }),
+            vm("c", "bench", { runs: 3, services: 2, dueWave: 1 }),
+        ];
+        const waves = [{ wave: 1, free: 2, isUrgent: false, emptyAtOnce: 2 }];
+        const plan = planFleet(view({ vms, needs: [bench, spare], waves }));
+        expect(plan.filter(({ kind }) => kind === "cordon").map(action => action.vm)).toEqual(["b", "c"]);
+    });
+
     test("are emptied while in use when the wave asks for it, and others take their place", () => {
         const vms = [vm("a", "bench", { runs: 3, services: 1, dueWave: 1 }), vm("b", "spare")];
         const waves = [{ wave: 1, free: 1, isUrgent: false, emptyAtOnce: 1 }];
--- a/test/kinds-of-work.test.ts
+++ b/test/kinds-of-work.test.ts
@@ -141,6 +141,14 @@
         expect(choose({}, workers)).toBe("w2");
     });
 
+    test("keeps services off workers whose VMs are due for service, short tasks not", () => {
+        const workers = book(listed("w1"), listed("w2"));
+        workers[0]!.isDue = true;
+        expect(choose({ isService: true }, workers)).toBe("w2");
+        expect(choose({}, workers)).toBe("w1");
+        expect(choose({ isService: true }, workers.slice(0, 1))).toBe("w1");
+    });
+
     test("prefers the rack of the data, and takes another one when that is full", () => {
         const workers = book(listed("w1"), listed("w2", { labels: ["a", "r2"] }));
         expect(choose({ dataRack: "r2" }, workers)).toBe("w2");
