--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,8 +1,11 @@
 /** `npm run soak -- --seed N --rounds N`: rounds of seeded faults against the built daemon, as separate processes. */
+import { readFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { parseArgs } from "node:util";
+import { z } from "zod";
+import { parseJsonc } from "../src/process/jsonc.js";
 import { playRound, roundFolder, type RoundResult } from "./round.js";
 
 const { values } = parseArgs({
@@ -14,6 +17,8 @@
         entries: { type: "string", default: "3" },
         workers: { type: "string", default: "5" },
         seconds: { type: "string", default: "15" },
+        /** Plays the seeds that failed once instead. */
+        kept: { type: "boolean", default: false },
         /** Every so many rounds, one has only planned work. */
         planned: { type: "string", default: "4" },
         /** Folder for settings and logs of the entries, by seed. */
@@ -22,14 +27,22 @@
 });
 
 const program = fileURLToPath(new URL("../target/celerywind-site.js", import.meta.url));
-const first = Number(values.seed);
-const rounds = Number(values.rounds);
-let next = first;
+const seeds = values.kept ? keptSeeds() : rangeOf(Number(values.seed), Number(values.rounds));
+const left = [...seeds];
 let failed = 0;
 
+function rangeOf(first: number, count: number): readonly number[] {
+    return Array.from({ length: count }, (_, i) => first + i);
+}
+
+function keptSeeds(): readonly number[] {
+    const file = fileURLToPath(new URL("./seeds.jsonc", import.meta.url));
+    const schema = z.array(z.object({ seed: z.number().int(), cause: z.string() }));
+    return parseJsonc(file, readFileSync(file, "utf8"), schema).map(({ seed }) => seed);
+}
+
 async function lane(): Promise<void> {
-    while (next < first + rounds) {
-        const seed = next++;
+    for (let seed = left.shift(); seed !== undefined; seed = left.shift()) {
         const isPlannedOnly = seed % Number(values.planned) === 0;
         const result = await playRound({
             seed,
@@ -59,5 +72,5 @@
 }
 
 await Promise.all(Array.from({ length: Number(values.jobs) }, lane));
-console.log(`${rounds - failed} passed, ${failed} failed; logs in ${values.folder}`);
+console.log(`${seeds.length - failed} passed, ${failed} failed; logs in ${values.folder}`);
 process.exit(failed === 0 ? 0 : 1);
