--- a/soak/loopback.ts
+++ b/soak/loopback.ts
@@ -17,3 +17,8 @@
     await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
     return ports;
 }
+
+/** Port of an address on the loopback host. */
+export function portOf(address: string): number {
+    return Number(address.slice(`${host}:`.length));
+}
--- a/soak/round.ts
+++ b/soak/round.ts
@@ -3,15 +3,15 @@
 import { join } from "node:path";
 import type { JobSpec } from "../src/job/index.js";
 import { Random } from "../src/process/random.js";
-import { noRowFaults, type RowFaults } from "../standin/site/rows.js";
 import { jobOf } from "../standin/site/site.js";
 import { WirePlatform } from "../standin/wire/platform.js";
 import { Acceptance, CallerPool, pause } from "./caller.js";
-import { EntryProcess } from "./entry-process.js";
 import { judgeCalls } from "./judge.js";
-import { Link, LinkMode } from "./link.js";
-import { freePorts, host } from "./loopback.js";
-import { type Fault, FaultKind, planFaults } from "./plan.js";
+import { Link } from "./link.js";
+import { portOf } from "./loopback.js";
+import { type Fault, planFaults } from "./plan.js";
+import { createSite, type Site } from "./site.js";
+import { type Scene, strike } from "./strike.js";
 
 /** Options of `playRound`. */
 export interface RoundOptions {
@@ -39,15 +39,6 @@
     readonly starts: number;
 }
 
-/** One entry, its ways to others and the faults of its way to the store. */
-interface Site {
-    readonly process: EntryProcess;
-    readonly callerLink: Link;
-    readonly peerLink: Link;
-    readonly storeLink: Link;
-    readonly storeFaults: RowFaults;
-}
-
 /** A job that a caller has handed in. */
 interface Handed {
     readonly id: string;
@@ -65,7 +56,6 @@
 const serviceShare = 0.08;
 const longestWorkMs = 1500;
 const idDigits = 16;
-const staggerMs = 900;
 const waveSeconds = 20;
 
 /** Plays a round. */
@@ -109,7 +99,7 @@
         try {
             await this.start();
             this.startedAt = performance.now();
-            this.faults.forEach(fault => setTimeout(() => this.strike(fault), fault.atMs));
+            this.faults.forEach(fault => setTimeout(() => strike(fault, this.scene()), fault.atMs));
             await this.hand();
             await this.settle();
             await this.stop();
@@ -144,7 +134,7 @@
     }
 
     private async start(): Promise<void> {
-        const { platform, options: { entries, folder } } = this;
+        const { platform, options: { entries, program, folder } } = this;
         mkdirSync(folder, { recursive: true });
         await platform.start();
         this.writeLists();
@@ -155,7 +145,8 @@
             platform.revive(worker);
         }
         for (let i = 0; i < entries; i++) {
-            this.sites.push(await this.createSite(`e${i}`));
+            const onBadEnd = (text: string): void => this.breach(text);
+            this.sites.push(await createSite({ name: `e${i}`, platform, program, folder, onBadEnd }));
         }
         this.sites.forEach(({ process }) => process.start());
         const fronts = this.sites.map(({ process, callerLink }) => ({
@@ -172,25 +163,6 @@
         this.callers.records.length = 0;
     }
 
-    private async createSite(name: string): Promise<Site> {
-        const { platform, options: { program, folder } } = this;
-        const [callers, readiness, metrics, peers] = await freePorts(4);
-        const storeFaults = noRowFaults();
-        const storeLink = await Link.create(portOf(await platform.openStore(storeFaults)));
-        const peerLink = await Link.create(peers!);
-        const process = EntryProcess.create({
-            name,
-            program,
-            folder,
-            ports: { callers: callers!, readiness: readiness!, metrics: metrics!, peers: peers! },
-            advertise: peerLink.address,
-            store: storeLink.address,
-            inventory: storeLink.address,
-            onBadEnd: text => this.breach(text),
-        });
-        return { process, callerLink: await Link.create(callers!), peerLink, storeLink, storeFaults };
-    }
-
     /** Hands jobs in at an even rate while the faults last. */
     private async hand(): Promise<void> {
         const { lengthMs, jobsPerSecond } = this.options;
@@ -242,76 +214,6 @@
         }
     }
 
-    private strike(fault: Fault): void {
-        const { kind, at, forMs, atMs, link } = fault;
-        const { rows, workers } = this.platform;
-        const site = this.sites[Math.max(0, at) % this.sites.length]!;
-        const number = Math.max(0, at) % workers.length;
-        const worker = workers[number]!;
-        const views = at < 0 ? [rows.faults] : [site.storeFaults];
-        const endsMs = Math.max(0, this.options.lengthMs - atMs);
-        const during = (begin: () => void, end: () => void): void => {
-            begin();
-            setTimeout(end, Math.min(forMs, endsMs));
-        };
-        const storeFault = (change: Partial<RowFaults>): void =>
-            during(
-                () => views.forEach(view => Object.assign(view, change)),
-                () => views.forEach(view => Object.assign(view, noRowFaults())),
-            );
-        const harm = (target: Link): void => during(() => target.set(link), () => target.set(LinkMode.Open));
-        switch (kind) {
-            case FaultKind.Kill:
-                return site.process.kill();
-            case FaultKind.KillMany:
-                return this.sites.slice(at < 0 ? 0 : 1).forEach(({ process }) => process.kill());
-            case FaultKind.Term:
-                return site.process.term();
-            case FaultKind.TermAll:
-                return this.sites.forEach(({ process }, i) =>
-                    setTimeout(() => process.term(), i * staggerMs)
-                );
-            case FaultKind.Pause:
-                return during(() => site.process.pause(), () => site.process.resume());
-            case FaultKind.Hup:
-                return site.process.hup();
-            case FaultKind.StoreLink:
-                return (at < 0 ? this.sites : [site]).forEach(({ storeLink }) => harm(storeLink));
-            case FaultKind.PeerLink:
-                return (at < 0 ? this.sites : [site]).forEach(({ peerLink }) => harm(peerLink));
-            case FaultKind.CallerLink:
-                return harm(site.callerLink);
-            case FaultKind.WorkerLink:
-                return harm(this.workerLinks[number]!);
-            case FaultKind.StoreBusy:
-                return storeFault({ isBusy: true });
-            case FaultKind.StoreSilent:
-                return storeFault({ isSilent: true });
-            case FaultKind.StoreSlow:
-                return storeFault({ slowness: 40 });
-            case FaultKind.StoreLost:
-                return storeFault({ lostShare: 0.3 });
-            case FaultKind.StoreLate:
-                return storeFault({ lateShare: 0.3 });
-            case FaultKind.StoreCompact:
-                return rows.compact();
-            case FaultKind.WorkerCrash:
-                return during(() => this.platform.crash(worker), () => this.platform.revive(worker));
-            case FaultKind.WorkerFails:
-                return during(
-                    () => void (worker.life.faults.failsAll = true),
-                    () => void (worker.life.faults.failsAll = false),
-                );
-            case FaultKind.WorkerHangs:
-                return during(
-                    () => void (worker.life.faults.isHung = true),
-                    () => void (worker.life.faults.isHung = false),
-                );
-            case FaultKind.Lists:
-                return this.writeLists();
-        }
-    }
-
     /** Waits until everything accepted is done, at every entry, and notes what is not. */
     private async settle(): Promise<void> {
         const { checker } = this.platform;
@@ -359,6 +261,11 @@
         await Promise.all(this.sites.map(({ process }) => process.ended()));
     }
 
+    private scene(): Scene {
+        const { sites, platform, workerLinks, options: { lengthMs } } = this;
+        return { sites, platform, workerLinks, lengthMs, writeLists: () => this.writeLists() };
+    }
+
     private writeLists(): void {
         this.platform.operate("config", {
             version: this.listsVersion++,
@@ -412,10 +319,6 @@
     return number.toString(16).padStart(idDigits, "0");
 }
 
-function portOf(address: string): number {
-    return Number(address.slice(`${host}:`.length));
-}
-
 /** Folder of a round's settings and logs. */
 export function roundFolder(base: string, seed: number): string {
     return join(base, `seed-${seed}`);
--- /dev/null
+++ b/soak/site.ts
@@ -0,0 +1,45 @@
+/** An entry of a round: its process, its links, and the faults of its way to the store. */
+import { noRowFaults, type RowFaults } from "../standin/site/rows.js";
+import type { WirePlatform } from "../standin/wire/platform.js";
+import { EntryProcess } from "./entry-process.js";
+import { Link } from "./link.js";
+import { freePorts, portOf } from "./loopback.js";
+
+/** One entry, its ways to others and the faults of its way to the store. */
+export interface Site {
+    readonly process: EntryProcess;
+    readonly callerLink: Link;
+    readonly peerLink: Link;
+    readonly storeLink: Link;
+    readonly storeFaults: RowFaults;
+}
+
+/** Options of `createSite`. */
+export interface SiteOptions {
+    readonly name: string;
+    readonly platform: WirePlatform;
+    /** The built daemon. */
+    readonly program: string;
+    readonly folder: string;
+    /** Called when the process ends otherwise than it should. */
+    readonly onBadEnd: (text: string) => void;
+}
+
+/** Opens the links of an entry; its process is not started yet. */
+export async function createSite({ name, platform, program, folder, onBadEnd }: SiteOptions): Promise<Site> {
+    const [callers, readiness, metrics, peers] = await freePorts(4);
+    const storeFaults = noRowFaults();
+    const storeLink = await Link.create(portOf(await platform.openStore(storeFaults)));
+    const peerLink = await Link.create(peers!);
+    const process = EntryProcess.create({
+        name,
+        program,
+        folder,
+        ports: { callers: callers!, readiness: readiness!, metrics: metrics!, peers: peers! },
+        advertise: peerLink.address,
+        store: storeLink.address,
+        inventory: storeLink.address,
+        onBadEnd,
+    });
+    return { process, callerLink: await Link.create(callers!), peerLink, storeLink, storeFaults };
+}
--- /dev/null
+++ b/soak/strike.ts
@@ -0,0 +1,89 @@
+/** Carries a fault out and heals it in time. */
+import { noRowFaults, type RowFaults } from "../standin/site/rows.js";
+import type { WirePlatform } from "../standin/wire/platform.js";
+import { type Link, LinkMode } from "./link.js";
+import { type Fault, FaultKind } from "./plan.js";
+import type { Site } from "./site.js";
+
+/** What faults strike. */
+export interface Scene {
+    readonly sites: readonly Site[];
+    readonly platform: WirePlatform;
+    readonly workerLinks: readonly Link[];
+    /** Time since the beginning of the traffic by which every fault is healed, in milliseconds. */
+    readonly lengthMs: number;
+    /** Puts a new version of the operator's lists in force. */
+    readonly writeLists: () => void;
+}
+
+/** Pause between the stops of two entries when all are stopped in turn. */
+const staggerMs = 900;
+
+/** Begins a fault; what lasts is healed by itself. */
+export function strike(fault: Fault, { sites, platform, workerLinks, lengthMs, writeLists }: Scene): void {
+    const { kind, at, forMs, atMs, link } = fault;
+    const { rows, workers } = platform;
+    const site = sites[Math.max(0, at) % sites.length]!;
+    const number = Math.max(0, at) % workers.length;
+    const worker = workers[number]!;
+    const views = at < 0 ? [rows.faults] : [site.storeFaults];
+    const endsMs = Math.max(0, lengthMs - atMs);
+    const during = (begin: () => void, end: () => void): void => {
+        begin();
+        setTimeout(end, Math.min(forMs, endsMs));
+    };
+    const storeFault = (change: Partial<RowFaults>): void =>
+        during(
+            () => views.forEach(view => Object.assign(view, change)),
+            () => views.forEach(view => Object.assign(view, noRowFaults())),
+        );
+    const harm = (target: Link): void => during(() => target.set(link), () => target.set(LinkMode.Open));
+    switch (kind) {
+        case FaultKind.Kill:
+            return site.process.kill();
+        case FaultKind.KillMany:
+            return sites.slice(at < 0 ? 0 : 1).forEach(({ process }) => process.kill());
+        case FaultKind.Term:
+            return site.process.term();
+        case FaultKind.TermAll:
+            return sites.forEach(({ process }, i) => setTimeout(() => process.term(), i * staggerMs));
+        case FaultKind.Pause:
+            return during(() => site.process.pause(), () => site.process.resume());
+        case FaultKind.Hup:
+            return site.process.hup();
+        case FaultKind.StoreLink:
+            return (at < 0 ? sites : [site]).forEach(({ storeLink }) => harm(storeLink));
+        case FaultKind.PeerLink:
+            return (at < 0 ? sites : [site]).forEach(({ peerLink }) => harm(peerLink));
+        case FaultKind.CallerLink:
+            return harm(site.callerLink);
+        case FaultKind.WorkerLink:
+            return harm(workerLinks[number]!);
+        case FaultKind.StoreBusy:
+            return storeFault({ isBusy: true });
+        case FaultKind.StoreSilent:
+            return storeFault({ isSilent: true });
+        case FaultKind.StoreSlow:
+            return storeFault({ slowness: 40 });
+        case FaultKind.StoreLost:
+            return storeFault({ lostShare: 0.3 });
+        case FaultKind.StoreLate:
+            return storeFault({ lateShare: 0.3 });
+        case FaultKind.StoreCompact:
+            return rows.compact();
+        case FaultKind.WorkerCrash:
+            return during(() => platform.crash(worker), () => platform.revive(worker));
+        case FaultKind.WorkerFails:
+            return during(
+                () => void (worker.life.faults.failsAll = true),
+                () => void (worker.life.faults.failsAll = false),
+            );
+        case FaultKind.WorkerHangs:
+            return during(
+                () => void (worker.life.faults.isHung = true),
+                () => void (worker.life.faults.isHung = false),
+            );
+        case FaultKind.Lists:
+            return writeLists();
+    }
+}
