--- a/src/pool/job-rows.ts
+++ b/src/pool/job-rows.ts
@@ -21,8 +21,9 @@
     | { readonly kind: JobRowKind.Other };
 
 /**
- * Parts over which these rows are spread. The store writes to one part after the other transaction of that part, so a
- * burst of jobs in a single part would have to stand in line while the store is slow.
+ * Parts over which these rows are spread. The store carries out the transactions of a part one after another, so a
+ * burst of jobs in a single part would have to stand in line while the store is slow. Each part costs the next owner
+ * one read.
  */
 const partCount = 16;
 const cancelSuffix = ".cancel";
