What stood twice stands once: JSON of others, ends of runs, builders of queues, free ports

Cause: read in review (`duplicates`): a try around JSON.parse stood in seven files; ports.ts had an enum of ends whose values reconcile.ts mapped one to one to those of the job's state; three tests and a bench measure built the same queue; the soak and platform.test.ts looked for free ports as standin/site.ts does, and the soak had a sleep of its own; DomainOptions repeated eight fields of TenureOptions. Change: `src/process/json.ts`; `ReportedEnd` is `RunEnd` without `Lost`, and the mapping is gone; `queueOf` in standin/site; `freePorts` of standin/site.ts and `node:timers/promises`; `Pick` of the tenure's options. No behaviour, check or bound changes.

--- a/bench/measures/owner.ts
+++ b/bench/measures/owner.ts
@@ -5,7 +5,7 @@
 import { planStarts } from "../../src/pool/plan-starts.js";
 import { WorkerBook } from "../../src/pool/worker-book.js";
 import { EventId } from "../../src/process/events.js";
-import { jobOf, StandinSite } from "../../standin/site/site.js";
+import { jobOf, queueOf, StandinSite } from "../../standin/site/site.js";
 import { type Figures, type Measure, quantile, round } from "../measure.js";
 
 const lists = { version: 1, queues: [{}] };
@@ -93,19 +93,7 @@
             worker.isHeld = true;
             worker.isReachable = true;
         }
-        const queue = {
-            name: "q",
-            host: "",
-            pathPrefix: "",
-            pool: "bench",
-            isOpen: true,
-            priority: 0,
-            maxAttempts: 3,
-            stretch: 2,
-            objectiveMs: 500,
-            timeoutMs: 3000,
-            needsAdvice: false,
-        };
+        const queue = queueOf({ objectiveMs: 500 });
         const directory = {
             version: 1,
             queues: [queue],
--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -1,4 +1,5 @@
 /** A caller with one job: hands it in until it is told what becomes of it, follows it, and may cancel it. */
+import { setTimeout as pause } from "node:timers/promises";
 import { Agent, request } from "undici";
 import { messageOf } from "../src/process/errors.js";
 import type { Random } from "../src/process/random.js";
@@ -139,8 +140,3 @@
 export function statusOf(result: CallResult): number {
     return result.kind === "answer" ? result.status : 0;
 }
-
-/** Waits in real time. */
-export function pause(ms: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/soak/loopback.ts
+++ b/soak/loopback.ts
@@ -1,5 +1,5 @@
 /** Ports on loopback. */
-import { type AddressInfo, createServer, type Server } from "node:net";
+import type { AddressInfo, Server } from "node:net";
 
 /** The only host that the soak uses. */
 export const host = "127.0.0.1";
@@ -10,14 +10,6 @@
     return (server.address() as AddressInfo).port;
 }
 
-/** Ports that were free a moment ago and differ from each other. */
-export async function freePorts(count: number): Promise<readonly number[]> {
-    const servers = Array.from({ length: count }, () => createServer());
-    const ports = await Promise.all(servers.map(listenAnywhere));
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return ports;
-}
-
 /** Port of an address on the loopback host. */
 export function portOf(address: string): number {
     return Number(address.slice(`${host}:`.length));
--- a/soak/round.ts
+++ b/soak/round.ts
@@ -1,11 +1,12 @@
 /** One round: a platform, entries as processes, callers, and the faults of a seed; then the promises are checked. */
 import { mkdirSync } from "node:fs";
 import { join } from "node:path";
+import { setTimeout as pause } from "node:timers/promises";
 import type { JobSpec } from "../src/job/index.js";
 import { Random } from "../src/process/random.js";
 import { jobOf } from "../standin/site/site.js";
 import { WirePlatform } from "../standin/wire/platform.js";
-import { Acceptance, CallerPool, pause } from "./caller.js";
+import { Acceptance, CallerPool } from "./caller.js";
 import { judgeCalls } from "./judge.js";
 import { Link } from "./link.js";
 import { portOf } from "./loopback.js";
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -1,9 +1,10 @@
 /** An entry of a round: its process, its links, and the faults of its way to the store. */
+import { freePorts } from "../standin/site.js";
 import { noRowFaults, type RowFaults } from "../standin/site/rows.js";
 import type { WirePlatform } from "../standin/wire/platform.js";
 import { EntryProcess } from "./entry-process.js";
 import { Link } from "./link.js";
-import { freePorts, portOf } from "./loopback.js";
+import { portOf } from "./loopback.js";
 
 /** One entry, its ways to others and the faults of its way to the store. */
 export interface Site {
--- a/src/connection/json-http.ts
+++ b/src/connection/json-http.ts
@@ -3,6 +3,7 @@
  * the other end may have received a call that was not answered.
  */
 import { type Dispatcher, Pool } from "undici";
+import { parseJson } from "../process/json.js";
 import type { Cancel, Timer } from "../process/timer.js";
 
 /** One call. */
@@ -138,7 +139,8 @@
         const text = this.chunks.length === 1
             ? this.chunks[0]!.toString()
             : Buffer.concat(this.chunks).toString();
-        this.settle({ kind: "answer", status: this.status, body: parseBody(text) });
+        // A body that is no JSON counts as empty; whoever needs one finds its fields missing and says so.
+        this.settle({ kind: "answer", status: this.status, body: parseJson(text) });
     }
 
     onResponseError(_: Dispatcher.DispatchController, err: Error): void {
@@ -162,16 +164,3 @@
         }
     }
 }
-
-/** Bodies that are no JSON count as empty; whoever needs one finds its fields missing and says so. */
-function parseBody(text: string): unknown {
-    if (text === "") {
-        return undefined;
-    }
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/src/job/codec.ts
+++ b/src/job/codec.ts
@@ -1,5 +1,6 @@
 /** How accepted jobs and their progress are written into rows of the store, as compact JSON. */
 import { z } from "zod";
+import { parseJson } from "../process/json.js";
 import { type AcceptedJob, type JobSpec, type StepSpec } from "./spec.js";
 import { initialState, isFinal, JobPhase, type JobState, TaskPhase, type TaskState } from "./state.js";
 
@@ -185,13 +186,3 @@
     return Array.from({ length: count }, (_, occurrence) => first.map(task => ({ ...task, occurrence })))
         .flat();
 }
-
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        // The caller reports the row as malformed.
-        return undefined;
-    }
-}
--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -7,26 +7,25 @@
 import { run } from "../process/flow.js";
 import type { Task } from "../process/hub.js";
 import type { LagMeter } from "../process/lag.js";
-import type { Log } from "../process/log.js";
-import type { Metrics } from "../process/metrics.js";
 import type { Peer, Peers } from "../process/peers.js";
 import { readRow, type RowStore, type StoredRow } from "../process/rows.js";
-import { type Cancel, sleep, type Timer } from "../process/timer.js";
-import type { Directory } from "../version/directory.js";
-import { takeOver } from "./ledger.js";
-import type { LedgerEffect } from "./ledger.js";
-import { release } from "./ledger.js";
+import { type Cancel, sleep } from "../process/timer.js";
+import { type LedgerEffect, release, takeOver } from "./ledger.js";
 import { memberPart, type MemberRow } from "./member-rows.js";
 import { Membership } from "./membership.js";
 import { OwnerLine } from "./owner-line.js";
 import { decodeOwner, type Owner, ownerKey, ownerSilenceMs, shouldTakeOver, tables } from "./ownership.js";
-import type { Adviser, Roster, WorkerCalls } from "./ports.js";
 import { clearlyBetter, inOrder } from "./ranking.js";
-import type { TenureTimes } from "./tenure-context.js";
+import type { TenureOptions } from "./tenure-context.js";
 import { Tenure } from "./tenure.js";
 
 /** Options of `Domain.create`. */
-export interface DomainOptions {
+export interface DomainOptions extends
+    Pick<
+        TenureOptions,
+        "roster" | "calls" | "adviser" | "directory" | "timer" | "log" | "metrics" | "times"
+    >
+{
     readonly name: string;
     readonly entry: string;
     readonly incarnation: string;
@@ -35,14 +34,6 @@
     readonly strength: number;
     readonly store: RowStore & { readonly ageMs: number };
     readonly peers: Peers;
-    readonly roster: Roster;
-    readonly calls: WorkerCalls;
-    readonly adviser: Adviser;
-    readonly directory: () => Directory | undefined;
-    readonly timer: Timer;
-    readonly log: Log;
-    readonly metrics: Metrics;
-    readonly times: TenureTimes;
     readonly lag: LagMeter;
     /** Called when the members change. */
     readonly onMembers: (members: ReadonlyMap<string, MemberRow>) => void;
--- a/src/pool/member-rows.ts
+++ b/src/pool/member-rows.ts
@@ -1,5 +1,6 @@
 /** Rows of the members: which entries run, and where their peers reach them. */
 import { z } from "zod";
+import { parseJson } from "../process/json.js";
 import type { RowKey, StoredRow } from "../process/rows.js";
 import { tables } from "./ownership.js";
 
@@ -26,12 +27,6 @@
     if (stored.isRemoved) {
         return undefined;
     }
-    try {
-        const parsed = row.safeParse(JSON.parse(stored.value));
-        return parsed.success ? parsed.data : undefined;
-    }
-    catch {
-        // A row that is no JSON names no member.
-        return undefined;
-    }
+    const parsed = row.safeParse(parseJson(stored.value));
+    return parsed.success ? parsed.data : undefined;
 }
--- a/src/pool/ownership.ts
+++ b/src/pool/ownership.ts
@@ -3,6 +3,7 @@
  * the version it read, is the owner; all that an earlier owner still tries then fails on that row or at the workers.
  */
 import { z } from "zod";
+import { parseJson } from "../process/json.js";
 import type { RowKey, StoredRow } from "../process/rows.js";
 
 /** Rows and tables of a domain. */
@@ -64,14 +65,8 @@
 }
 
 function decode<T>(schema: z.ZodType<T>, text: string): T | undefined {
-    try {
-        const parsed = schema.safeParse(JSON.parse(text));
-        return parsed.success ? parsed.data : undefined;
-    }
-    catch {
-        // A row that is no JSON names nothing.
-        return undefined;
-    }
+    const parsed = schema.safeParse(parseJson(text));
+    return parsed.success ? parsed.data : undefined;
 }
 
 /** What an entry knows when it considers taking a domain over. */
--- a/src/pool/ports.ts
+++ b/src/pool/ports.ts
@@ -1,4 +1,5 @@
 /** What the owner of a set of pools asks of the outside world: workers, the list of workers, VMs and the adviser. */
+import type { RunEnd } from "../job/index.js";
 import type { Resources } from "../process/resources.js";
 
 /** One life of a worker, as the platform's list states it. */
@@ -80,15 +81,8 @@
     readonly reading: number;
 }
 
-/** How a worker says that a run ended. */
-export enum ReportedEnd {
-    Done = "done",
-    Failed = "failed",
-    Stopped = "stopped",
-    Lapsed = "lapsed",
-    GangBroken = "gang-broken",
-    GangIncomplete = "gang-incomplete",
-}
+/** How a run ended, as its worker reports it. */
+export type ReportedEnd = Exclude<RunEnd, RunEnd.Lost>;
 
 /** The end of a run in a worker's list. */
 export interface EndedRun {
--- a/src/pool/reconcile.ts
+++ b/src/pool/reconcile.ts
@@ -4,7 +4,7 @@
  */
 import { RunEnd } from "../job/index.js";
 import { type RunRecord, StartStatus } from "./job-book.js";
-import { type EndedRun, ReportedEnd, type RunningRun } from "./ports.js";
+import type { EndedRun, RunningRun } from "./ports.js";
 
 /** A recorded run whose end is certain. */
 export interface FoundEnd {
@@ -54,9 +54,9 @@
         const record = records.get(end.task);
         if (record !== undefined && record.run === end.run && isOfLife(record, born)) {
             accounted.add(record);
-            ended.push({ record, how: endOf(end.how), saved: end.saved });
+            ended.push({ record, how: end.how, saved: end.saved });
         }
-        else if (end.how === ReportedEnd.Done) {
+        else if (end.how === RunEnd.Done) {
             lateSuccesses.push(end);
         }
     }
@@ -103,20 +103,3 @@
             return true;
     }
 }
-
-function endOf(how: ReportedEnd): RunEnd {
-    switch (how) {
-        case ReportedEnd.Done:
-            return RunEnd.Done;
-        case ReportedEnd.Failed:
-            return RunEnd.Failed;
-        case ReportedEnd.Stopped:
-            return RunEnd.Stopped;
-        case ReportedEnd.Lapsed:
-            return RunEnd.Lapsed;
-        case ReportedEnd.GangBroken:
-            return RunEnd.GangBroken;
-        case ReportedEnd.GangIncomplete:
-            return RunEnd.GangIncomplete;
-    }
-}
--- a/src/pool/vm-orders.ts
+++ b/src/pool/vm-orders.ts
@@ -4,6 +4,7 @@
  * and moves all others at once.
  */
 import { z } from "zod";
+import { parseJson } from "../process/json.js";
 import {
     isSameRow,
     readRow,
@@ -92,7 +93,7 @@
     }
 
     private adopt(row: StoredRow | undefined): void {
-        const parsed = row === undefined ? undefined : orderRow.safeParse(parse(row.value));
+        const parsed = row === undefined ? undefined : orderRow.safeParse(parseJson(row.value));
         this.version = row?.version ?? 0;
         // Without a sound row nothing is known, and all VMs are left alone until the quiet time is over.
         if (parsed?.success === true) {
@@ -100,12 +101,3 @@
         }
     }
 }
-
-function parse(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/src/pool/wave-book.ts
+++ b/src/pool/wave-book.ts
@@ -1,5 +1,6 @@
 /** Waves of VM service: which VMs are done, which are out, and how pressing the rest is. */
 import { z } from "zod";
+import { parseJson } from "../process/json.js";
 import type { RowKey, RowPut, StoredRow } from "../process/rows.js";
 import type { WaveOrder } from "../version/operator-feed.js";
 
@@ -61,7 +62,8 @@
     restore(rows: readonly StoredRow[]): void {
         for (const row of rows) {
             const state = this.waves.get(Number(row.key));
-            const parsed = waveRow.safeParse(parse(row.value));
+            // A malformed row counts as no progress; the platform knows what was done already.
+            const parsed = waveRow.safeParse(parseJson(row.value));
             if (state !== undefined && parsed.success) {
                 parsed.data.done.forEach(vm => state.done.add(vm));
             }
@@ -161,13 +163,3 @@
         return { table: waveTable, part: this.domain, key: String(wave) };
     }
 }
-
-function parse(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        // A malformed row counts as no progress; the platform knows what was done already.
-        return undefined;
-    }
-}
--- a/src/request/step-jobs-api.ts
+++ b/src/request/step-jobs-api.ts
@@ -3,6 +3,7 @@
 import { z } from "zod";
 import { readBody, sendBody, sendJson } from "../connection/caller/body.js";
 import type { JobSpec } from "../job/index.js";
+import { parseJson } from "../process/json.js";
 import { RefusalReason, type SubmitResult } from "./intake.js";
 import { type JobDesk, noListsRetryMs } from "./job-desk.js";
 
@@ -145,11 +146,8 @@
     if (body === undefined) {
         return `the body has more than ${maxBodyBytes} bytes`;
     }
-    let value: unknown;
-    try {
-        value = JSON.parse(body.toString("utf8"));
-    }
-    catch {
+    const value = parseJson(body.toString("utf8"));
+    if (value === undefined) {
         return "the body is no JSON";
     }
     const parsed = job.safeParse(value);
--- a/standin/site/checker.ts
+++ b/standin/site/checker.ts
@@ -1,6 +1,6 @@
 /** Watches a stand-in site and notes every breach of a promise, from what workers and callers saw. */
-import { type JobSpec, parseTaskName } from "../../src/job/index.js";
-import { ReportedEnd, type StartOrder } from "../../src/pool/ports.js";
+import { type JobSpec, parseTaskName, RunEnd } from "../../src/job/index.js";
+import type { ReportedEnd, StartOrder } from "../../src/pool/ports.js";
 import type { Resources } from "../../src/process/resources.js";
 import type { Timer } from "../../src/process/timer.js";
 import type { StandinWorker, WorkerEvents } from "./worker.js";
@@ -75,13 +75,13 @@
         if (present?.worker === worker && present.run === run) {
             this.present.delete(task);
         }
-        if (how === ReportedEnd.Done) {
+        if (how === RunEnd.Done) {
             this.done.add(task);
         }
     }
 
     acknowledged(_: StandinWorker, task: string, __: number, how: ReportedEnd): void {
-        if (how === ReportedEnd.Done) {
+        if (how === RunEnd.Done) {
             this.doneStored.add(task);
         }
     }
--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -86,15 +86,6 @@
 /** Time between orders of two holders for one VM, as the settings' default has it. */
 const holderGapMs = 3000;
 const sparePool = "spare";
-const queueDefaults = {
-    name: "q",
-    host: "h",
-    pathPrefix: "/q/",
-    pool: "bench",
-    isOpen: true,
-    stretch: 2,
-    objectiveMs: 1000,
-};
 const operatorTable = "operator";
 const listsKey = { table: operatorTable, part: "", key: "lists" };
 const waveKeyPrefix = "wave/";
@@ -161,7 +152,7 @@
         const teams = new Set([...Object.keys(caps), ...Object.values(keys)]);
         const lists = {
             version,
-            queues: queues.map(queue => ({ ...queueDefaults, ...queue })),
+            queues: queues.map(queueOf),
             pools: pools.map(name => ({ name, isSpare: name === sparePool })),
             teams: [...teams].map(name => ({
                 name,
@@ -568,3 +559,21 @@
 export function jobOf(...steps: readonly Partial<StepSpec>[]): JobSpec {
     return { payload: "x", steps: steps.map(step => stepOf(step)) };
 }
+
+/** A queue that is open to all, for tests and the stand-in's lists. */
+export function queueOf(queue: Partial<Queue> = {}): Queue {
+    return {
+        name: "q",
+        host: "h",
+        pathPrefix: "/q/",
+        pool: "bench",
+        isOpen: true,
+        priority: 0,
+        maxAttempts: 3,
+        stretch: 2,
+        objectiveMs: 1000,
+        timeoutMs: 3000,
+        needsAdvice: false,
+        ...queue,
+    };
+}
--- a/standin/site/worker.ts
+++ b/standin/site/worker.ts
@@ -1,11 +1,12 @@
 /** One life of a stand-in worker: runs, leases, fences, and its list of ends, in virtual time. */
+import { RunEnd } from "../../src/job/index.js";
 import {
     type EndedRun,
     type HoldOrder,
     type HoldResult,
     type ListedWorker,
     type OrderResult,
-    ReportedEnd,
+    type ReportedEnd,
     type StartOrder,
     StartRefusal,
     type StartResult,
@@ -276,7 +277,7 @@
             const isWaiting = this.isGangWaiting(run);
             run.workedMs += this.faults.isHung || isWaiting ? 0 : stepMs;
             run.waitedMs += isWaiting ? stepMs : 0;
-            const how = isLapsed ? ReportedEnd.Lapsed : this.endOf(run);
+            const how = isLapsed ? RunEnd.Lapsed : this.endOf(run);
             if (how !== undefined) {
                 this.settle(run, how);
             }
@@ -289,26 +290,26 @@
 
     private endOf({ run, facts, workedMs, waitedMs, isBroken, stopAtMs }: Run): ReportedEnd | undefined {
         if (isBroken) {
-            return ReportedEnd.GangBroken;
+            return RunEnd.GangBroken;
         }
         if (waitedMs >= gangMs) {
-            return ReportedEnd.GangIncomplete;
+            return RunEnd.GangIncomplete;
         }
         if (stopAtMs !== undefined && this.timer.now() >= stopAtMs) {
-            return ReportedEnd.Stopped;
+            return RunEnd.Stopped;
         }
         if (this.faults.failsAll) {
-            return ReportedEnd.Failed;
+            return RunEnd.Failed;
         }
         if (facts.isService || workedMs < facts.workMs) {
             return undefined;
         }
-        return run <= facts.failures ? ReportedEnd.Failed : ReportedEnd.Done;
+        return run <= facts.failures ? RunEnd.Failed : RunEnd.Done;
     }
 
     private settle({ task, run, facts }: Run, how: ReportedEnd): void {
         if (facts.gang !== undefined) {
-            this.gangs.leave(`${facts.gang.name}/${run}`, task, how === ReportedEnd.Done);
+            this.gangs.leave(`${facts.gang.name}/${run}`, task, how === RunEnd.Done);
         }
         this.runs.delete(task);
         this.settled.set(task, Math.max(run, this.settled.get(task) ?? 0));
--- a/test/fleet-plan.test.ts
+++ b/test/fleet-plan.test.ts
@@ -6,7 +6,7 @@
 import { VmPhase } from "../src/pool/ports.js";
 import type { Resources } from "../src/process/resources.js";
 import type { Directory } from "../src/version/directory.js";
-import { jobOf, stepOf } from "../standin/site/site.js";
+import { jobOf, queueOf, stepOf } from "../standin/site/site.js";
 
 const cores = (n: number): number => n * 1000;
 
@@ -153,19 +153,7 @@
 });
 
 describe("the demand of a pool", () => {
-    const queue = {
-        name: "q",
-        host: "h",
-        pathPrefix: "/",
-        pool: "bench",
-        isOpen: true,
-        priority: 0,
-        maxAttempts: 3,
-        stretch: 2,
-        objectiveMs: 500,
-        timeoutMs: 3000,
-        needsAdvice: false,
-    };
+    const queue = queueOf({ objectiveMs: 500 });
     const directory: Directory = {
         version: 1,
         queues: [queue],
--- a/test/kinds-of-work.test.ts
+++ b/test/kinds-of-work.test.ts
@@ -14,7 +14,7 @@
 import { Metrics } from "../src/process/metrics.js";
 import { VirtualTimer } from "../src/process/virtual.js";
 import type { Queue } from "../src/version/directory.js";
-import { jobOf, StandinSite, stepOf } from "../standin/site/site.js";
+import { jobOf, queueOf, StandinSite, stepOf } from "../standin/site/site.js";
 
 const lists = { version: 1, queues: [{}] };
 
@@ -204,19 +204,7 @@
 });
 
 describe("the order of waiting work in a burst", () => {
-    const queue: Queue = {
-        name: "q",
-        host: "",
-        pathPrefix: "",
-        pool: "bench",
-        isOpen: true,
-        priority: 0,
-        maxAttempts: 3,
-        stretch: 2,
-        objectiveMs: 500,
-        timeoutMs: 3000,
-        needsAdvice: false,
-    };
+    const queue = queueOf({ objectiveMs: 500 });
 
     /** A burst of five times what can be done: 50 jobs of 1 to 5 tasks a second for 4 s, and 30 tasks a second done. */
     function onTime(compare: typeof compareOutlooks): number {
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -1,4 +1,3 @@
-import { createServer } from "node:net";
 import { afterAll, beforeAll, describe, expect, test } from "vitest";
 import { createPlatformEntry } from "../platform/entry.js";
 import { decodeManifest } from "../platform/lists.js";
@@ -7,6 +6,7 @@
 import { parseSiteSettings } from "../src/process/site-settings.js";
 import { SystemTimer } from "../src/process/timer.js";
 import type { SiteEntry } from "../src/site-entry.js";
+import { freePorts } from "../standin/site.js";
 import { jobOf } from "../standin/site/site.js";
 import { WirePlatform } from "../standin/wire/platform.js";
 
@@ -20,14 +20,6 @@
     tenants: [{ name: "t1", "api-keys": ["k1"], weight: 5, cap: { cpu: 9000, "mem-mb": 0, gpu: 0 } }],
 };
 
-async function freePort(): Promise<number> {
-    const server = createServer();
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const { port } = server.address() as { port: number };
-    await new Promise(resolve => server.close(resolve));
-    return port;
-}
-
 describe("an entry on the users' platform", () => {
     const platform = WirePlatform.create({ pool: "bench", workers: 2 });
     const entries: SiteEntry[] = [];
@@ -38,7 +30,7 @@
         await platform.start();
         platform.operate("config", manifest);
         for (const name of ["e1", "e2"]) {
-            const ports = await Promise.all([freePort(), freePort(), freePort(), freePort()]);
+            const ports = await freePorts(4);
             const [callers, readiness, metrics, listen] = ports.map(port => `127.0.0.1:${port}`);
             fronts.push(`http://${callers}`);
             metricsAddresses.push(metrics!);
