--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -15,7 +15,7 @@
 import { Membership } from "./membership.js";
 import { OwnerLine } from "./owner-line.js";
 import { decodeOwner, type Owner, ownerKey, ownerSilenceMs, shouldTakeOver, tables } from "./ownership.js";
-import { clearlyBetter, inOrder } from "./ranking.js";
+import { quickProbeMs, Standing } from "./standing.js";
 import type { TenureOptions } from "./tenure-context.js";
 import { Tenure } from "./tenure.js";
 
@@ -59,22 +59,13 @@
     Heard = "owner.heard",
     Released = "owner.released",
     SteppedDown = "owner.stepped-down",
-    Fit = "owner.fit",
 }
 
 const beaconMs = 200;
 const checkMs = 100;
-/** How long an entry that gave the domain up for slowness leaves it to others, in milliseconds. */
-const standBackMs = 5000;
-/** Time from a takeover to the owner's first look for a stronger entry, and from each look to the next. */
-const comparisonMs = 3000;
-/** Places by which a slow entry stands back behind the others when the domain has no owner. */
-const slowRank = 12;
 const feedWaitMs = 4000;
 const retryMs = 200;
 const heardTimeoutMs = 200;
-/** Longest time for a read of the owner row by which this entry counts as better placed than the owner. */
-const quickProbeMs = 300;
 /** Pause after a takeover that another entry won. */
 const lostRacePauseMs = 500;
 const memberSweepMs = 5000;
@@ -90,9 +81,6 @@
     private predecessor: Owner | undefined;
     /** Highest fence whose owner is known to give no more orders. */
     private goneFence = 0;
-    private standBackUntil = -Infinity;
-    /** When the owner next looks for a stronger entry. */
-    private nextComparisonAt = -Infinity;
     private keeper: Keeper | undefined;
     private isRunning = false;
     private isStopping = false;
@@ -100,11 +88,13 @@
     /** How to speak with the owner about jobs. */
     readonly line: OwnerLine;
     private readonly members: Membership;
+    private readonly standing: Standing;
     private readonly cancels: Cancel[] = [];
 
     private constructor(private readonly options: DomainOptions) {
         this.heardAt = options.timer.now();
         this.members = Membership.create(options);
+        this.standing = Standing.create({ ...options, members: this.members });
         const { peers, metrics, log } = options;
         this.line = OwnerLine.create({
             peers,
@@ -146,6 +136,7 @@
     /** Hands the domain over, if it is owned here, and leaves the members. */
     async stop(): Promise<void> {
         this.isStopping = true;
+        this.standing.isStopping = true;
         await Promise.all([this.giveUp("stopping"), this.members.leave()]);
         this.isRunning = false;
         this.options.lag.stop();
@@ -174,49 +165,20 @@
         });
     }
 
-    /** Gives the domain up when this process is too slow for it and another entry can take it. */
+    /** Gives the domain up when this process is too slow for it, or a clearly stronger entry would take it. */
     private async giveWay(): Promise<void> {
         const { lag, peers } = this.options;
-        if (this.isBusy || !lag.isSlow || peers.connected().length === 0) {
+        if (this.isBusy || peers.connected().length === 0) {
             return;
         }
         this.isBusy = true;
-        this.standBackUntil = this.options.timer.now() + standBackMs;
         try {
-            await this.giveUp("slow");
-        }
-        finally {
-            this.isBusy = false;
-        }
-    }
-
-    /** Gives the domain up when a clearly stronger entry could take it and says that it would. */
-    private async giveToStronger(): Promise<void> {
-        const { entry, peers, timer, log } = this.options;
-        const now = timer.now();
-        if (this.isBusy || now < this.nextComparisonAt) {
-            return;
-        }
-        this.nextComparisonAt = now + comparisonMs;
-        const others = peers.connected().map(({ vm }) => this.members.ranked(vm));
-        const better = clearlyBetter(this.members.ranked(entry), others);
-        if (better === undefined) {
-            return;
-        }
-        this.isBusy = true;
-        try {
-            const { isFit } = await peers.ask(better.entry, Topic.Fit, {}, quickProbeMs) as {
-                isFit: boolean;
-            };
-            if (isFit) {
-                this.standBackUntil = now + standBackMs;
-                await this.giveUp("weaker");
+            const cause = lag.isSlow ? "slow" : await this.standing.isOutclassed() ? "weaker" : undefined;
+            if (cause !== undefined) {
+                this.standing.standBack();
+                await this.giveUp(cause);
             }
         }
-        catch (err) {
-            // A peer that does not answer is not better placed; it is asked again at the next comparison.
-            log.write(Severity.Warn, EventId.PeerLost, { peer: better.entry, err: messageOf(err) });
-        }
         finally {
             this.isBusy = false;
         }
@@ -234,7 +196,6 @@
             Topic.Heard,
             () => ({ silentMs: timer.now() - this.heardAt, isOwner: this.current !== undefined }),
         );
-        peers.on(Topic.Fit, async () => ({ isFit: await this.isFit() }));
         peers.on(Topic.Released, (_, body) => this.hearRelease((body as { fence: number }).fence));
         peers.on(Topic.SteppedDown, (_, body) => this.notePredecessorGone((body as { fence: number }).fence));
     }
@@ -276,7 +237,6 @@
     private async check(): Promise<void> {
         if (this.current?.isReady === true && !this.isStopping) {
             await this.giveWay();
-            await this.giveToStronger();
             return;
         }
         if (
@@ -303,11 +263,7 @@
     }
 
     private wouldTakeOver(ownerSilentMs: number, storeAgeMs = 0): boolean {
-        const { entry, peers } = this.options;
-        const names = [entry, ...peers.connected().map(({ vm }) => vm)];
-        const candidates = inOrder(
-            names.filter(vm => vm !== this.owner?.entry).map(vm => this.members.ranked(vm)),
-        );
+        const { entry } = this.options;
         return shouldTakeOver({
             self: entry,
             owner: this.owner,
@@ -315,34 +271,11 @@
             ownerSilentMs,
             ownerStoreAgeMs: this.beacon === undefined ? 0 : this.beacon.storeAgeMs,
             storeAgeMs,
-            rank: candidates.findIndex(candidate => candidate.entry === entry)
-                + (this.standsBack() ? slowRank : 0),
+            rank: this.standing.rank(this.owner?.entry),
             isStopping: this.isStopping,
         });
     }
 
-    /** Whether this process is slow, or was so a moment ago. */
-    private standsBack(): boolean {
-        return this.options.lag.isSlow || this.options.timer.now() < this.standBackUntil;
-    }
-
-    /** Whether this entry would serve well as the owner: it is not slow, and the store answers it quickly. */
-    private async isFit(): Promise<boolean> {
-        const { store, timer, name, log } = this.options;
-        if (this.standsBack() || this.isStopping) {
-            return false;
-        }
-        const probedAt = timer.now();
-        try {
-            await readRow(store, ownerKey(name));
-            return timer.now() - probedAt < quickProbeMs;
-        }
-        catch (err) {
-            log.write(Severity.Warn, EventId.StoreUnavailable, { err: messageOf(err) });
-            return false;
-        }
-    }
-
     private async tryTakeOver(): Promise<void> {
         const { store, timer, log, name, entry, incarnation } = this.options;
         const probedAt = timer.now();
@@ -398,7 +331,7 @@
         this.current = tenure;
         this.predecessor = isPreviousGone ? undefined : previous;
         this.heardAt = timer.now();
-        this.nextComparisonAt = timer.now() + comparisonMs;
+        this.standing.begin();
         this.sendBeacon();
         this.keeper = this.options.keeper(tenure, this.hasHolderEnded(previous));
         this.keeper.start();
--- a/src/pool/fleet-keeper.ts
+++ b/src/pool/fleet-keeper.ts
@@ -2,54 +2,23 @@
 import type { StepSpec } from "../job/index.js";
 import { messageOf } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
-import type { Log } from "../process/log.js";
-import type { Metrics } from "../process/metrics.js";
-import { RateWindow } from "../process/rate-window.js";
-import { readAll, type RowPut, type RowStore, TransactKind } from "../process/rows.js";
-import { type Cancel, sleep, type Timer } from "../process/timer.js";
-import type { Directory } from "../version/directory.js";
-import type { WaveOrder } from "../version/operator-feed.js";
+import { type Cancel, sleep } from "../process/timer.js";
 import { DemandMeter } from "./demand.js";
 import { movableRuns } from "./evacuation.js";
 import { couldRun, type FleetAction, planFleet, type PlannedVm, type VmOrder } from "./fleet-plan.js";
 import { StopReason } from "./job-book.js";
-import { type VmCalls, type VmEntry, VmOrderResult, VmPhase } from "./ports.js";
-import type { Tenure } from "./tenure.js";
-import { VmOrderLog } from "./vm-orders.js";
-import { WaveBook, waveTable } from "./wave-book.js";
+import { type VmEntry, VmPhase } from "./ports.js";
+import { settleMs, VmDesk, type VmDeskOptions } from "./vm-desk.js";
+import { WaveDesk, type WaveDeskOptions } from "./wave-desk.js";
 import type { WorkerState } from "./worker-book.js";
 
 /** Options of `FleetKeeper.create`. */
-export interface FleetKeeperOptions {
-    readonly tenure: Tenure;
-    readonly domain: string;
-    readonly entry: string;
-    readonly vms: VmCalls;
-    readonly store: RowStore;
-    readonly directory: () => Directory | undefined;
-    readonly waves: () => Iterable<WaveOrder>;
-    readonly waveStatusRow: (wave: number, isFinished: boolean) => RowPut;
-    readonly timer: Timer;
-    readonly log: Log;
-    readonly metrics: Metrics;
-    /** Time between orders of two holders for the same VM, in milliseconds. */
-    readonly holderGapMs: number;
-    /** Whether the holder before this one can have no order under way. */
-    readonly hasHolderEnded: boolean;
-    readonly serviceMs: number;
-    readonly moveMs: number;
-    /** VM orders that the platform takes in a second. */
-    readonly vmOrdersPerS: number;
-}
+export interface FleetKeeperOptions extends WaveDeskOptions, Omit<VmDeskOptions, "waveBook" | "onGone"> {}
 
 const tickMs = 100;
 /** Period of reading the inventory while VMs change, and while none does. */
 const busyListMs = 500;
 const idleListMs = 2500;
-/** Added to the time that a move or service takes, before the inventory's word is believed again. */
-const settleMs = 300;
-/** Share of the platform's rate of VM orders that is used; a former owner may have used some of the same second. */
-const orderRateShare = 0.9;
 /** Longest wait for orders under way at the end of a tenure, and the period of looking at them, in milliseconds. */
 const longestOrderMs = 500;
 const stopCheckMs = 10;
@@ -57,34 +26,26 @@
 const reserveVms = 1;
 const leastVms = 2;
 
-interface Ordered {
-    readonly pool: string;
-    readonly phase: VmPhase;
-    readonly until: number;
-}
-
 /** Keeps the VMs of a domain where they are needed. */
 export class FleetKeeper {
     private inventory: readonly VmEntry[] = [];
     private listedAt = -Infinity;
     private isBusy = false;
     private isLost = false;
-    private readonly ordered = new Map<string, Ordered>();
     private readonly cordoned = new Set<string>();
-    private readonly book: WaveBook;
+    private readonly waves: WaveDesk;
+    private readonly desk: VmDesk;
     private readonly demand: DemandMeter;
-    private readonly orderLog: VmOrderLog;
-    private readonly orderRate: RateWindow;
-    private isRestored = false;
-    /** Waves of which operators have not been told yet that they are worked on. */
-    private readonly unannounced = new Set<number>();
     private cancel: Cancel = () => undefined;
 
     private constructor(private readonly options: FleetKeeperOptions) {
-        this.book = WaveBook.create(options.domain, options.serviceMs);
+        this.waves = WaveDesk.create(options);
+        this.desk = VmDesk.create({
+            ...options,
+            waveBook: this.waves.book,
+            onGone: vm => this.cordoned.delete(vm),
+        });
         this.demand = DemandMeter.create();
-        this.orderLog = VmOrderLog.create(options);
-        this.orderRate = RateWindow.create(options.vmOrdersPerS * orderRateShare);
     }
 
     static create(options: FleetKeeperOptions): FleetKeeper {
@@ -113,13 +74,13 @@
         }
         this.isBusy = true;
         try {
-            await this.seeWaves();
-            await this.orderLog.restore();
+            await this.waves.see();
+            await this.desk.restore();
             await this.refresh();
             if (this.inventory.length > 0) {
                 this.evacuate();
                 await this.act(this.plan(timer.now()));
-                await this.reportWaves();
+                await this.waves.report();
             }
         }
         catch (err) {
@@ -130,43 +91,10 @@
         }
     }
 
-    private async seeWaves(): Promise<void> {
-        const { store, domain, timer, waves } = this.options;
-        for (const { wave } of this.book.see(waves(), timer.now())) {
-            this.unannounced.add(wave);
-        }
-        if (this.unannounced.size === 0) {
-            return;
-        }
-        if (!this.isRestored) {
-            const page = await readAll(store, { table: waveTable, part: domain });
-            this.book.restore(page.rows);
-            this.isRestored = true;
-        }
-        for (const wave of this.unannounced) {
-            await this.announce(wave);
-        }
-    }
-
-    /** Shows operators that a wave is worked on, unless an owner has said so, or that it is finished, before. */
-    private async announce(wave: number): Promise<void> {
-        const { store, waveStatusRow } = this.options;
-        const put = waveStatusRow(wave, false);
-        const { table, part, key } = put;
-        const outcome = await store.transact({
-            conditions: [{ table, part, key, version: 0 }],
-            puts: [put],
-            removals: [],
-        });
-        if (outcome.kind === TransactKind.Committed || outcome.kind === TransactKind.Conflict) {
-            this.unannounced.delete(wave);
-        }
-    }
-
     private async refresh(): Promise<void> {
         const { vms, timer, log } = this.options;
         const now = timer.now();
-        const isChanging = this.ordered.size > 0 || this.book.out().length > 0;
+        const isChanging = this.desk.isWaiting || this.waves.book.out().length > 0;
         if (now - this.listedAt < (isChanging ? busyListMs : idleListMs)) {
             return;
         }
@@ -187,30 +115,17 @@
 
     /** Drops what was assumed after orders once the inventory was read late enough to show it. */
     private settleOrders(readAt: number): void {
-        for (const [vm, { until }] of this.ordered) {
-            if (readAt >= until) {
-                this.ordered.delete(vm);
-            }
-        }
+        this.desk.settle(readAt);
         const phases = new Map(this.inventory.map(({ vm, phase }) => [vm, phase]));
-        for (const { wave, vm, since } of this.book.out()) {
+        for (const { wave, vm, since } of this.waves.book.out()) {
             const phase = phases.get(vm);
             const isOver = phase === undefined || phase === VmPhase.Up;
             if (isOver && readAt >= since + this.options.serviceMs + settleMs) {
-                this.book.returned(wave, vm);
+                this.waves.book.returned(wave, vm);
             }
         }
-        for (const { wave } of this.options.waves()) {
-            this.excludeGone(wave, phases);
-        }
-    }
-
-    private excludeGone(wave: number, phases: ReadonlyMap<string, VmPhase>): void {
-        const order = [...this.options.waves()].find(candidate => candidate.wave === wave);
-        for (const vm of order?.vms ?? []) {
-            if (!phases.has(vm)) {
-                this.book.exclude(wave, vm);
-            }
+        for (const { wave, vms } of this.options.waves()) {
+            vms.filter(vm => !phases.has(vm)).forEach(vm => this.waves.book.exclude(wave, vm));
         }
     }
 
@@ -233,17 +148,17 @@
         return planFleet({
             vms,
             needs,
-            waves: this.book.open(now, this.inService()),
+            waves: this.waves.book.open(now, this.inService()),
             reserve: reserveVms,
             least: leastVms,
         });
     }
 
     private describe(entry: VmEntry): PlannedVm {
-        const ordered = this.ordered.get(entry.vm);
+        const ordered = this.desk.assumed(entry.vm);
         const worker = this.workerOf(entry);
         const runs = [...worker?.runs.values() ?? []];
-        const dueWave = this.book.dueWave(entry.vm);
+        const dueWave = this.waves.book.dueWave(entry.vm);
         if (worker !== undefined) {
             worker.isDue = dueWave !== undefined;
         }
@@ -257,7 +172,7 @@
             runs: this.countRuns(entry, worker),
             services: runs.filter(({ step }) => step.isService).length,
             isCordoned: this.cordoned.has(entry.vm),
-            isFree: this.orderLog.isFree(entry.vm),
+            isFree: this.desk.isFree(entry.vm),
             isUsable: worker !== undefined && worker.isHeld && worker.isReachable,
             dueWave,
         };
@@ -317,12 +232,7 @@
                     orders.push(action);
             }
         }
-        const { timer } = this.options;
-        const now = orders.slice(0, this.orderRate.room(timer.now()));
-        if (now.length > 0 && await this.orderLog.record(now.map(({ vm }) => vm))) {
-            this.orderRate.add(timer.now(), now.length);
-            await Promise.all(now.map(order => this.order(order)));
-        }
+        await this.desk.send(orders, this.inventory, this.listedAt);
     }
 
     private setCordon(vm: string, isCordoned: boolean): void {
@@ -342,82 +252,6 @@
         }
     }
 
-    private async order(action: VmOrder): Promise<void> {
-        switch (action.kind) {
-            case "move":
-                return this.moveVm(action.vm, action.pool);
-            case "service":
-                return this.serviceVm(action.vm, action.wave);
-        }
-    }
-
-    private async moveVm(vm: string, pool: string): Promise<void> {
-        const { vms, timer, moveMs, entry, tenure } = this.options;
-        const until = timer.now() + moveMs + settleMs;
-        this.ordered.set(vm, { pool, phase: VmPhase.Moving, until });
-        const result = await vms.move(vm, pool, entry, tenure.fence);
-        this.note("move", vm, result, { pool });
-        if (result === VmOrderResult.Done) {
-            this.cordoned.delete(vm);
-            if (this.options.directory()?.pools.get(pool)?.isSpare !== true) {
-                tenure.watch.expectWorkers(moveMs + settleMs);
-            }
-        }
-        else if (result !== VmOrderResult.Unknown) {
-            this.ordered.delete(vm);
-        }
-    }
-
-    private async serviceVm(vm: string, wave: number): Promise<void> {
-        const { vms, timer, serviceMs, entry, tenure } = this.options;
-        const now = timer.now();
-        this.book.begin(wave, vm, now);
-        const pool = this.inventory.find(candidate => candidate.vm === vm)?.pool ?? "";
-        this.ordered.set(vm, { pool, phase: VmPhase.InService, until: now + serviceMs + settleMs });
-        const result = await vms.service(vm, wave, entry, tenure.fence);
-        this.note("service", vm, result, { wave });
-        switch (result) {
-            case VmOrderResult.Done:
-                this.cordoned.delete(vm);
-                this.book.accept(wave, vm);
-                tenure.storeRow(this.book.row(wave));
-                return;
-            case VmOrderResult.Unknown:
-                return;
-            case VmOrderResult.NotInWave:
-            case VmOrderResult.Impossible:
-                this.ordered.delete(vm);
-                this.book.exclude(wave, vm);
-                return;
-            case VmOrderResult.Busy:
-            case VmOrderResult.Fenced:
-            case VmOrderResult.RateLimited:
-                this.ordered.delete(vm);
-                this.book.fail(wave, vm);
-        }
-    }
-
-    private note(
-        order: string,
-        vm: string,
-        result: VmOrderResult,
-        fields: Readonly<Record<string, string | number>>,
-    ): void {
-        const { log, metrics, tenure, timer } = this.options;
-        metrics.count("celerywind_vm_orders_total", { order, result });
-        log.write(Severity.Info, EventId.VmOrdered, {
-            order,
-            vm,
-            result,
-            ...fields,
-            fence: tenure.fence,
-            inventoryAgeMs: Math.round(timer.now() - this.listedAt),
-        });
-        if (result === VmOrderResult.Fenced) {
-            void tenure.confirm();
-        }
-    }
-
     /** Moves services off VMs that are to be emptied, as fast as their disruption budgets allow. */
     private evacuate(): void {
         const { tenure } = this.options;
@@ -432,23 +266,4 @@
             }
         }
     }
-
-    private async reportWaves(): Promise<void> {
-        const { store, log, waveStatusRow, tenure } = this.options;
-        for (const wave of this.book.finished()) {
-            if (!await tenure.confirm()) {
-                return;
-            }
-            const outcome = await store.transact({
-                conditions: [],
-                puts: [waveStatusRow(wave, true)],
-                removals: [],
-            });
-            if (outcome.kind === TransactKind.Committed) {
-                this.book.report(wave);
-                this.unannounced.delete(wave);
-                log.write(Severity.Info, EventId.WaveFinished, { wave });
-            }
-        }
-    }
 }
