--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -154,11 +154,12 @@
 
     /** Ends this entry's tenure and releases the domain, so that another entry can take it over without waiting. */
     private async releaseOwnership(cause: string): Promise<void> {
-        const { store, log, peers, lag } = this.options;
+        const { store, log, metrics, peers, lag } = this.options;
         const tenure = this.currentTenure;
         if (tenure === undefined) {
             return;
         }
+        const lagMs = Math.round(lag.medianMs);
         await this.vmManager?.stop();
         const head = await tenure.handOver();
         this.currentTenure = undefined;
@@ -166,10 +167,12 @@
         this.owner = { ...head.owner, entry: "" };
         this.ownerSeenAt = this.options.timer.now();
         peers.broadcast(Topic.Released, { fence: head.owner.fence });
+        metrics.count("celerywind_owner_releases_total", { cause });
         log.write(Severity.Info, EventId.OwnerReleased, {
             fence: head.owner.fence,
             cause,
-            lagMs: Math.round(lag.medianMs),
+            lagMs,
+            tenureMs: Math.round(tenure.ageMs),
             outcome: outcome.kind,
         });
     }
@@ -243,12 +246,20 @@
             }
         }
         if (peer.vm !== this.owner?.entry || heartbeat.fence !== this.owner.fence) {
+            this.logOwnerSeen(peer.vm, heartbeat.fence, "heartbeat");
             this.owner = { entry: peer.vm, incarnation: heartbeat.incarnation, fence: heartbeat.fence };
         }
         this.ownerSeenAt = this.options.timer.now();
         this.lastHeartbeat = heartbeat;
     }
 
+    private logOwnerSeen(owner: string, fence: number, source: "row" | "heartbeat"): void {
+        const { entry, log } = this.options;
+        if (owner !== entry) {
+            log.write(Severity.Info, EventId.OwnerSeen, { owner, fence, source });
+        }
+    }
+
     private handleRelease(fence: number): void {
         if (this.owner !== undefined && this.owner.fence === fence) {
             this.owner = { ...this.owner, entry: "" };
@@ -337,8 +348,11 @@
         head: Parameters<typeof Tenure.create>[0]["head"],
         previous: Owner | undefined,
     ): Promise<void> {
-        const { log, timer } = this.options;
+        const { log, metrics, timer } = this.options;
         const isPreviousGone = this.hasStoppedOrdering(previous);
+        metrics.count("celerywind_owner_takeovers_total", {
+            previous: isPreviousGone ? "ended" : "may-order",
+        });
         this.owner = head.owner;
         this.lastHeartbeat = undefined;
         log.write(Severity.Info, EventId.OwnerTaken, {
@@ -498,6 +512,7 @@
         const hasOwnerChanged = owner.fence > (this.owner?.fence ?? 0) || owner.entry !== this.owner?.entry;
         this.owner = owner;
         if (hasOwnerChanged) {
+            this.logOwnerSeen(owner.entry, owner.fence, "row");
             this.lastHeartbeat = undefined;
             this.ownerSeenAt = this.options.timer.now();
             if (this.currentTenure !== undefined && owner.fence > this.currentTenure.fence) {
--- a/src/pool/job-registry.ts
+++ b/src/pool/job-registry.ts
@@ -250,6 +250,15 @@
         return entry.openTasks;
     }
 
+    /** Number of tasks that could start now but have no worker. */
+    get openTaskCount(): number {
+        let count = 0;
+        for (const entry of this.active) {
+            count += this.openTasks(entry).length;
+        }
+        return count;
+    }
+
     /** The run of a task that may exist on a worker, if any. */
     runOf(entry: JobEntry, position: number): RunRecord | undefined {
         return this.runs.get(nameOf(entry, entry.state.tasks[position]!));
--- a/src/pool/run-monitor.ts
+++ b/src/pool/run-monitor.ts
@@ -12,9 +12,13 @@
 const stallTimeoutMs = 2500;
 /** Multiple of its expected duration before which a run never counts as stalled. */
 const stallDurationFactor = 2.5;
+/** Shortest time between two log lines about runs whose workers do not answer. */
+const leaseEndLogIntervalMs = 1000;
 
 /** Monitors the runs of a domain. */
 export class RunMonitor {
+    private leaseEndLoggedAt = -Infinity;
+
     constructor(private readonly ctx: TenureContext, private readonly dispatcher: RunDispatcher) {}
 
     /** Checks all runs and active jobs. */
@@ -35,6 +39,7 @@
                 this.failImpossibleJob(entry);
             }
         }
+        this.logRunsAwaitingLeaseEnd(now);
         this.requestAdvice();
         this.ctx.requestRound();
     }
@@ -79,6 +84,28 @@
         this.dispatcher.sendStop(record);
     }
 
+    private logRunsAwaitingLeaseEnd(now: number): void {
+        if (now - this.leaseEndLoggedAt < leaseEndLogIntervalMs) {
+            return;
+        }
+        const runs = this.ctx.runsAwaitingLeaseEnd;
+        if (runs.length === 0) {
+            return;
+        }
+        this.leaseEndLoggedAt = now;
+        const workers = new Set(runs.map(record => this.ctx.workers.workerOf(record)));
+        const lastEnd = Math.max(...[...workers].map(({ lease }) => lease.latestEnd()));
+        this.ctx.options.log.write(Severity.Info, EventId.RunsAwaitLeaseEnd, {
+            runs: runs.length,
+            services: runs.filter(({ step }) => step.isService).length,
+            inherited: runs.filter(({ start }) => start === StartStatus.Inherited).length,
+            workers: workers.size,
+            endsInMs: Math.round(lastEnd - now),
+            tenureMs: Math.round(this.ctx.ageMs),
+            fence: this.ctx.fence,
+        });
+    }
+
     private isStalled(record: RunRecord, now: number): boolean {
         const { entry, step, start, startedAt, progressedAt: percentAt, pacePercent: pace } = record;
         if (start !== StartStatus.Confirmed || step.isBestEffort || pace < 100 || step.isGang) {
--- a/src/pool/tenure-context.ts
+++ b/src/pool/tenure-context.ts
@@ -6,7 +6,7 @@
 import type { Directory, Queue } from "../version/directory.js";
 import type { AdviceCache } from "./advice-cache.js";
 import type { DurationEstimator } from "./duration-estimator.js";
-import type { JobEntry, JobRegistry } from "./job-registry.js";
+import type { JobEntry, JobRegistry, RunRecord } from "./job-registry.js";
 import type { LedgerHead } from "./ledger.js";
 import type { Adviser, Roster, WorkerClient, WorkerTarget } from "./ports.js";
 import type { WorkerRegistry, WorkerState } from "./worker-registry.js";
@@ -51,6 +51,10 @@
     readonly durations: DurationEstimator;
     readonly advice: AdviceCache;
     readonly fence: number;
+    /** Time since the takeover, in milliseconds. */
+    readonly ageMs: number;
+    /** Runs on workers that do not answer. They count as lost once the workers' leases have ended. */
+    readonly runsAwaitingLeaseEnd: readonly RunRecord[];
     /** False once the tenure has ended, after which no orders may be sent. */
     readonly isActive: boolean;
     /** Whether the stored jobs have been loaded. */
--- a/src/pool/tenure.ts
+++ b/src/pool/tenure.ts
@@ -17,7 +17,7 @@
 import { type Cancel, sleep } from "../process/timer.js";
 import { AdviceCache } from "./advice-cache.js";
 import { DurationEstimator } from "./duration-estimator.js";
-import { type JobEntry, JobRegistry } from "./job-registry.js";
+import { type JobEntry, JobRegistry, type RunRecord, StartStatus } from "./job-registry.js";
 import { jobPart, removeTransaction } from "./job-rows.js";
 import { JobSource } from "./job-source.js";
 import { maxLeaseDurationMs } from "./lease.js";
@@ -66,6 +66,7 @@
     private isRoundRunning = false;
     private isRoundRequested = false;
     private isHandingOver = false;
+    private readonly startedAt: number;
     private ownershipConfirmedAt: number;
     /** Wall clock less monotonic clock, as last seen; a change reveals a suspension of the process. */
     private wallClockOffsetMs: number;
@@ -80,6 +81,7 @@
         const { head, timer, times, isPreviousGone } = options;
         const now = timer.now();
         this.head = head;
+        this.startedAt = now;
         this.ownershipConfirmedAt = now;
         this.wallClockOffsetMs = timer.wall() - now;
         const inheritedTrustMs = isPreviousGone ? 0 : times.trustMs;
@@ -102,6 +104,11 @@
         return this.head.owner.fence;
     }
 
+    /** Time since the takeover, in milliseconds. */
+    get ageMs(): number {
+        return this.options.timer.now() - this.startedAt;
+    }
+
     get isActive(): boolean {
         return !this.hasEnded;
     }
@@ -199,6 +206,14 @@
         }
     }
 
+    /** Runs on workers that do not answer. They count as lost once the workers' leases have ended. */
+    get runsAwaitingLeaseEnd(): readonly RunRecord[] {
+        return [...this.workers.byId.values()]
+            .filter(({ isReachable }) => !isReachable)
+            .flatMap(({ runs }) => [...runs.values()])
+            .filter(({ start }) => start !== StartStatus.Recorded);
+    }
+
     /** Phase of a job as last stored; undefined if there is no such job. */
     phaseOf(id: string): JobPhase | undefined {
         return this.jobs.entries.get(id)?.storedPhase;
--- a/src/site-entry.ts
+++ b/src/site-entry.ts
@@ -198,6 +198,12 @@
             () => this.core.domain.tenure?.jobs.activeEntries.size ?? 0,
         );
         metrics.gauge("celerywind_active_runs", {}, () => this.core.domain.tenure?.jobs.runs.size ?? 0);
+        metrics.gauge(
+            "celerywind_runs_awaiting_lease_end",
+            {},
+            () => this.core.domain.tenure?.runsAwaitingLeaseEnd.length ?? 0,
+        );
+        metrics.gauge("celerywind_waiting_tasks", {}, () => this.core.domain.tenure?.jobs.openTaskCount ?? 0);
         metrics.gauge("celerywind_resident_bytes", {}, () => process.memoryUsage.rss());
     }
 
