--- a/standin/site/rows.ts
+++ b/standin/site/rows.ts
@@ -258,6 +258,7 @@
         if (changed().length === 0) {
             await this.waitForChange(table, waitMs, timer);
         }
+        await this.failIfUnresponsive(timer, [this.faults, clientFaults]);
         return { kind: "changes", rows: changed(), version: this.version };
     }
 
@@ -278,15 +279,19 @@
     private async simulateReadCall(timer: Timer, clientFaults: RowStoreFaults): Promise<void> {
         this.callCount++;
         const faults = [this.faults, clientFaults];
-        if (faults.some(({ isUnresponsive }) => isUnresponsive)) {
-            await sleep(timer, callTimeoutMs);
-            throw new PlatformError(`row store call timed out after ${callTimeoutMs} ms`);
-        }
+        await this.failIfUnresponsive(timer, faults);
         await sleep(timer, readLatencyMs * maxLatencyFactor(faults));
         if (faults.some(({ isBusy }) => isBusy)) {
             throw new PlatformError("row store refused the call: busy");
         }
     }
+
+    private async failIfUnresponsive(timer: Timer, faults: readonly RowStoreFaults[]): Promise<void> {
+        if (faults.some(({ isUnresponsive }) => isUnresponsive)) {
+            await sleep(timer, callTimeoutMs);
+            throw new PlatformError(`row store call timed out after ${callTimeoutMs} ms`);
+        }
+    }
 }
 
 function maxLatencyFactor(faults: readonly RowStoreFaults[]): number {
--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -114,6 +114,8 @@
     readonly jobProfiles = new Map<string, { workMs: number; failures: number }>();
     private readonly vms: StandinVm[] = [];
     private readonly partitionedWorkers = new Set<string>();
+    /** The only entry that reaches a worker, by worker. */
+    private readonly soleEntries = new Map<string, string>();
     private readonly random: Random;
     private nextWorkerNumber = 1;
     private nextIncarnation = 1;
@@ -288,6 +290,11 @@
         this.partitionedWorkers.delete(worker.id);
     }
 
+    /** Partitions a worker from all entries but one. */
+    partitionExceptFrom(worker: StandinWorker, entry: StandinEntry): void {
+        this.soleEntries.set(worker.id, entry.name);
+    }
+
     /** Pool of a VM on the platform. */
     poolOf(vm: string): string | undefined {
         return this.vms.find(candidate => candidate.vm === vm)?.pool;
@@ -382,7 +389,9 @@
     }
 
     private workerClientFor(entry: string, timer: Timer): WorkerClient {
-        void entry;
+        const isCutOff = (worker: StandinWorker): boolean =>
+            this.partitionedWorkers.has(worker.id)
+            || (this.soleEntries.get(worker.id) ?? entry) !== entry;
         const call = async <T>(
             target: WorkerTarget,
             isCommand: boolean,
@@ -392,7 +401,7 @@
             await sleep(timer, callLatencyMs);
             const worker = this.workers.find(({ id, isAlive }) => id === target.worker && isAlive);
             if (
-                worker === undefined || worker.faults.isUnreachable || this.partitionedWorkers.has(worker.id)
+                worker === undefined || worker.faults.isUnreachable || isCutOff(worker)
             ) {
                 await sleep(timer, callTimeoutMs);
                 return failure("timeout");
@@ -412,7 +421,7 @@
                 carryOut(worker, result => {
                     timer.after(
                         callLatencyMs,
-                        () => resolve(this.partitionedWorkers.has(worker.id) ? failure("timeout") : result),
+                        () => resolve(isCutOff(worker) ? failure("timeout") : result),
                     );
                 });
             });
--- a/test/site.test.ts
+++ b/test/site.test.ts
@@ -346,6 +346,81 @@
         expect(site.checker.violations).toEqual([]);
     });
 
+    /** Longest time in calm after which a task of a service has to run again: 6 s, and 7 s of calm. */
+    const serviceRestartBoundMs = 13_000;
+
+    /** Crashes the worker of a service for good and returns the time, in milliseconds, until its task runs elsewhere. */
+    async function measureServiceRestart(
+        site: StandinSite,
+        changeOwner: (owner: StandinEntry) => void,
+        intervalMs: number,
+    ): Promise<number> {
+        await submitAccepted(site, "j1", { tasks: 1, isService: true });
+        await site.timer.advance(1000);
+        const worker = site.workers.find(({ running }) => running.size > 0)!;
+        site.crash(worker, Infinity);
+        const crashedAt = site.timer.now();
+        const isRunning = () => site.workers.some(({ running }) => running.size > 0);
+        for (let ms = 0; !isRunning() && ms < 3 * serviceRestartBoundMs; ms += 50) {
+            const owner = site.entries.find(({ core, peers }) =>
+                peers.node.isAlive && core.domain.tenure !== undefined
+            );
+            if (ms % intervalMs === 0 && owner !== undefined) {
+                changeOwner(owner);
+            }
+            await site.timer.advance(50);
+        }
+        expect(site.checker.violations).toEqual([]);
+        return site.timer.now() - crashedAt;
+    }
+
+    function restartLater(site: StandinSite, entry: StandinEntry): void {
+        site.timer.after(700, () => {
+            site.kill(entry);
+            site.startEntry(entry.name);
+        });
+    }
+
+    // Each new owner waited anew for the leases of workers that do not answer.
+    test("by a planned stop every 3 s does not keep a service from a dead worker waiting", async () => {
+        const site = await createSite({ entries: 4 });
+        const leave = (owner: StandinEntry): void => {
+            void owner.core.leave();
+            restartLater(site, owner);
+        };
+        expect(await measureServiceRestart(site, leave, 3000)).toBeLessThan(serviceRestartBoundMs);
+    });
+
+    // The incident of nfwc-wind: an owner that is gone for good, then owners that are killed one after the other.
+    test("by a kill every 4 s does not keep a service from a dead worker waiting", async () => {
+        const site = await createSite({ entries: 4 });
+        const kill = (owner: StandinEntry): void => {
+            site.kill(owner);
+            restartLater(site, owner);
+        };
+        expect(await measureServiceRestart(site, kill, 4000)).toBeLessThan(serviceRestartBoundMs);
+    });
+
+    // The third owner counted only the second one's leases, and started a task that the first still had running.
+    test("twice in a row starts no task that the first owner, cut off from the store, keeps running", async () => {
+        const site = await createSite({ entries: 4 });
+        await submitAccepted(site, "j1", { tasks: 1, isService: true });
+        await site.timer.advance(1000);
+        const firstOwner = ownerOf(site);
+        site.partitionExceptFrom(site.workers.find(({ running }) => running.size > 0)!, firstOwner);
+        firstOwner.storeFaults.isUnresponsive = true;
+        site.entries.filter(entry => entry !== firstOwner)
+            .forEach(({ name }) => site.net.partition(firstOwner.name, name));
+        const nextOwner = () =>
+            site.entries.find(entry => entry !== firstOwner && entry.core.domain.tenure?.isReady === true);
+        for (let i = 0; i < 100 && nextOwner() === undefined; i++) {
+            await site.timer.advance(50);
+        }
+        void nextOwner()!.core.leave();
+        await site.timer.advance(12_000);
+        expect(site.checker.violations).toEqual([]);
+    });
+
     test("does not happen while the store is down for all entries", async () => {
         const site = await createSite();
         await site.runUntilSettled(
