--- a/src/pool/worker-monitor.ts
+++ b/src/pool/worker-monitor.ts
@@ -3,6 +3,7 @@
 import { EventId, Severity } from "../process/events.js";
 import { sleep } from "../process/timer.js";
 import { type RunRecord, StartStatus, StopReason } from "./job-registry.js";
+import { maxLeaseDurationMs } from "./lease.js";
 import { type HoldResult, type Roster, WorkerRefusal } from "./ports.js";
 import { reconcile } from "./reconcile.js";
 import type { RunDispatcher } from "./run-dispatcher.js";
@@ -203,6 +204,10 @@
         worker.lease.recordClock(result.clockMs, now);
         worker.lastHoldAt = now;
         const isNewlyHeld = !worker.hasAcceptedFence || !worker.isReachable;
+        if (!worker.hasAcceptedFence) {
+            // From now on the worker rejects the orders of earlier owners, so their last lease is one granted just before.
+            worker.lease.tightenInheritedBound(now + maxLeaseDurationMs(this.ctx.options.times.leaseMs));
+        }
         worker.hasAcceptedFence = true;
         worker.isReachable = true;
         const found = reconcile({
--- a/test/site.test.ts
+++ b/test/site.test.ts
@@ -421,6 +421,36 @@
         expect(site.checker.violations).toEqual([]);
     });
 
+    /** Longest time in calm for which a task of a service may be missing: 3 s, and the 4 s before them. */
+    const calmServiceRestartMs = 7000;
+
+    /** Kills the owner for good, the worker of a service `delayMs` later, and returns the time until its task runs again. */
+    async function measureRestartAfterLastingKill(delayMs: number): Promise<number> {
+        const site = await createSite({ entries: 4 });
+        await submitAccepted(site, "j1", { tasks: 1, isService: true });
+        await site.timer.advance(1000);
+        const worker = site.workers.find(({ running }) => running.size > 0)!;
+        site.kill(ownerOf(site));
+        await site.timer.advance(delayMs);
+        site.crash(worker, Infinity);
+        const crashedAt = site.timer.now();
+        const isRunning = () => site.workers.some(({ running }) => running.size > 0);
+        while (!isRunning() && site.timer.now() - crashedAt < 2 * calmServiceRestartMs) {
+            await site.timer.advance(50);
+        }
+        expect(site.checker.violations).toEqual([]);
+        return site.timer.now() - crashedAt;
+    }
+
+    // The new owner went on waiting for leases of the earlier one, though the worker had accepted a higher fence.
+    test("does not delay the restart of a service whose worker answered the new owner and then died", async () => {
+        expect(await measureRestartAfterLastingKill(1500)).toBeLessThan(calmServiceRestartMs);
+    });
+
+    test("does not delay the restart of a service whose worker died with an owner that never returns", async () => {
+        expect(await measureRestartAfterLastingKill(0)).toBeLessThan(calmServiceRestartMs);
+    });
+
     test("lets a run go on whose worker was out of reach for less than its lease", async () => {
         for (const outageMs of [300, 900, 1500, 2100]) {
             const site = await createSite();
