--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -75,6 +75,11 @@
 const lostTakeoverPauseMs = 500;
 const memberCheckPeriodMs = 5000;
 const maxEndedFences = 100;
+/**
+ * Time from a takeover in which lag is no reason to release the domain: any new owner loads the jobs, asks all workers and
+ * places what has waited, and the next one would do it all again.
+ */
+const settleMs = 3000;
 
 /** This entry's participation in a domain. */
 export class Domain implements Task {
@@ -178,14 +183,14 @@
     }
 
     /** Releases the domain when this process is too slow, or when a clearly stronger entry is fit to take it over. */
-    private async yieldIfUnfit(): Promise<void> {
+    private async yieldIfUnfit(tenure: Tenure): Promise<void> {
         const { lag, peers } = this.options;
         if (this.isChangingOwner || peers.connected().length === 0) {
             return;
         }
         this.isChangingOwner = true;
         try {
-            const cause = lag.isLagging
+            const cause = lag.isLagging && tenure.ageMs >= settleMs
                 ? "slow"
                 : await this.fitness.hasStrongerCandidate()
                 ? "weaker"
@@ -269,7 +274,7 @@
 
     private async checkOwnership(): Promise<void> {
         if (this.currentTenure?.isReady === true && !this.isStopping) {
-            await this.yieldIfUnfit();
+            await this.yieldIfUnfit(this.currentTenure);
             return;
         }
         if (
--- a/test/site.test.ts
+++ b/test/site.test.ts
@@ -292,6 +292,36 @@
         expect(site.checker.startCount).toBe(4);
     });
 
+    // Each new owner was busy with the load of the takeover, released the domain as slow, and the next one loaded it again.
+    test("is not requested by a new owner that is busy for the first two seconds of its tenure", async () => {
+        const site = await createSite({ entries: 4 });
+        await submitAccepted(site, "j1", { tasks: 4 });
+        const firstOwner = ownerOf(site);
+        site.kill(firstOwner);
+        const tenureStarts = new Map<StandinEntry, number>();
+        for (let i = 0; i < 60; i++) {
+            const owner = site.entries.find(({ core, peers }) =>
+                peers.node.isAlive && core.domain.tenure !== undefined
+            );
+            if (owner === undefined) {
+                await site.timer.advance(160);
+                continue;
+            }
+            const startedAt = tenureStarts.get(owner) ?? site.timer.now();
+            tenureStarts.set(owner, startedAt);
+            const isBusy = site.timer.now() - startedAt < 2000;
+            if (isBusy) {
+                owner.timer.pause();
+            }
+            await site.timer.advance(150);
+            owner.timer.resume();
+            await site.timer.advance(10);
+        }
+        expect(tenureStarts.size).toBe(1);
+        const [newOwner] = tenureStarts.keys();
+        expect(await site.runUntilSettled(site.phaseOf(newOwner!, "j1"))).toBe("succeeded");
+    });
+
     test("is not requested after a single pause", async () => {
         const site = await createSite();
         const owner = ownerOf(site);
