--- a/src/pool/lease.ts
+++ b/src/pool/lease.ts
@@ -40,7 +40,9 @@
 
     /** Returns the expiry, on the worker's clock, to put into an order sent at `now`. */
     grant(leaseMs: number, now: number): number {
-        const until = Math.ceil(this.clockMs + (now - this.clockReadAt) + leaseMs);
+        // The worker's clock may be behind this estimate if it runs slow, which would make the lease longer than `leaseMs`.
+        const leastElapsedMs = (now - this.clockReadAt) * (1 - maxClockDrift);
+        const until = Math.ceil(this.clockMs + leastElapsedMs + leaseMs);
         this.grantedUntil = Math.max(this.grantedUntil, until);
         return until;
     }
--- a/test/lease-bounds.test.ts
+++ b/test/lease-bounds.test.ts
@@ -6,7 +6,7 @@
     leaseBoundsRow,
     longestRemainingMs,
 } from "../src/pool/lease-bounds.js";
-import { maxLeaseDurationMs } from "../src/pool/lease.js";
+import { LeaseClock, maxLeaseDurationMs } from "../src/pool/lease.js";
 import { takeOver } from "../src/pool/ledger.js";
 import { type Owner, ownerKey } from "../src/pool/ownership.js";
 import { runFlow } from "../src/process/flow.js";
@@ -57,6 +57,18 @@
     });
 });
 
+describe("a lease", () => {
+    test("that is granted on an old reading of a slow clock lasts no longer than the next owner assumes", () => {
+        const slowness = 0.98;
+        const readingAgeMs = 1500;
+        const lease = LeaseClock.create();
+        lease.recordClock(0, 0);
+        const until = lease.grant(times.leaseMs, readingAgeMs);
+        const clockAtGrant = readingAgeMs * slowness;
+        expect((until - clockAtGrant) / slowness).toBeLessThanOrEqual(maxLeaseMs);
+    });
+});
+
 describe("a takeover", () => {
     test("that conflicts only with newer lease bounds reads them and tries again", async () => {
         const bounds = [stored, { ...stored, workers: [] }].map((each, i): StoredRow => ({
