--- a/src/celerywindd.ts
+++ b/src/celerywindd.ts
@@ -4,7 +4,7 @@
 import { readFile } from "node:fs/promises";
 import { createPlatform } from "./connection/platform/index.js";
 import { Entry } from "./entry.js";
-import { messageOf } from "./process/errors.js";
+import { ListenError, messageOf } from "./process/errors.js";
 import { EventId, Severity } from "./process/events.js";
 import { createLog, type Log } from "./process/log.js";
 import { Random } from "./process/random.js";
@@ -70,7 +70,8 @@
         await entry.start();
     }
     catch (err) {
-        log.write(Severity.Error, EventId.TaskFailed, { err: messageOf(err) });
+        const event = err instanceof ListenError ? EventId.ListenFailed : EventId.TaskFailed;
+        log.write(Severity.Error, event, { err: messageOf(err) });
         return exitFailed;
     }
     await stopSignal;
--- a/src/connection/caller/listener.ts
+++ b/src/connection/caller/listener.ts
@@ -1,9 +1,12 @@
 /** HTTP listener, over TLS if configured, with limits on the number of connections and the size of headers. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { createServer as createTlsServer } from "node:https";
+import { listen } from "../listen.js";
 
 /** Options of `HttpListener.create`. */
 export interface HttpListenerOptions {
+    /** Name of the listener in the settings. */
+    readonly name: string;
     readonly host: string;
     readonly port: number;
     readonly maxConnections: number;
@@ -45,13 +48,9 @@
         return listener;
     }
 
-    /** Starts listening; rejects when the address cannot be bound. */
+    /** Starts listening; rejects with a `ListenError` when the address cannot be bound. */
     listen(): Promise<void> {
-        const { host, port } = this.options;
-        return new Promise((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(port, host, resolve);
-        });
+        return listen(this.server, this.options);
     }
 
     /** Stops listening; resolves when the open requests have ended and their connections have closed. */
@@ -63,6 +62,13 @@
         });
     }
 
+    /** Stops listening and breaks off all connections. */
+    async abort(): Promise<void> {
+        const closed = this.close();
+        this.server.closeAllConnections();
+        await closed;
+    }
+
     private handleRequest(req: IncomingMessage, res: ServerResponse): void {
         res.on("error", () => undefined);
         if (this.isClosing) {
--- a/src/connection/caller/web.ts
+++ b/src/connection/caller/web.ts
@@ -15,7 +15,7 @@
 /** Options of `WebListener.create`. */
 export interface WebListenerOptions {
     readonly hub: Hub;
-    /** Name of the moleculer service. */
+    /** Name of the listener in the settings and of its moleculer service. */
     readonly name: string;
     readonly host: string;
     readonly port: number;
@@ -45,7 +45,7 @@
         return new WebListener(options);
     }
 
-    /** Starts listening; rejects when the address cannot be bound. */
+    /** Starts listening; rejects with a `ListenError` when the address cannot be bound. */
     listen(): Promise<void> {
         return this.listener.listen();
     }
@@ -55,6 +55,11 @@
         return this.listener.close();
     }
 
+    /** Stops listening and breaks off all connections. */
+    abort(): Promise<void> {
+        return this.listener.abort();
+    }
+
     private createGateway(): RequestListener {
         const { hub, name, routes, onError } = this.options;
         const aliases = Object.entries(routes).map(([route, handler]) => {
--- a/src/connection/peer/peer-mesh.ts
+++ b/src/connection/peer/peer-mesh.ts
@@ -11,6 +11,7 @@
 import type { Metrics } from "../../process/metrics.js";
 import type { PeerHandler, Peers } from "../../process/peers.js";
 import type { Cancel, Timer } from "../../process/timer.js";
+import { listen } from "../listen.js";
 import { LinkRole } from "./auth.js";
 import { CloseReason, Link, type PeerIdentity } from "./peer-link.js";
 
@@ -63,15 +64,14 @@
         this.topicHandlers.set(topic, handler);
     }
 
+    /** Opens the peer listener and dials; rejects with a `ListenError` when the address cannot be bound. */
     async start(): Promise<void> {
         const { host, port, tls, timer } = this.options;
         this.server = tls === undefined ? createServer() : createTlsServer(tls);
+        await listen(this.server, { host, port, name: this.name });
+        // Added only now, since it throws the errors of its server instead of passing them on.
         const webSocketServer = new WebSocketServer({ server: this.server, maxPayload: maxFrameBytes });
         webSocketServer.on("connection", socket => this.createLink(socket, LinkRole.Acceptor));
-        await new Promise<void>((resolve, reject) => {
-            this.server!.once("error", reject);
-            this.server!.listen(port, host, resolve);
-        });
         this.cancelRedial = timer.every(redialIntervalMs, () => this.dialMissing());
     }
 
--- a/src/entry.ts
+++ b/src/entry.ts
@@ -39,6 +39,8 @@
 const platformCallsPerSecond = 1000;
 const drainTimeoutMs = 30_000;
 const jobDrainTimeoutMs = 5000;
+/** Time limit for leaving the fleet after a start that failed. */
+const abortTimeoutMs = 5000;
 const idlePollMs = 20;
 const maxOperatorConnections = 256;
 const explainTopic = "request.explain";
@@ -73,15 +75,15 @@
         return new Entry(options);
     }
 
-    /** Starts all parts; resolves when the listeners accept connections. */
+    /**
+     * Starts all parts; resolves when the listeners accept connections. When a part cannot be started, stops the others
+     * and rejects; the error is a `ListenError` when a listener cannot bind its address.
+     */
     async start(): Promise<void> {
         const { settings, log } = this.options;
         log.write(Severity.Info, EventId.EntryStarted, { zone: settings.zone });
         this.mesh.setIdentity({ vm: settings.vm, incarnation: `${settings.vm}@${randomUUID()}` });
-        await this.mesh.start();
-        await this.hub.start();
-        await this.operatorListener.listen();
-        await this.callerListener.listen();
+        await this.startParts();
         log.write(Severity.Info, EventId.EntryReady);
     }
 
@@ -99,9 +101,7 @@
         core.isStopping = true;
         await core.jobs.drain(jobDrainTimeoutMs);
         await this.waitUntilIdle();
-        await core.grants.leave().catch(() => undefined);
-        await core.fleet.leave().catch(() => undefined);
-        await this.hub.stop();
+        await this.leaveFleet();
         await this.mesh.stop();
         await Promise.race([this.operatorListener.close(), sleep(timer, settings.times.balancerDelay)]);
         log.write(Severity.Info, EventId.EntryStopped);
@@ -115,6 +115,40 @@
         return this.core.fleet.self === undefined ? "not-registered" : this.core.closedReason();
     }
 
+    private async startParts(): Promise<void> {
+        const { mesh, hub, operatorListener, callerListener } = this;
+        const parts = [
+            { start: () => mesh.start(), stop: () => mesh.stop() },
+            { start: () => hub.start(), stop: () => this.leaveFleet() },
+            { start: () => operatorListener.listen(), stop: () => operatorListener.abort() },
+            { start: () => callerListener.listen(), stop: () => callerListener.abort() },
+        ];
+        const startedParts: typeof parts = [];
+        try {
+            for (const part of parts) {
+                await part.start();
+                startedParts.unshift(part);
+            }
+        }
+        catch (err) {
+            const stopAll = async (): Promise<void> => {
+                for (const part of startedParts) {
+                    await part.stop();
+                }
+            };
+            await Promise.race([stopAll(), sleep(this.options.timer, abortTimeoutMs)]);
+            throw err;
+        }
+    }
+
+    /** Releases the grants and the membership, and stops the tasks. */
+    private async leaveFleet(): Promise<void> {
+        const { grants, fleet } = this.core;
+        await grants.leave().catch(() => undefined);
+        await fleet.leave().catch(() => undefined);
+        await this.hub.stop();
+    }
+
     private createCore(): Core {
         const { settings, platform, timer, random, log, tls } = this.options;
         const { metrics, store, mesh } = this;
--- a/src/process/errors.ts
+++ b/src/process/errors.ts
@@ -22,6 +22,9 @@
 /** A peer link failed its handshake or violated the protocol. */
 export const PeerError = CelerywindError.subclass("PeerError");
 
+/** A listener cannot bind its address. */
+export const ListenError = CelerywindError.subclass("ListenError");
+
 /** Message of a thrown value of any type. */
 export function messageOf(err: unknown): string {
     return err instanceof Error ? err.message : String(err);
--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -8,6 +8,7 @@
     EntryStopped = 1004,
     EntryIsolated = 1005,
     EntryRejoined = 1006,
+    ListenFailed = 1007,
     MemberRegistered = 1101,
     MemberGone = 1102,
     PeerConnected = 1201,
--- a/src/site-entry.ts
+++ b/src/site-entry.ts
@@ -59,10 +59,10 @@
             peerUrl: `ws://${settings.peers.advertise ?? settings.peers.listen}`,
             onMembers: members => this.connectMembers(members),
         });
-        this.callerListener = this.createListener(settings.callers, this.createCallerHandler());
-        this.readinessListener = this.createListener(settings.readiness, (_, res) => this.sendReadiness(res));
+        this.callerListener = this.createListener("callers", this.createCallerHandler());
+        this.readinessListener = this.createListener("readiness", (_, res) => this.sendReadiness(res));
         this.metricsListener = this.createListener(
-            settings.metrics,
+            "metrics",
             (req, res) => this.handleOperatorRequest(req, res),
         );
     }
@@ -71,19 +71,14 @@
         return new SiteEntry(options);
     }
 
-    /** Starts peer links, tasks and listeners. */
+    /** Starts listeners, peer links and tasks; rejects with a `ListenError`, with nothing started, when a port is taken. */
     async start(): Promise<void> {
         const { settings, log, incarnation } = this.options;
         log.write(Severity.Info, EventId.EntryStarted, { incarnation, zone: settings.zone });
         this.mesh.setIdentity({ vm: settings.entry, incarnation });
-        await this.mesh.start();
+        await this.openListeners();
         this.connectSeeds();
         await this.core.start();
-        await Promise.all([
-            this.readinessListener.listen(),
-            this.callerListener.listen(),
-            this.metricsListener.listen(),
-        ]);
         this.registerGauges();
         log.write(Severity.Info, EventId.EntryReady);
     }
@@ -102,6 +97,24 @@
         log.write(Severity.Info, EventId.EntryStopped);
     }
 
+    /** Opens all listeners; when one cannot be opened, closes the others again. */
+    private async openListeners(): Promise<void> {
+        const listeners = [this.readinessListener, this.callerListener, this.metricsListener];
+        const results = await Promise.allSettled(listeners.map(listener => listener.listen()));
+        try {
+            const failed = results.find(result => result.status === "rejected");
+            if (failed !== undefined) {
+                throw failed.reason;
+            }
+            // Last, since the core, which answers the requests of peers, starts right after it.
+            await this.mesh.start();
+        }
+        catch (err) {
+            await Promise.all(listeners.map(listener => listener.abort()));
+            throw err;
+        }
+    }
+
     /** Creates a handler that serves the product's own API under its path prefix and the platform's elsewhere. */
     private createCallerHandler(): RequestHandler {
         const { jobCalls } = this.core;
@@ -113,8 +126,12 @@
                 : platformHandler(req, res);
     }
 
-    private createListener(address: string, onRequest: RequestHandler): HttpListener {
-        return HttpListener.create({ ...splitEndpoint(address), maxConnections, onRequest });
+    private createListener(
+        name: "callers" | "readiness" | "metrics",
+        onRequest: RequestHandler,
+    ): HttpListener {
+        const address = splitEndpoint(this.options.settings[name]);
+        return HttpListener.create({ name, ...address, maxConnections, onRequest });
     }
 
     private createMesh(): Mesh {
