--- a/src/process/hub.ts
+++ b/src/process/hub.ts
@@ -43,7 +43,11 @@
     private constructor(private readonly broker: ServiceBroker) {}
 
     static create(nodeID: string): Hub {
-        return new Hub(new ServiceBroker({ nodeID, logLevel: "warn", logger: false }));
+        // By default the broker would stop its services on a signal, and end the process with code 0, by itself.
+        const skipProcessEventRegistration = true;
+        return new Hub(
+            new ServiceBroker({ nodeID, logLevel: "warn", logger: false, skipProcessEventRegistration }),
+        );
     }
 
     /** Adds a task; call before `start`. */
--- a/test/listening.test.ts
+++ b/test/listening.test.ts
@@ -49,8 +49,16 @@
     readonly stderr: string;
 }
 
-/** Runs a program until it ends; one that lives on is killed, and its exit is "alive". */
-function run(program: string, args: readonly string[], env: Record<string, string> = {}): Promise<Ended> {
+/**
+ * Runs a program until it ends; one that lives on is killed, and its exit is "alive". It gets SIGTERM when it writes
+ * `stopAt`.
+ */
+function run(
+    program: string,
+    args: readonly string[],
+    env: Record<string, string> = {},
+    stopAt?: string,
+): Promise<Ended> {
     const path = fileURLToPath(new URL(`../${program}`, import.meta.url));
     const child = spawn(process.execPath, ["--import", "tsx", path, ...args], {
         env: { PATH: process.env["PATH"], ...env },
@@ -59,8 +67,15 @@
     let stdout = "";
     let stderr = "";
     let isAlive = false;
+    let isStopped = false;
     child.stdout.on("data", data => stdout += String(data));
-    child.stderr.on("data", data => stderr += String(data));
+    child.stderr.on("data", data => {
+        stderr += String(data);
+        if (!isStopped && stopAt !== undefined && stderr.includes(stopAt)) {
+            isStopped = true;
+            child.kill("SIGTERM");
+        }
+    });
     const killTimer = setTimeout(() => {
         isAlive = true;
         child.kill("SIGKILL");
@@ -145,6 +160,16 @@
     );
 });
 
+describe("celerywindd", () => {
+    test("that gets SIGTERM stops as planned, and only then ends with code 0", async () => {
+        const settings = { ...settingsWith("", 0), platform: { kind: "embedded" } };
+        const file = writeSettings("stops", settings);
+        const { exit, stderr } = await run("src/celerywindd.ts", ["--settings", file], {}, "EntryReady");
+        expect(exit).toBe("0");
+        expect(stderr).toMatch(/"EntryStopping"[^]*"EntryStopped"/);
+    });
+});
+
 describe("an entry that cannot listen", () => {
     test.each(["callers", "readiness", "metrics", "peers"])(
         "for %s on its site closes its other listeners and does not join the members",
