--- a/src/process/site-settings.ts
+++ b/src/process/site-settings.ts
@@ -2,9 +2,16 @@
 import { z } from "zod";
 import { parseJsonc } from "./jsonc.js";
 
-const endpoint = z.string().regex(/^[^:\s]+:\d{1,5}$/, {
-    error: "give host and port, such as 10.0.0.5:7100",
-});
+/** Highest port number. */
+const maxPort = 65_535;
+
+const endpointError = {
+    error: `give host and port, such as 10.0.0.5:7100, with a port from 0 to ${maxPort}`,
+};
+const endpoint = z.string(endpointError)
+    .regex(/^[^:\s]+:\d{1,5}$/, { ...endpointError, abort: true })
+    .refine(text => splitEndpoint(text).port <= maxPort, endpointError);
+const optionalEndpoint = z.union([endpoint, z.literal("")], endpointError).default("");
 const milliseconds = z.number({ error: "give a number of milliseconds" }).min(1).max(86_400_000);
 /** Orders per second. Accepts a string, since a template may render the number as text. */
 const perSecond = z.coerce.number({ error: "give a number of orders per second" }).min(1);
@@ -32,8 +39,8 @@
     }),
     /** Addresses of the platform services. */
     store: endpoint,
-    inventory: endpoint.or(z.literal("")).default(""),
-    adviser: endpoint.or(z.literal("")).default(""),
+    inventory: optionalEndpoint,
+    adviser: optionalEndpoint,
     /** Guarantees and requirements of the platform. */
     bounds: z.object({
         /** Longest lease that workers grant. */
--- a/test/docs.test.ts
+++ b/test/docs.test.ts
@@ -64,7 +64,8 @@
     };
 
     test.each([
-        [{ callers: { port: 70_000 } }, /callers\.port: found 70000;/],
+        [{ callers: { port: 70_000 } }, /callers\.port: found 70000; give a port number from 0 to 65535/],
+        [{ operators: { port: "80" } }, /operators\.port: found "80"; give a port number from 0 to 65535/],
         [{ peers: { port: 3, secret: "short" } }, /peers\.secret: found "short"; give the shared secret/],
         [{ platform: { kind: "other" } }, /platform.*; give a platform with kind/],
         [{ zone: undefined }, /zone: found nothing; give this VM's availability zone/],
--- a/test/listening.test.ts
+++ b/test/listening.test.ts
@@ -141,6 +141,17 @@
             expect(listenFailureIn(stdout)?.err).toMatch(message);
         },
     );
+
+    test.each(["127.0.0.1:65536", "127.0.0.1:99999", "127.0.0.1:http"])(
+        "whose settings give callers the address %s ends with code 2",
+        async callers => {
+            const settings = { ...siteSettingsWith("", 0), callers };
+            const file = writeSettings("site-port", settings);
+            const { exit, stderr } = await run("platform/main.ts", [], { CELERYWIND_SETTINGS: file });
+            expect(exit).toBe("2");
+            expect(stderr).toContain(`callers: found "${callers}"; give `);
+        },
+    );
 });
 
 describe("celerywindd", () => {
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -259,6 +259,13 @@
 
     test.each([
         [{ callers: "nowhere" }, /callers: found "nowhere"; give host and port/],
+        [{ callers: "h:65536" }, /callers: found "h:65536"; give host and port.* a port from 0 to 65535/],
+        [{ metrics: "h:http" }, /metrics: found "h:http"; give host and port/],
+        [{ inventory: "h:70000" }, /inventory: found "h:70000"; give host and port/],
+        [
+            { peers: { listen: "h:99999", secret: "0123456789abcdef" } },
+            /peers\.listen: found "h:99999"; give host/,
+        ],
         [{ peers: { listen: "h:1", secret: "x" } }, /peers\.secret: found "x"; give the shared secret/],
         [{ entry: undefined }, /entry: found nothing; give this VM's id/],
         [{ times: { leaseMs: 0 } }, /times\.leaseMs/],
