--- a/standin/platform-main.ts
+++ b/standin/platform-main.ts
@@ -9,6 +9,7 @@
 import { parseJsonc } from "../src/process/jsonc.js";
 import { type Vm, VmState } from "../src/process/platform.js";
 import { StandinPlatform } from "./platform.js";
+import { parsePortFlag } from "./port-flag.js";
 
 const { values } = parseArgs({
     options: {
@@ -37,6 +38,7 @@
 
 const dayMs = 86_400_000;
 const bootPollIntervalMs = 100;
+const port = parsePortFlag(values.port);
 const { pools, vms } = parseJsonc(values.vms, await readFile(values.vms, "utf8"), fileSchema);
 const embedded = EmbeddedPlatform.create({
     pools,
@@ -51,7 +53,7 @@
     usage: async vm => vm.pool === "entry" ? 0 : (await post(`${vm.address}/usage`)).running,
 });
 const platform = StandinPlatform.create(embedded);
-await platform.start(Number(values.port));
+await platform.start(port);
 console.log(`platform listening on ${platform.url}`);
 process.once("SIGTERM", () => void platform.stop().then(() => process.exit(0)));
 
--- a/standin/worker-main.ts
+++ b/standin/worker-main.ts
@@ -1,5 +1,6 @@
 /** `npm run standin:worker`: runs one stand-in worker as a separate process. */
 import { parseArgs } from "node:util";
+import { parsePortFlag } from "./port-flag.js";
 import { StandinWorker } from "./worker.js";
 
 const { values } = parseArgs({
@@ -11,6 +12,6 @@
 });
 
 const worker = StandinWorker.create({ vm: values.vm, serviceMs: () => Number(values["service-ms"]) });
-await worker.start(Number(values.port));
+await worker.start(parsePortFlag(values.port));
 console.log(`worker ${values.vm} listening on ${worker.origin}, boot id ${worker.bootId}`);
 process.once("SIGTERM", () => void worker.stop().then(() => process.exit(0)));
--- a/test/listening.test.ts
+++ b/test/listening.test.ts
@@ -231,3 +231,16 @@
         await site.stop();
     });
 });
+
+describe("a stand-in", () => {
+    test.each([
+        ["standin/worker-main.ts", "65536"],
+        ["standin/worker-main.ts", "http"],
+        ["standin/platform-main.ts", "65536"],
+        ["standin/platform-main.ts", ""],
+    ])("(%s) refuses --port %o with code 2", async (program, port) => {
+        const { exit, stderr } = await run(program, ["--port", port]);
+        expect(exit).toBe("2");
+        expect(stderr).toContain(`--port: found "${port}"; give a port number from 0 to 65535`);
+    });
+});
