--- a/soak/site.ts
+++ b/soak/site.ts
@@ -1,5 +1,5 @@
 /** An entry of a round: its process, its links, and the faults of its way to the store. */
-import { freePorts } from "../standin/site.js";
+import { freePorts } from "../standin/free-ports.js";
 import { noRowStoreFaults, type RowStoreFaults } from "../standin/site/rows.js";
 import type { WirePlatform } from "../standin/wire/platform.js";
 import { EntryProcess } from "./entry-process.js";
--- a/standin/site.ts
+++ b/standin/site.ts
@@ -1,7 +1,5 @@
 /** A complete site in one process: a stand-in platform, workers and entries, connected by loopback sockets. */
 import { readFile } from "node:fs/promises";
-import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
 import { request } from "undici";
 import { EmbeddedPlatform, HttpPlatform } from "../src/connection/platform/index.js";
 import { Entry } from "../src/entry.js";
@@ -10,6 +8,7 @@
 import { Random } from "../src/process/random.js";
 import { parseSettings, type SettingsInput } from "../src/process/settings.js";
 import { SystemTimer } from "../src/process/timer.js";
+import { freePorts } from "./free-ports.js";
 import type { DrainPeriod } from "./history.js";
 import { StandinPlatform } from "./platform.js";
 import type { Shop } from "./shops.js";
@@ -228,14 +227,3 @@
         };
     }
 }
-
-/** Finds free ports on 127.0.0.1; they are not reserved. */
-export async function freePorts(count: number): Promise<readonly number[]> {
-    const servers = Array.from({ length: count }, () => createServer());
-    await Promise.all(
-        servers.map(server => new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))),
-    );
-    const ports = servers.map(server => (server.address() as AddressInfo).port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return ports;
-}
--- a/test/listening.test.ts
+++ b/test/listening.test.ts
@@ -16,8 +16,9 @@
 import { parseSettings } from "../src/process/settings.js";
 import { parseSiteSettings } from "../src/process/site-settings.js";
 import { SystemTimer } from "../src/process/timer.js";
+import { freePorts } from "../standin/free-ports.js";
 import { narragansett, scaleShop } from "../standin/shops.js";
-import { freePorts, Site } from "../standin/site.js";
+import { Site } from "../standin/site.js";
 import { WirePlatform } from "../standin/wire/platform.js";
 
 const folder = mkdtempSync(join(tmpdir(), "celerywind-listening-"));
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -6,7 +6,7 @@
 import { parseSiteSettings } from "../src/process/site-settings.js";
 import { SystemTimer } from "../src/process/timer.js";
 import type { SiteEntry } from "../src/site-entry.js";
-import { freePorts } from "../standin/site.js";
+import { freePorts } from "../standin/free-ports.js";
 import { jobOf } from "../standin/site/site.js";
 import { WirePlatform } from "../standin/wire/platform.js";
 
--- a/test/sockets.test.ts
+++ b/test/sockets.test.ts
@@ -7,10 +7,11 @@
 import { silentLog } from "../src/process/log.js";
 import { Metrics } from "../src/process/metrics.js";
 import { SystemTimer } from "../src/process/timer.js";
+import { freePorts } from "../standin/free-ports.js";
 import { CallOutcome } from "../standin/history.js";
 import { LoadGenerator } from "../standin/load-generator.js";
 import { narragansett, scaleShop } from "../standin/shops.js";
-import { freePorts, Site } from "../standin/site.js";
+import { Site } from "../standin/site.js";
 
 const shop = scaleShop(narragansett, 2);
 
