--- a/soak/entry-process.ts
+++ b/soak/entry-process.ts
@@ -21,8 +21,10 @@
     readonly advertise: string;
     readonly store: string;
     readonly inventory: string;
-    /** Called when the process ends without having been asked to, or otherwise than it should. */
+    /** Called when the process ends otherwise than it should after it was asked to. */
     readonly onBadEnd: (text: string) => void;
+    /** Called when the process ends without having been asked to. */
+    readonly onOwnEnd: (text: string) => void;
 }
 
 const secret = "a-secret-of-the-soak-only";
@@ -31,6 +33,8 @@
 const restartMs = 300;
 /** Time in which a signal ends a process that does not handle it yet, on a busy machine. */
 const tooEarlyMs = 1000;
+/** Length of the output that is kept to explain an end, in characters. */
+const keptOutputLength = 2000;
 
 /** Why an end is expected; "too-early" for a signal that came before the program itself had begun to run. */
 type Expected = "kill" | "term" | "too-early";
@@ -45,6 +49,8 @@
     /** Why the next end is expected. */
     private expected: Expected | undefined;
     private starts = 0;
+    /** Resolves when the process has ended and its end was reported. */
+    private closed: Promise<void> = Promise.resolve();
 
     private constructor(private readonly options: EntryProcessOptions) {}
 
@@ -72,7 +78,20 @@
         });
         child.stdout.pipe(log);
         child.stderr.pipe(log);
-        child.once("exit", (code, signal) => this.noteEnd(code, signal));
+        let output = "";
+        const keep = (data: Buffer): void =>
+            void (output = (output + data.toString()).slice(-keptOutputLength));
+        child.stdout.on("data", keep);
+        child.stderr.on("data", keep);
+        let expected: Expected | undefined;
+        child.once("exit", () => expected = this.noteEnd());
+        this.closed = new Promise(resolve =>
+            // The output is complete only now.
+            child.once("close", (code, signal) => {
+                this.judgeEnd(expected, code ?? signal, output);
+                resolve();
+            })
+        );
         this.child = child;
         this.isPaused = false;
     }
@@ -132,21 +151,14 @@
     /** Resolves when the process has ended; it is not started again. */
     async ended(): Promise<void> {
         this.isWanted = false;
-        const { child } = this;
-        if (child !== undefined) {
-            await new Promise(resolve => child.once("exit", resolve));
-        }
+        await this.closed;
     }
 
-    private noteEnd(code: number | null, signal: string | null): void {
+    /** Notes that the process has ended, starts it again if it is wanted, and returns why its end was expected. */
+    private noteEnd(): Expected | undefined {
         const { expected } = this;
         this.child = undefined;
         this.expected = undefined;
-        if (!isGoodEnd(expected, code)) {
-            this.options.onBadEnd(
-                `${this.name} ended with ${code ?? signal} (${expected ?? "not asked to"})`,
-            );
-        }
         if (this.isWanted) {
             setTimeout(() => {
                 if (this.isWanted) {
@@ -154,6 +166,16 @@
                 }
             }, restartMs);
         }
+        return expected;
+    }
+
+    private judgeEnd(expected: Expected | undefined, result: number | string | null, output: string): void {
+        if (expected === undefined) {
+            this.options.onOwnEnd(`${this.name} ended by itself with ${result}: ${lastLineOf(output)}`);
+        }
+        else if (!isGoodEnd(expected, result)) {
+            this.options.onBadEnd(`${this.name} ended with ${result} (${expected})`);
+        }
     }
 
     /** Expects an end for a moment; a process that lives on afterwards was not hit. */
@@ -182,15 +204,18 @@
     }
 }
 
-function isGoodEnd(expected: Expected | undefined, code: number | null): boolean {
+/** Last line that a process wrote. */
+function lastLineOf(output: string): string {
+    return output.trimEnd().split("\n").at(-1)!;
+}
+
+function isGoodEnd(expected: Expected, result: number | string | null): boolean {
     switch (expected) {
         case "kill":
         case "too-early":
             return true;
         case "term":
-            return code === 0;
-        case undefined:
-            return false;
+            return result === 0;
     }
 }
 
--- a/soak/round.ts
+++ b/soak/round.ts
@@ -29,6 +29,8 @@
     readonly jobsPerSecond?: number;
     /** Only planned work: stops, reloads and new lists. */
     readonly isPlannedOnly?: boolean;
+    /** Time within which every entry must be ready, in milliseconds. */
+    readonly readyMs?: number;
 }
 
 /** What a round showed. */
@@ -49,7 +51,6 @@
     isCancelled: boolean;
 }
 
-const readyMs = 15_000;
 /** Time after the last fault in which everything accepted must be done: recovery and the jobs' own work. */
 const finishMs = 14_000;
 const pollMs = 250;
@@ -72,6 +73,9 @@
     private readonly handed: Handed[] = [];
     private readonly breaches: string[] = [];
     private readonly pending: Promise<void>[] = [];
+    private readonly timers: NodeJS.Timeout[] = [];
+    /** Aborted when the round cannot go on: an entry never got ready, or a process ended by itself. */
+    private readonly failure = new AbortController();
     private readonly faults: readonly Fault[];
     private callers!: CallerPool;
     private listsVersion = 1;
@@ -92,20 +96,28 @@
             meanGapMs: 900,
             jobsPerSecond: 6,
             isPlannedOnly: false,
+            readyMs: 15_000,
             ...options,
         });
     }
 
     async play(): Promise<RoundResult> {
         try {
+            this.startedAt = performance.now();
             await this.start();
             this.startedAt = performance.now();
-            this.faults.forEach(fault => setTimeout(() => strike(fault, this.scene()), fault.atMs));
+            this.faults.forEach(fault => this.after(fault.atMs, () => strike(fault, this.scene())));
             await this.hand();
             await this.settle();
             await this.stop();
         }
+        catch (err) {
+            if (!this.failure.signal.aborted) {
+                throw err;
+            }
+        }
         finally {
+            this.timers.forEach(clearTimeout);
             await Promise.all(this.sites.map(({ process }) => process.end()));
             await this.callers.close();
             [
@@ -119,7 +131,8 @@
         const acceptedAt = new Map(
             this.handed.filter(isAccepted).map(({ id, acceptedAt }) => [id, acceptedAt]),
         );
-        const judged = judgeCalls({
+        // Calls that the end of a failed round broke off say nothing.
+        const judged = this.failure.signal.aborted ? [] : judgeCalls({
             records: this.callers.records,
             faults: this.faults,
             startedAt: this.startedAt,
@@ -135,7 +148,7 @@
     }
 
     private async start(): Promise<void> {
-        const { platform, options: { entries, program, folder } } = this;
+        const { platform, options: { entries, program, folder, readyMs } } = this;
         mkdirSync(folder, { recursive: true });
         await platform.start();
         this.writeLists();
@@ -147,7 +160,10 @@
         }
         for (let i = 0; i < entries; i++) {
             const onBadEnd = (text: string): void => this.breach(text);
-            this.sites.push(await createSite({ name: `e${i}`, platform, program, folder, onBadEnd }));
+            const onOwnEnd = (text: string): void => this.fail(text);
+            this.sites.push(
+                await createSite({ name: `e${i}`, platform, program, folder, onBadEnd, onOwnEnd }),
+            );
         }
         this.sites.forEach(({ process }) => process.start());
         const fronts = this.sites.map(({ process, callerLink }) => ({
@@ -156,10 +172,15 @@
         }));
         this.callers = CallerPool.create(fronts, Random.createFromSmallSeed(this.options.seed + 2));
         for (const front of fronts) {
-            await this.until(
-                readyMs,
-                async () => await this.callers.stateAt(front, idOf(0)) === "status 410",
-            );
+            let state = "";
+            const isReady = await this.until(readyMs, async () => {
+                state = await this.callers.stateAt(front, idOf(0));
+                return state === "status 410";
+            });
+            if (!isReady) {
+                this.fail(`${front.entry} was not ready after ${readyMs} ms; its last answer: ${state}`);
+            }
+            this.failure.signal.throwIfAborted();
         }
         this.callers.records.length = 0;
     }
@@ -176,9 +197,9 @@
         );
         for (let i = 1; i * gapMs < lengthMs; i++) {
             this.pending.push(this.follow(i));
-            await pause(gapMs);
+            await pause(gapMs, undefined, { signal: this.failure.signal });
         }
-        await Promise.all(this.pending);
+        await Promise.race([Promise.all(this.pending), this.failed()]);
     }
 
     private async follow(number: number): Promise<void> {
@@ -266,7 +287,19 @@
 
     private scene(): Scene {
         const { sites, platform, workerLinks, options: { lengthMs } } = this;
-        return { sites, platform, workerLinks, lengthMs, writeLists: () => this.writeLists() };
+        return {
+            sites,
+            platform,
+            workerLinks,
+            lengthMs,
+            writeLists: () => this.writeLists(),
+            after: (delayMs, act) => this.after(delayMs, act),
+        };
+    }
+
+    /** Does something later, unless the round has ended by then. */
+    private after(delayMs: number, act: () => void): void {
+        this.timers.push(setTimeout(act, delayMs));
     }
 
     private writeLists(): void {
@@ -288,10 +321,34 @@
         this.breaches.push(`${Math.round(performance.now() - this.startedAt)} ms: ${text}`);
     }
 
-    private async until(limitMs: number, isTrue: () => Promise<boolean>): Promise<void> {
+    /** Notes a breach that ends the round at once; only the first one counts, since the end may cause others. */
+    private fail(text: string): void {
+        if (!this.failure.signal.aborted) {
+            this.breach(text);
+            this.failure.abort();
+        }
+    }
+
+    /** Rejects when the round has failed. */
+    private async failed(): Promise<never> {
+        const { signal } = this.failure;
+        if (!signal.aborted) {
+            await new Promise(resolve => signal.addEventListener("abort", resolve, { once: true }));
+        }
+        throw signal.reason;
+    }
+
+    /** Polls a condition; false when it did not hold in time. */
+    private async until(limitMs: number, isTrue: () => Promise<boolean>): Promise<boolean> {
         const deadline = performance.now() + limitMs;
-        while (!await isTrue() && performance.now() < deadline) {
-            await pause(pollMs);
+        for (;;) {
+            if (await isTrue()) {
+                return true;
+            }
+            if (performance.now() >= deadline) {
+                return false;
+            }
+            await pause(pollMs, undefined, { signal: this.failure.signal });
         }
     }
 }
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -22,25 +22,25 @@
     /** The built daemon. */
     readonly program: string;
     readonly folder: string;
-    /** Called when the process ends otherwise than it should. */
+    /** Called when the process ends otherwise than it should after it was asked to. */
     readonly onBadEnd: (text: string) => void;
+    /** Called when the process ends without having been asked to. */
+    readonly onOwnEnd: (text: string) => void;
 }
 
 /** Opens the links of an entry; its process is not started yet. */
-export async function createSite({ name, platform, program, folder, onBadEnd }: SiteOptions): Promise<Site> {
+export async function createSite(options: SiteOptions): Promise<Site> {
+    const { platform, ...processOptions } = options;
     const [callers, readiness, metrics, peers] = await freePorts(4);
     const storeFaults = noRowStoreFaults();
     const storeLink = await Link.create(portOf(await platform.openStore(storeFaults)));
     const peerLink = await Link.create(peers!);
     const process = EntryProcess.create({
-        name,
-        program,
-        folder,
+        ...processOptions,
         ports: { callers: callers!, readiness: readiness!, metrics: metrics!, peers: peers! },
         advertise: peerLink.address,
         store: storeLink.address,
         inventory: storeLink.address,
-        onBadEnd,
     });
     return { process, callerLink: await Link.create(callers!), peerLink, storeLink, storeFaults };
 }
--- a/soak/strike.ts
+++ b/soak/strike.ts
@@ -14,13 +14,16 @@
     readonly lengthMs: number;
     /** Puts a new version of the operator's lists in force. */
     readonly writeLists: () => void;
+    /** Does something later, unless the round has ended by then. */
+    readonly after: (delayMs: number, act: () => void) => void;
 }
 
 /** Pause between the stops of two entries when all are stopped in turn. */
 const staggerMs = 900;
 
 /** Begins a fault; what lasts is healed by itself. */
-export function strike(fault: Fault, { sites, platform, workerLinks, lengthMs, writeLists }: Scene): void {
+export function strike(fault: Fault, scene: Scene): void {
+    const { sites, platform, workerLinks, lengthMs, writeLists, after } = scene;
     const { kind, at, forMs, atMs, link } = fault;
     const { rows, workers } = platform;
     const site = sites[Math.max(0, at) % sites.length]!;
@@ -30,7 +33,7 @@
     const endsMs = Math.max(0, lengthMs - atMs);
     const during = (begin: () => void, end: () => void): void => {
         begin();
-        setTimeout(end, Math.min(forMs, endsMs));
+        after(Math.min(forMs, endsMs), end);
     };
     const storeFault = (change: Partial<RowStoreFaults>): void =>
         during(
@@ -46,7 +49,7 @@
         case FaultKind.Term:
             return site.process.term();
         case FaultKind.TermAll:
-            return sites.forEach(({ process }, i) => setTimeout(() => process.term(), i * staggerMs));
+            return sites.forEach(({ process }, i) => after(i * staggerMs, () => process.term()));
         case FaultKind.Pause:
             return during(() => site.process.pause(), () => site.process.resume());
         case FaultKind.Hup:
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -1,5 +1,5 @@
 import { type ChildProcess, execFileSync, spawn } from "node:child_process";
-import { closeSync, constants, mkdtempSync, openSync, rmSync, writeSync } from "node:fs";
+import { closeSync, constants, mkdtempSync, openSync, rmSync, writeFileSync, writeSync } from "node:fs";
 import { createServer, type Socket } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -169,6 +169,42 @@
 });
 
 describe("a round of the soak", () => {
+    /** Plays a round with another program in place of the daemon. */
+    async function playWith(name: string, source: string) {
+        const standin = join(folder, `${name}.mjs`);
+        writeFileSync(standin, source);
+        const startedAt = performance.now();
+        const result = await playRound({
+            seed: 3,
+            program: standin,
+            folder: join(folder, name),
+            entries: 1,
+            lengthMs: 3000,
+            jobsPerSecond: 4,
+            readyMs: 1000,
+        });
+        return { ...result, tookMs: performance.now() - startedAt };
+    }
+
+    test("fails early and names the entry and the reason when a process ends by itself", async () => {
+        const { breaches, calls, tookMs } = await playWith(
+            "ends",
+            "console.log('starting'); console.error('no room for it'); process.exitCode = 1;",
+        );
+        expect(breaches).toEqual([expect.stringMatching(/e0 ended by itself with 1: no room for it$/)]);
+        expect(calls).toBeLessThan(10);
+        expect(tookMs).toBeLessThan(10_000);
+    });
+
+    test("fails early and names the entry and the last answer when an entry does not get ready", async () => {
+        const { breaches, calls, tookMs } = await playWith("waits", "setInterval(() => undefined, 1000);");
+        expect(breaches).toEqual([
+            expect.stringMatching(/e0 was not ready after 1000 ms; its last answer: broken: .+/),
+        ]);
+        expect(calls).toBeLessThan(10);
+        expect(tookMs).toBeLessThan(10_000);
+    });
+
     test("keeps the promises under the faults of its seed", async () => {
         const seed = 3;
         const result = await playRound({
