--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -6,7 +6,7 @@
 import { parseSiteSettings } from "../src/process/site-settings.js";
 import { SystemTimer } from "../src/process/timer.js";
 import type { SiteEntry } from "../src/site-entry.js";
-import { freePorts } from "../standin/site.js";
+import { freePorts } from "../standin/free-ports.js";
 import { jobOf } from "../standin/site/site.js";
 import { WirePlatform } from "../standin/wire/platform.js";
 
@@ -259,6 +259,13 @@
 
     test.each([
         [{ callers: "nowhere" }, /callers: found "nowhere"; give host and port/],
+        [{ callers: "h:65536" }, /callers: found "h:65536"; give host and port.* a port from 0 to 65535/],
+        [{ metrics: "h:http" }, /metrics: found "h:http"; give host and port/],
+        [{ inventory: "h:70000" }, /inventory: found "h:70000"; give host and port/],
+        [
+            { peers: { listen: "h:99999", secret: "0123456789abcdef" } },
+            /peers\.listen: found "h:99999"; give host/,
+        ],
         [{ peers: { listen: "h:1", secret: "x" } }, /peers\.secret: found "x"; give the shared secret/],
         [{ entry: undefined }, /entry: found nothing; give this VM's id/],
         [{ times: { leaseMs: 0 } }, /times\.leaseMs/],
