--- a/src/pool/run-monitor.ts
+++ b/src/pool/run-monitor.ts
@@ -63,7 +63,7 @@
         if (record.start === StartStatus.Recorded) {
             return;
         }
-        if (!worker.isReachable && now >= worker.lease.latestEnd()) {
+        if (!worker.isReachable && now >= worker.lease.latestEnd() && !mayStartLate(record, worker)) {
             this.dispatcher.applyEnd({ record, outcome: RunEnd.Lost, saved: "" });
             return;
         }
@@ -170,3 +170,12 @@
         }
     }
 }
+
+/**
+ * Whether a start request to an earlier incarnation may still be executed by the present one. It has its own clock, so the
+ * request's lease end does not stop it; only a higher fence does.
+ */
+function mayStartLate({ start, workerIncarnation }: RunRecord, worker: WorkerState): boolean {
+    return start !== StartStatus.Confirmed && worker.isListed && !worker.hasAcceptedFence
+        && worker.startedAtMs !== workerIncarnation;
+}
