--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -285,6 +285,7 @@
         }
     }
 
+        this.recordOwnerEnded(fence);
     private async checkOwnership(): Promise<void> {
         if (this.currentTenure?.isReady === true && !this.isStopping) {
             await this.yieldIfUnfit(this.currentTenure);
@@ -318,7 +319,9 @@
         return shouldTakeOver({
             self: entry,
             owner: this.owner,
-            hasOwnerEnded: this.hasProcessEnded(this.owner),
+            // A takeover of this process whose answer was lost left it in the owner row without a tenure.
+            hasOwnerEnded: this.owner?.incarnation === this.options.incarnation
+                || this.hasProcessEnded(this.owner),
             ownerSilentMs,
             ownerStoreAgeMs: this.lastHeartbeat === undefined ? 0 : this.lastHeartbeat.storeAgeMs,
             storeAgeMs,
@@ -370,7 +373,9 @@
                 );
                 return;
             case "taken":
-                await this.beginTenure(result);
+                if ((this.owner?.fence ?? 0) <= result.head.owner.fence) {
+                    await this.beginTenure(result);
+                }
         }
     }
 
@@ -550,12 +555,24 @@
         const hasOwnerChanged = owner.fence > (this.owner?.fence ?? 0) || owner.entry !== this.owner?.entry;
         this.owner = owner;
         if (hasOwnerChanged) {
+    /** Tells peers that this process never sent orders as the owner before `next`, for lack of the takeover's answer. */
+    private announceUnusedTakeover(next: Owner): void {
+        const { incarnation, peers } = this.options;
+        if (
+            this.owner?.incarnation === incarnation && this.currentTenure === undefined
+            && next.fence > this.owner.fence
+        ) {
+            peers.broadcast(Topic.SteppedDown, { fence: this.owner.fence });
+        }
+    }
+
             this.logOwnerSeen(owner.entry, owner.fence, "row");
             this.lastHeartbeat = undefined;
             this.ownerSeenAt = this.options.timer.now();
             if (this.currentTenure !== undefined && owner.fence > this.currentTenure.fence) {
                 this.currentTenure.supersede(`owner row has the higher fence ${owner.fence}`);
             }
+        this.announceUnusedTakeover(owner);
             if (owner.entry === "") {
                 void this.checkOwnership();
             }
