--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -49,6 +49,8 @@
 export interface VmManager {
     start(): void;
     stop(): Promise<void>;
+    /** Whether no order of an earlier owner can fall within the holder gap any more. */
+    readonly isHolderGapOver: boolean;
 }
 
 interface Heartbeat {
@@ -180,7 +182,11 @@
         await this.vmManager?.stop();
         const { head, leaseBounds } = await tenure.handOver();
         this.currentTenure = undefined;
-        const flags = { hasLeft: this.isStopping, wasSlow: cause === ReleaseCause.Slow };
+        const flags = {
+            hasLeft: this.isStopping,
+            wasSlow: cause === ReleaseCause.Slow,
+            mayShareVms: this.vmManager?.isHolderGapOver !== true,
+        };
         const outcome = await store.transact(releaseTransaction(head, flags, leaseBounds));
         this.owner = { ...head.owner, entry: "" };
         this.ownerSeenAt = this.options.timer.now();
@@ -279,13 +285,13 @@
     }
 
     private handleRelease(fence: number): void {
+        this.recordOwnerEnded(fence);
         if (this.owner !== undefined && this.owner.fence === fence) {
             this.owner = { ...this.owner, entry: "" };
             void this.checkOwnership();
         }
     }
 
-        this.recordOwnerEnded(fence);
     private async checkOwnership(): Promise<void> {
         if (this.currentTenure?.isReady === true && !this.isStopping) {
             await this.yieldIfUnfit(this.currentTenure);
@@ -354,6 +360,7 @@
                 entry,
                 incarnation,
                 suspectFence,
+                mayShareVms: previous => !this.hasHolderEnded(previous),
                 inheritBounds: (fence, previous, stored) =>
                     inheritLeaseBounds({
                         fence,
@@ -410,7 +417,7 @@
         this.ownerSeenAt = timer.now();
         this.fitness.scheduleComparison();
         this.sendHeartbeat();
-        this.vmManager = this.options.createVmManager(tenure, this.hasHolderEnded(previous));
+        this.vmManager = this.options.createVmManager(tenure, head.owner.mayShareVms !== true);
         this.vmManager.start();
         await tenure.start();
     }
@@ -421,11 +428,12 @@
             || this.endedFences.has(previous.fence) || this.hasProcessEnded(previous);
     }
 
-    /** Whether the process that ordered VMs before this one has ended or is shutting down. */
+    /** Whether the processes that ordered VMs shortly before this one have ended or are shutting down. */
     private hasHolderEnded(previous: Owner | undefined): boolean {
-        return previous === undefined || previous.entry === this.options.entry
+        const hasProcessEnded = previous === undefined || previous.entry === this.options.entry
             || this.hasProcessEnded(previous)
             || (previous.entry === "" && previous.hasLeft === true);
+        return hasProcessEnded && previous?.mayShareVms !== true;
     }
 
     /** Whether an owner's process has ended, as shown by another incarnation registered for its VM. */
@@ -547,14 +555,6 @@
             .forEach(({ fence }) => this.recordOwnerEnded(fence));
     }
 
-    private applyOwnerRow(row: StoredRow | undefined): void {
-        const owner = decodeOwner(row);
-        if (owner === undefined || owner.fence < (this.owner?.fence ?? 0)) {
-            return;
-        }
-        const hasOwnerChanged = owner.fence > (this.owner?.fence ?? 0) || owner.entry !== this.owner?.entry;
-        this.owner = owner;
-        if (hasOwnerChanged) {
     /** Tells peers that this process never sent orders as the owner before `next`, for lack of the takeover's answer. */
     private announceUnusedTakeover(next: Owner): void {
         const { incarnation, peers } = this.options;
@@ -566,13 +566,21 @@
         }
     }
 
+    private applyOwnerRow(row: StoredRow | undefined): void {
+        const owner = decodeOwner(row);
+        if (owner === undefined || owner.fence < (this.owner?.fence ?? 0)) {
+            return;
+        }
+        const hasOwnerChanged = owner.fence > (this.owner?.fence ?? 0) || owner.entry !== this.owner?.entry;
+        this.announceUnusedTakeover(owner);
+        this.owner = owner;
+        if (hasOwnerChanged) {
             this.logOwnerSeen(owner.entry, owner.fence, "row");
             this.lastHeartbeat = undefined;
             this.ownerSeenAt = this.options.timer.now();
             if (this.currentTenure !== undefined && owner.fence > this.currentTenure.fence) {
                 this.currentTenure.supersede(`owner row has the higher fence ${owner.fence}`);
             }
-        this.announceUnusedTakeover(owner);
             if (owner.entry === "") {
                 void this.checkOwnership();
             }
--- a/src/pool/fleet-controller.ts
+++ b/src/pool/fleet-controller.ts
@@ -54,6 +54,11 @@
         return new FleetController(options);
     }
 
+    /** Whether orders of earlier owners no longer matter. */
+    get isHolderGapOver(): boolean {
+        return this.orderDispatcher.isHolderGapOver;
+    }
+
     /** Starts the control loop. */
     start(): void {
         this.cancel = this.options.timer.every(tickIntervalMs, () => void this.tick());
--- a/src/pool/ledger.ts
+++ b/src/pool/ledger.ts
@@ -107,6 +107,8 @@
     readonly incarnation: string;
     /** Fencing token of the owner to replace; an owner with any other fencing token is not replaced. */
     readonly suspectFence: number;
+    /** Whether the previous owner, or one before it, may run on and have ordered VMs shortly before. */
+    readonly mayShareVms: (previous: Owner | undefined) => boolean;
     /** Lease bounds for the tenure with the given fencing token, from the previous owner and the stored bounds. */
     readonly inheritBounds: (
         fence: number,
@@ -117,7 +119,7 @@
 
 /** Tries to become the owner, with a fencing token one above that of the previous owner. */
 export function* takeOver(domain: string, candidate: Candidate): Flow<LedgerEffect, TakeoverResult> {
-    const { entry, incarnation, suspectFence, inheritBounds } = candidate;
+    const { entry, incarnation, suspectFence, inheritBounds, mayShareVms } = candidate;
     const key = ownerKey(domain);
     const chain = chainKey(domain);
     const boundsKey = leaseBoundsKey(domain);
@@ -129,7 +131,12 @@
         if (!isSuspect && previous.incarnation !== incarnation) {
             return { kind: "lost" };
         }
-        const owner: Owner = { entry, incarnation, fence: (previous?.fence ?? 0) + 1 };
+        const owner: Owner = {
+            entry,
+            incarnation,
+            fence: (previous?.fence ?? 0) + 1,
+            mayShareVms: mayShareVms(previous),
+        };
         const leaseBounds = inheritBounds(owner.fence, previous, decodeLeaseBounds(rows.leaseBounds));
         const outcome = (yield {
             kind: "transact",
@@ -169,11 +176,11 @@
  */
 export function releaseTransaction(
     head: LedgerHead,
-    { hasLeft, wasSlow }: Required<Pick<Owner, "hasLeft" | "wasSlow">>,
+    flags: Required<Pick<Owner, "hasLeft" | "wasSlow" | "mayShareVms">>,
     leaseBounds: RowPut,
 ): RowTransaction {
     const key = ownerKey(head.domain);
-    const owner: Owner = { ...head.owner, entry: "", hasLeft, wasSlow };
+    const owner: Owner = { ...head.owner, entry: "", ...flags };
     return {
         conditions: [{ ...key, version: head.ownerVersion }],
         puts: [{ ...key, value: JSON.stringify(owner) }, leaseBounds],
--- a/src/pool/vm-order-dispatcher.ts
+++ b/src/pool/vm-order-dispatcher.ts
@@ -62,6 +62,11 @@
         return this.orderLog.restore();
     }
 
+    /** Whether orders of earlier owners no longer matter. */
+    get isHolderGapOver(): boolean {
+        return this.orderLog.isHolderGapOver;
+    }
+
     /** Whether a VM may be ordered now, given the recent orders of earlier owners. */
     isOrderable(vm: string): boolean {
         return this.orderLog.isOrderable(vm);
--- a/src/pool/vm-order-log.ts
+++ b/src/pool/vm-order-log.ts
@@ -48,10 +48,14 @@
         return new VmOrderLog(options);
     }
 
+    /** Whether the time in which an earlier owner's orders bar this one's is over. */
+    get isHolderGapOver(): boolean {
+        return this.options.timer.now() >= this.holderGapEndsAt;
+    }
+
     /** Whether a VM may be ordered: the holder gap is over, or earlier owners are known not to have ordered the VM. */
     isOrderable(vm: string): boolean {
-        const isWithinHolderGap = this.options.timer.now() < this.holderGapEndsAt;
-        return !isWithinHolderGap || this.previousOwnerVms?.has(vm) === false;
+        return this.isHolderGapOver || this.previousOwnerVms?.has(vm) === false;
     }
 
     /** Reads the orders of earlier owners, once; rejects if the store cannot be read. */
