--- a/src/connection/caller/listener.ts
+++ b/src/connection/caller/listener.ts
@@ -18,10 +18,14 @@
 const requestTimeoutMs = 60_000;
 const defaultKeepAliveTimeoutMs = 5000;
 const maxHeaderBytes = 16 * 1024;
+/** Turns of the event loop without a new connection or request after which none waits to be accepted or read. */
+const quietTurnCount = 3;
 
 /** HTTP listener that passes every request to one callback. */
 export class HttpListener {
     private isClosing = false;
+    /** Number of connections and requests so far. */
+    private arrivalCount = 0;
 
     private constructor(private readonly options: HttpListenerOptions, private readonly server: Server) {}
 
@@ -36,6 +40,7 @@
         const server = tls === undefined ? createServer(limits) : createTlsServer({ ...limits, ...tls });
         const listener = new HttpListener(options, server);
         server.maxConnections = options.maxConnections;
+        server.on("connection", () => listener.arrivalCount++);
         server.on("request", (req, res) => listener.handleRequest(req, res));
         server.on("clientError", (_, socket) => {
             if (socket.writable) {
@@ -54,6 +59,20 @@
         });
     }
 
+    /**
+     * Accepts the connections that callers have made and reads the requests that they have sent; `close` would reset
+     * them. Node accepts one connection in each turn of the event loop, so that on a busy machine many may wait.
+     */
+    async acceptPending(): Promise<void> {
+        this.isClosing = true;
+        let quietTurns = 0;
+        while (quietTurns < quietTurnCount) {
+            const before = this.arrivalCount;
+            await new Promise(resolve => setImmediate(resolve));
+            quietTurns = this.arrivalCount === before ? quietTurns + 1 : 0;
+        }
+    }
+
     /** Stops listening; resolves when the open requests have ended and their connections have closed. */
     close(): Promise<void> {
         this.isClosing = true;
@@ -64,6 +83,7 @@
     }
 
     private handleRequest(req: IncomingMessage, res: ServerResponse): void {
+        this.arrivalCount++;
         res.on("error", () => undefined);
         if (this.isClosing) {
             res.setHeader("connection", "close");
--- a/src/connection/caller/web.ts
+++ b/src/connection/caller/web.ts
@@ -50,6 +50,11 @@
         return this.listener.listen();
     }
 
+    /** Accepts the connections that callers have made and reads the requests that they have sent. */
+    acceptPending(): Promise<void> {
+        return this.listener.acceptPending();
+    }
+
     /** Stops listening; resolves when the open requests have ended and their connections have closed. */
     close(): Promise<void> {
         return this.listener.close();
--- a/src/entry.ts
+++ b/src/entry.ts
@@ -95,7 +95,9 @@
         log.write(Severity.Info, EventId.EntryStopping);
         this.isStopping = true;
         await sleep(timer, settings.times.balancerDelay);
-        await Promise.race([this.callerListener.close(), sleep(timer, drainTimeoutMs)]);
+        const drainTimeout = sleep(timer, drainTimeoutMs);
+        await Promise.race([this.callerListener.acceptPending(), drainTimeout]);
+        await Promise.race([this.callerListener.close(), drainTimeout]);
         core.isStopping = true;
         await core.jobs.drain(jobDrainTimeoutMs);
         await this.waitUntilIdle();
--- a/src/site-entry.ts
+++ b/src/site-entry.ts
@@ -35,6 +35,8 @@
 const idlePollMs = 20;
 /** Fraction of the grace period that a planned stop may spend on waiting for open calls. */
 const drainGraceFraction = 0.5;
+/** Part of the drain time that may go into accepting waiting connections; the rest is for their calls. */
+const acceptDrainFraction = 0.7;
 const statusPath = "/v1/status";
 const explainPath = "/v1/requests/";
 const statusOk = 200;
@@ -94,8 +96,14 @@
         log.write(Severity.Info, EventId.EntryStopping, { calls: this.core.jobCalls.activeCount });
         const domainStopped = this.core.leave();
         await sleep(timer, settings.times.balancerDelayMs);
+        const drainMs = settings.bounds.graceMs * drainGraceFraction;
+        const drainEndsAt = timer.now() + drainMs;
+        await Promise.race([
+            this.callerListener.acceptPending(),
+            sleep(timer, drainMs * acceptDrainFraction),
+        ]);
         const closed = this.callerListener.close();
-        await Promise.race([closed, this.waitUntilIdle(settings.bounds.graceMs * drainGraceFraction)]);
+        await Promise.race([closed, this.waitUntilIdle(drainEndsAt)]);
         await domainStopped;
         await this.core.stop();
         await this.mesh.stop();
@@ -201,9 +209,8 @@
         metrics.gauge("celerywind_resident_bytes", {}, () => process.memoryUsage.rss());
     }
 
-    private async waitUntilIdle(timeoutMs: number): Promise<void> {
+    private async waitUntilIdle(deadline: number): Promise<void> {
         const { timer } = this.options;
-        const deadline = timer.now() + timeoutMs;
         while (this.core.jobCalls.activeCount > 0 && timer.now() < deadline) {
             await sleep(timer, idlePollMs);
         }
--- a/test/sockets.test.ts
+++ b/test/sockets.test.ts
@@ -2,6 +2,7 @@
 import { request } from "undici";
 import { afterAll, afterEach, beforeAll, describe, expect, test } from "vitest";
 import { WebSocket } from "ws";
+import { HttpListener } from "../src/connection/caller/index.js";
 import { Mesh } from "../src/connection/peer/index.js";
 import { AttemptKind, Upstream } from "../src/connection/upstream/index.js";
 import { silentLog } from "../src/process/log.js";
@@ -154,6 +155,44 @@
     });
 });
 
+describe("a listener that closes", () => {
+    test("answers the requests of all connections that were made before", async () => {
+        const callerCount = 40;
+        const [port] = await freePorts(1);
+        const listener = HttpListener.create({
+            host: "127.0.0.1",
+            port: port!,
+            maxConnections: 1000,
+            onRequest: (_, res) => void res.end("ok"),
+        });
+        await listener.listen();
+        const callers = Array.from({ length: callerCount }, () => createCaller(port!));
+        await Promise.all(callers.map(({ connected }) => connected));
+        await listener.acceptPending();
+        await listener.close();
+        const answers = await Promise.all(callers.map(({ answer }) => answer));
+        expect(answers.filter(text => !/^HTTP\/1\.1 200 OK\r\n[^]*\r\n\r\nok$/.test(text))).toEqual([]);
+    });
+
+    /** Connects and sends a request at once; `answer` is all that was received, or the error. */
+    function createCaller(port: number) {
+        const socket = connect(port, "127.0.0.1");
+        const connected = new Promise<void>(resolve => {
+            socket.once("connect", () => {
+                socket.write("GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+                resolve();
+            });
+        });
+        const answer = new Promise<string>(resolve => {
+            let received = "";
+            socket.on("data", chunk => received += chunk.toString());
+            socket.on("error", err => resolve(err.message));
+            socket.on("close", () => resolve(received));
+        });
+        return { connected, answer };
+    }
+});
+
 describe("connections to workers", () => {
     const servers: Server[] = [];
     const sockets: Socket[] = [];
