--- a/standin/load-generator.ts
+++ b/standin/load-generator.ts
@@ -1,6 +1,7 @@
 /** Generates requests and jobs for a site, for a bounded time, and records every outcome as the caller observes it. */
 import { Pool } from "undici";
 import { Random } from "../src/process/random.js";
+import { sleep, type Timer } from "../src/process/timer.js";
 import { QueueClass } from "../src/version/schema.js";
 import { CallOutcome, type CallRecord, type JobRecord } from "./history.js";
 import type { QueueLoad } from "./shops.js";
@@ -19,6 +20,8 @@
 
 const jobPollIntervalMs = 200;
 const connectionsPerEntry = 128;
+/** Overdue calls of one queue that are sent at one wake-up; the rest follow at the next ones. */
+const maxCallsPerWakeUp = 8;
 
 /** Sends requests and submits jobs to randomly chosen entries. */
 export class LoadGenerator {
@@ -39,18 +42,17 @@
 
     /**
      * Generates load for `ms` milliseconds, with exponential gaps at each queue's mean rate times `scale`, and waits
-     * for the outcomes.
+     * for the outcomes. The due times are drawn before the first call, so the number of calls depends on the seed only.
      */
     async run(loads: readonly QueueLoad[], scale: number, ms: number): Promise<void> {
         const { timer } = this.options.site;
-        const end = timer.now() + ms;
-        await Promise.all(loads.map(async load => {
+        const schedules = loads.map(load => ({
+            load,
+            dueTimesMs: drawDueTimes(this.random, 1000 / (load.requestsPerS * scale), ms),
+        }));
+        await Promise.all(schedules.map(async ({ load, dueTimesMs }) => {
             const pending: Promise<void>[] = [];
-            while (timer.now() < end) {
-                const gap = this.random.exponential(1000 / (load.requestsPerS * scale));
-                await new Promise(resolve => setTimeout(resolve, gap));
-                pending.push(this.sendNext(load));
-            }
+            await followSchedule(timer, dueTimesMs, () => pending.push(this.sendNext(load)));
             await Promise.all(pending);
         }));
     }
@@ -177,3 +179,32 @@
         return pool;
     }
 }
+
+function drawDueTimes(random: Random, meanGapMs: number, lengthMs: number): number[] {
+    const dueTimesMs: number[] = [];
+    for (let at = random.exponential(meanGapMs); at < lengthMs; at += random.exponential(meanGapMs)) {
+        dueTimesMs.push(at);
+    }
+    return dueTimesMs;
+}
+
+/**
+ * Calls `send` once for each due time, given in ascending order from now on. After a late wake-up it catches up, by
+ * `maxCallsPerWakeUp` calls at a time; no call is dropped.
+ */
+export async function followSchedule(
+    timer: Timer,
+    dueTimesMs: readonly number[],
+    send: () => void,
+): Promise<void> {
+    const startedAt = timer.now();
+    let next = 0;
+    while (next < dueTimesMs.length) {
+        await sleep(timer, Math.max(0, startedAt + dueTimesMs[next]! - timer.now()));
+        const elapsedMs = timer.now() - startedAt;
+        const limit = Math.min(next + maxCallsPerWakeUp, dueTimesMs.length);
+        for (; next < limit && dueTimesMs[next]! <= elapsedMs; next++) {
+            send();
+        }
+    }
+}
--- a/test/sockets.test.ts
+++ b/test/sockets.test.ts
@@ -7,9 +7,11 @@
 import { AttemptKind, Upstream } from "../src/connection/upstream/index.js";
 import { silentLog } from "../src/process/log.js";
 import { Metrics } from "../src/process/metrics.js";
-import { SystemTimer } from "../src/process/timer.js";
+import { Random } from "../src/process/random.js";
+import { SystemTimer, type Timer } from "../src/process/timer.js";
+import { VirtualTimer } from "../src/process/virtual-timer.js";
 import { CallOutcome } from "../standin/history.js";
-import { LoadGenerator } from "../standin/load-generator.js";
+import { followSchedule, LoadGenerator } from "../standin/load-generator.js";
 import { narragansett, scaleShop } from "../standin/shops.js";
 import { freePorts, Site } from "../standin/site.js";
 
@@ -119,6 +121,57 @@
     });
 });
 
+describe("the load generator", () => {
+    test("makes the same number of calls in a busy process as in an idle one", async () => {
+        const site = Site.create({ shop, entries: 1, seed: 3 });
+        await site.start();
+        const loads = [{ queue: "square-price", teams: ["guest"], requestsPerS: 100, serviceMs: 20 }];
+        const countCalls = async (idPrefix: string): Promise<number> => {
+            const load = LoadGenerator.create({ site, seed: 3, keys: new Map(), idPrefix });
+            await load.run(loads, 1, 1000);
+            await load.close();
+            return load.calls.length;
+        };
+        const idleCount = await countCalls("idle");
+        const blocker = setInterval(() => blockEventLoop(100), 110);
+        const busyCount = await countCalls("busy");
+        clearInterval(blocker);
+        await site.stop();
+        expect(idleCount).toBeGreaterThan(80);
+        expect(busyCount).toBe(idleCount);
+    });
+
+    test("sends no call before it is due, none never, and few at once after a late wake-up", async () => {
+        const virtual = VirtualTimer.create();
+        const random = Random.create(4);
+        const lateTimer: Timer = {
+            now: () => virtual.now(),
+            wall: () => virtual.wall(),
+            after: (ms, fn) => virtual.after(ms + random.int(400), fn),
+            every: (ms, fn) => virtual.every(ms, fn),
+        };
+        const dueTimesMs = Array.from({ length: 200 }, (_, index) => index * 20);
+        const startedAtMs = virtual.now();
+        const sentAtMs: number[] = [];
+        const run = followSchedule(lateTimer, dueTimesMs, () => sentAtMs.push(virtual.now() - startedAtMs));
+        await virtual.advance(20_000);
+        await run;
+        expect(sentAtMs).toHaveLength(dueTimesMs.length);
+        expect(sentAtMs.filter((at, index) => at < dueTimesMs[index]!)).toEqual([]);
+        const counts = new Map<number, number>();
+        sentAtMs.forEach(at => counts.set(at, (counts.get(at) ?? 0) + 1));
+        expect(Math.max(...counts.values())).toBe(8);
+    });
+});
+
+/** Keeps the process from doing anything else. */
+function blockEventLoop(ms: number): void {
+    const end = performance.now() + ms;
+    while (performance.now() < end) {
+        // Nothing to do.
+    }
+}
+
 describe("a rolling restart of all entries under load", () => {
     test("interrupts no request and loses no job", async () => {
         const site = Site.create({ shop, entries: 3, seed: 2 });
