--- a/standin/site/checker.ts
+++ b/standin/site/checker.ts
@@ -22,6 +22,8 @@
     readonly caps = new Map<string, Resources>();
     /** Number of runs started on all workers. */
     startCount = 0;
+    /** Tasks of the runs that succeeded, one item for each such run. */
+    readonly successes: string[] = [];
     private readonly activeRuns = new Map<string, ActiveRun>();
     private readonly doneTasks = new Set<string>();
     /** Tasks whose success was stored, as the acknowledgement of the ended run implies. */
@@ -82,6 +84,7 @@
         }
         if (outcome === RunEnd.Done) {
             this.doneTasks.add(task);
+            this.successes.push(task);
         }
     }
 
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -1,7 +1,10 @@
 import { afterAll, beforeAll, describe, expect, test } from "vitest";
 import { createPlatformEntry } from "../platform/entry.js";
 import { decodeManifest } from "../platform/lists.js";
-import { silentLog } from "../src/process/log.js";
+import { RunEnd } from "../src/job/index.js";
+import { StartStatus } from "../src/pool/job-registry.js";
+import { EventId } from "../src/process/events.js";
+import type { LogFields } from "../src/process/log.js";
 import { Metrics } from "../src/process/metrics.js";
 import { parseSiteSettings } from "../src/process/site-settings.js";
 import { SystemTimer } from "../src/process/timer.js";
@@ -20,9 +23,67 @@
     tenants: [{ name: "t1", "api-keys": ["k1"], weight: 5, cap: { cpu: 9000, "mem-mb": 0, gpu: 0 } }],
 };
 
+interface LoggedEvent {
+    readonly event: EventId;
+    readonly fields: LogFields;
+}
+
+/** Time for which an entry waits for the answer to a start. */
+const startTimeoutMs = 200;
+
+/** Keeps the process from doing anything else. */
+function blockEventLoop(ms: number): void {
+    const end = performance.now() + ms;
+    while (performance.now() < end) {
+        // Nothing to do.
+    }
+}
+
+/**
+ * The claimed runs, as `task/run`, and those of them that are neither the first of their task nor follow a run that
+ * was refused, had an uncertain start, was not sent, lapsed on the worker, or was claimed by an owner before.
+ */
+function claimsOf(events: readonly LoggedEvent[]) {
+    const names = new Set<string>();
+    const unexplained: string[] = [];
+    const last = new Map<unknown, { readonly run: number; isReplaceable: boolean }>();
+    for (const { event, fields } of events) {
+        const { task, run } = fields;
+        const claimed = last.get(task);
+        if (event === EventId.OwnerTaken) {
+            last.forEach(each => each.isReplaceable = true);
+        }
+        else if (event === EventId.RunClaimed) {
+            const isExpected = claimed === undefined
+                ? run === 1
+                : run === claimed.run + 1 && claimed.isReplaceable;
+            if (!isExpected) {
+                unexplained.push(`${String(task)}/${String(run)}`);
+            }
+            names.add(`${String(task)}/${String(run)}`);
+            last.set(task, { run: Number(run), isReplaceable: false });
+        }
+        else if (claimed?.run === run && endsClaim(event, fields)) {
+            claimed!.isReplaceable = true;
+        }
+    }
+    return { names, unexplained };
+}
+
+function fencesOf(events: readonly LoggedEvent[], kind: EventId): ReadonlySet<number> {
+    return new Set(events.filter(({ event }) => event === kind).map(({ fields }) => Number(fields["fence"])));
+}
+
+function endsClaim(event: EventId, { start, how }: LogFields): boolean {
+    return event === EventId.RunUncertain || event === EventId.RunRefused
+        || (event === EventId.RunEnded && (start === StartStatus.Recorded || how === RunEnd.Lapsed));
+}
+
 describe("an entry with the platform adapter", () => {
     const platform = WirePlatform.create({ pool: "bench", workers: 2 });
     const entries: SiteEntry[] = [];
+    /** Events of all entries, in order. */
+    const logged: LoggedEvent[] = [];
     const callerUrls: string[] = [];
     const metricsAddresses: string[] = [];
 
@@ -52,7 +113,7 @@
                 incarnation: `${name}#1`,
                 timer: SystemTimer.create(),
                 metrics: Metrics.create(),
-                log: silentLog,
+                log: { write: (_, event, fields = {}) => void logged.push({ event, fields }) },
             });
             entries.push(entry);
             await entry.start();
@@ -105,12 +166,69 @@
             (await call("GET", `/open/${id}`, { entry: 1 })).body["state"] === "succeeded"
         );
         expect((await call("GET", `/open/${id}`)).body).toEqual({ state: "succeeded" });
-        expect(platform.checker.startCount).toBe(3);
-        expect(platform.checker.violations).toEqual([]);
-        const start = platform.calls.find(({ path }) => path === "/v1/run-start")?.body;
-        expect(start).toMatchObject({ task: `${id}.0.0.0`, run: 1, spec: "text", fence: 1 });
+        expectJobRan(id, [`${id}.0.0.0`, `${id}.0.0.1`, `${id}.0.0.2`]);
+    });
+
+    test("stops a run whose start was answered too late before it starts the next one", async () => {
+        const id = "00000000000000a3";
+        platform.expectJob(id, jobOf({ tasks: 1 }), { workMs: 1000 });
+        let isBlocked = false;
+        for (const { incarnation } of platform.workers) {
+            const start = incarnation.start.bind(incarnation);
+            incarnation.start = request => {
+                const result = start(request);
+                if (!isBlocked) {
+                    isBlocked = true;
+                    blockEventLoop(startTimeoutMs + 100);
+                }
+                return result;
+            };
+        }
+        const before = platform.checker.startCount;
+        const body = { spec: "text", steps: [{ ...job.steps[0], count: 1 }] };
+        expect((await call("POST", `/open/${id}`, { body })).status).toBe(200);
+        await waitUntil(async () => (await call("GET", `/open/${id}`)).body["state"] === "succeeded");
+        expect((await call("GET", `/open/${id}`)).body).toEqual({ state: "succeeded" });
+        expect(platform.checker.startCount - before).toBeGreaterThan(1);
+        expectJobRan(id, [`${id}.0.0.0`]);
     });
 
+    /**
+     * Checks that each task of a job succeeded exactly once, that all starts carried the right body, and that a task was
+     * claimed once only unless the run before could not be relied on. On a busy machine a start may be answered too
+     * late, and an owner that is too slow hands over; without such a cause in the log there is one start of each task,
+     * as run 1 and with fence 1.
+     */
+    function expectJobRan(id: string, tasks: readonly string[]): void {
+        expect(platform.checker.violations).toEqual([]);
+        const isOfJob = (task: unknown): boolean => String(task).startsWith(`${id}.`);
+        expect(platform.checker.successes.filter(isOfJob).sort()).toEqual(tasks);
+        const events = logged.filter(({ event, fields }) =>
+            event === EventId.OwnerTaken || isOfJob(fields["task"])
+        );
+        expect(
+            events.filter(({ event, fields }) => event === EventId.RunEnded && fields["how"] === RunEnd.Done)
+                .map(({ fields }) => fields["task"]).sort(),
+        ).toEqual(tasks);
+        const claims = claimsOf(events);
+        expect(claims.unexplained).toEqual([]);
+        const fences = fencesOf(events, EventId.OwnerTaken);
+        const given = new Set([
+            ...fencesOf(logged.filter(({ fields }) => fields["cause"] === "slow"), EventId.OwnerReleased),
+            ...fencesOf(logged, EventId.OwnerSuspected),
+        ]);
+        expect([...fences].filter(fence => fence !== 1 && !given.has(fence - 1))).toEqual([]);
+        const starts = platform.calls.filter(({ path, body }) =>
+            path === "/v1/run-start" && isOfJob(body["task"])
+        ).map(({ body }) => body);
+        expect(new Set(starts.map(({ task }) => task))).toEqual(new Set(tasks));
+        const names = starts.map(({ task, run }) => `${String(task)}/${String(run)}`);
+        expect(names.filter(name => !claims.names.has(name))).toEqual([]);
+        expect(new Set(names).size).toBe(names.length);
+        expect(starts.filter(({ spec, fence }) => spec !== "text" || !fences.has(Number(fence))))
+            .toEqual([]);
+    }
+
     test("cancels a service and stops its tasks", async () => {
         const id = "00000000000000a2";
         platform.expectJob(id, jobOf({ tasks: 2, isService: true }));
@@ -167,7 +285,6 @@
 
         test("accepts a job of several steps once, runs it and reports its phase at every entry", async () => {
             platform.expectJob("step-job-1", jobOf({ tasks: 2 }, { tasks: 1, after: [0] }));
-            const before = platform.checker.startCount;
             expect((await call("PUT", jobPath, { body: { payload: "text", steps } })).status).toBe(201);
             expect((await call("PUT", jobPath, { body: { payload: "text", steps }, entry: 1 })).status).toBe(
                 200,
@@ -176,8 +293,7 @@
                 (await call("GET", jobPath, { entry: 1 })).body["phase"] === "succeeded"
             );
             expect((await call("GET", jobPath)).body).toEqual({ id: "step-job-1", phase: "succeeded" });
-            expect(platform.checker.startCount - before).toBe(3);
-            expect(platform.checker.violations).toEqual([]);
+            expectJobRan("step-job-1", ["step-job-1.0.0.0", "step-job-1.0.0.1", "step-job-1.0.1.0"]);
         });
 
         test("cancels a job", async () => {
