--- a/src/connection/peer/peer-mesh.ts
+++ b/src/connection/peer/peer-mesh.ts
@@ -3,6 +3,7 @@
  */
 import { createServer, type Server } from "node:http";
 import { createServer as createTlsServer } from "node:https";
+import type { Socket } from "node:net";
 import { WebSocket, WebSocketServer } from "ws";
 import { PeerError } from "../../process/errors.js";
 import { EventId, Severity } from "../../process/events.js";
@@ -46,6 +47,8 @@
     private readonly openLinks = new Map<string, Link>();
     private readonly dialingLinks = new Map<string, Link>();
     private readonly allLinks = new Set<Link>();
+    /** Accepted connections, also those that have not become links, which the listener would wait for. */
+    private readonly acceptedSockets = new Set<Socket>();
 
     private constructor(private readonly options: PeerMeshOptions) {}
 
@@ -66,6 +69,7 @@
     async start(): Promise<void> {
         const { host, port, tls, timer } = this.options;
         this.server = tls === undefined ? createServer() : createTlsServer(tls);
+        this.server.on("connection", (socket: Socket) => this.trackAccepted(socket));
         const webSocketServer = new WebSocketServer({ server: this.server, maxPayload: maxFrameBytes });
         webSocketServer.on("connection", socket => this.createLink(socket, LinkRole.Acceptor));
         await new Promise<void>((resolve, reject) => {
@@ -75,11 +79,17 @@
         this.cancelRedial = timer.every(redialIntervalMs, () => this.dialMissing());
     }
 
+    /** Closes the listener and all connections at once, whether or not their other ends respond. */
     async stop(): Promise<void> {
+        const { server } = this;
         this.cancelRedial();
         this.configuredPeers = [];
         this.allLinks.forEach(link => link.close());
-        await new Promise(resolve => this.server?.close(resolve));
+        if (server !== undefined) {
+            const closed = new Promise(resolve => server.close(resolve));
+            this.acceptedSockets.forEach(socket => socket.destroy());
+            await closed;
+        }
     }
 
     /** Sets the peers to maintain links to. Of each pair of entries, the one with the smaller VM name dials. */
@@ -119,6 +129,11 @@
         return link.request(topic, body, timeoutMs);
     }
 
+    private trackAccepted(socket: Socket): void {
+        this.acceptedSockets.add(socket);
+        socket.once("close", () => this.acceptedSockets.delete(socket));
+    }
+
     private dialMissing(): void {
         for (const { vm, url } of this.configuredPeers) {
             if (vm > this.self.vm && !this.openLinks.has(vm) && !this.dialingLinks.has(vm)) {
--- a/test/sockets.test.ts
+++ b/test/sockets.test.ts
@@ -235,6 +235,8 @@
 });
 
 describe("peer links", () => {
+    /** Time in which a listener accepts a connection on loopback, in milliseconds. */
+    const acceptedMs = 100;
     const meshes: Mesh[] = [];
 
     afterEach(async () => {
@@ -314,6 +316,28 @@
         expect(await a.mesh.request("b", "echo", 2, 1000)).toEqual({ from: "a", body: 2 });
         await forwarder.close();
     });
+
+    test.each([
+        ["says nothing", ""],
+        ["breaks off in its request", "GET / HTTP/1.1\r\nhost: a\r\n"],
+    ])("end when the entry stops, although a connection that %s stays open", async (_, sent) => {
+        const a = await createMesh("a", "secret");
+        const b = await createMesh("b", "secret");
+        a.mesh.setPeers([{ vm: "b", url: b.url }]);
+        await waitUntil(() => b.mesh.connected().length === 1);
+        const silent = connect(Number(new URL(b.url).port), "127.0.0.1");
+        silent.on("error", () => undefined);
+        await new Promise<void>(resolve => silent.write(sent, () => resolve()));
+        await waitUntil(() => silent.readyState === "open");
+        await new Promise(resolve => setTimeout(resolve, acceptedMs));
+        let hasStopped = false;
+        void b.mesh.stop().then(() => {
+            hasStopped = true;
+        });
+        await new Promise(resolve => setTimeout(resolve, 1000));
+        silent.destroy();
+        expect(hasStopped).toBe(true);
+    });
 });
 
 /** Starts a TCP proxy to a port; `stall` stops forwarding on the open connections without closing them. */
