--- a/src/process/timer.ts
+++ b/src/process/timer.ts
@@ -53,6 +53,14 @@
     });
 }
 
+/** Resolves when `work` has, or at `deadline` on the timer's monotonic clock if that is earlier; rejects like `work`. */
+export function settleBy(timer: Timer, deadline: number, work: Promise<unknown>): Promise<void> {
+    return new Promise((resolve, reject) => {
+        const cancel = timer.after(Math.max(0, deadline - timer.now()), resolve);
+        work.then(() => resolve(), reject).finally(cancel);
+    });
+}
+
 /** Implements `Timer.every` by means of `Timer.after`. */
 export function repeat(after: Timer["after"], ms: number, fn: () => void): Cancel {
     let cancel: Cancel = () => undefined;
--- a/src/site-core.ts
+++ b/src/site-core.ts
@@ -16,7 +16,7 @@
 import type { Peers } from "./process/peers.js";
 import type { RowPut, RowStore } from "./process/rows.js";
 import type { SiteSettings } from "./process/site-settings.js";
-import type { Timer } from "./process/timer.js";
+import { settleBy, type Timer } from "./process/timer.js";
 import { JobCallHandler } from "./request/job-call-handler.js";
 import type { Directory } from "./version/directory.js";
 import { ListFollower } from "./version/list-follower.js";
@@ -56,6 +56,8 @@
  * and another entry serves callers better.
  */
 const isolationTimeoutMs = 5000;
+/** Fraction of the grace period that the stages of a planned stop share; the rest is for the exit on a busy machine. */
+const stopBudgetFraction = 0.8;
 
 /** Creates the tasks of one entry of a site and connects them with each other. */
 export class SiteCore {
@@ -88,10 +90,19 @@
         await this.jobCalls.start();
     }
 
-    /** Makes this entry not ready and hands the domain over; resolves when the domain has stopped. */
-    leave(): Promise<void> {
+    /** Monotonic time by which a planned stop that begins now gives up what it still waits for. */
+    stopDeadline(): number {
+        const { timer, settings } = this.options;
+        return timer.now() + settings.bounds.graceMs * stopBudgetFraction;
+    }
+
+    /**
+     * Makes this entry not ready and hands the domain over; resolves when the domain has stopped, or at `deadline`. A
+     * domain that is not released by then is taken over once its owner's heartbeats are missing.
+     */
+    leave(deadline = this.stopDeadline()): Promise<void> {
         this.isStopping = true;
-        return this.domain.stop();
+        return settleBy(this.options.timer, deadline, this.domain.stop());
     }
 
     /** Stops following the lists. */
--- a/src/site-entry.ts
+++ b/src/site-entry.ts
@@ -10,7 +10,7 @@
 import type { Metrics } from "./process/metrics.js";
 import type { RowStore } from "./process/rows.js";
 import { type SiteSettings, splitEndpoint } from "./process/site-settings.js";
-import { sleep, type Timer } from "./process/timer.js";
+import { settleBy, sleep, type Timer } from "./process/timer.js";
 import type { JobCallHandler } from "./request/job-call-handler.js";
 import { createStepJobsHandler, stepJobsPathPrefix } from "./request/step-jobs-api.js";
 import { SiteCore, type SitePlatform } from "./site-core.js";
@@ -33,8 +33,6 @@
 
 const maxConnections = 2000;
 const idlePollMs = 20;
-/** Fraction of the grace period that a planned stop may spend on waiting for open calls. */
-const drainGraceFraction = 0.5;
 const statusPath = "/v1/status";
 const explainPath = "/v1/requests/";
 const statusOk = 200;
@@ -88,20 +86,28 @@
         log.write(Severity.Info, EventId.EntryReady);
     }
 
-    /** Planned stop: accepts no new connections, waits for open calls up to a time limit, and hands the domain over. */
+    /**
+     * Planned stop: accepts no new connections, waits for open calls, and hands the domain over at the same time. All
+     * stages share one deadline, so that store and peers that do not respond cannot use up the grace period.
+     */
     async stop(): Promise<void> {
-        const { settings, log, timer } = this.options;
+        const { log, timer } = this.options;
+        const deadline = this.core.stopDeadline();
         log.write(Severity.Info, EventId.EntryStopping, { calls: this.core.jobCalls.activeCount });
-        const domainStopped = this.core.leave();
-        await sleep(timer, settings.times.balancerDelayMs);
-        const closed = this.callerListener.close();
-        await Promise.race([closed, this.waitUntilIdle(settings.bounds.graceMs * drainGraceFraction)]);
+        const domainStopped = this.core.leave(deadline);
+        await this.drain(deadline);
         await domainStopped;
-        await this.core.stop();
-        await this.mesh.stop();
+        await settleBy(timer, deadline, Promise.all([this.core.stop(), this.mesh.stop()]));
         log.write(Severity.Info, EventId.EntryStopped);
     }
 
+    /** Closes the callers' listener once the load balancer has noticed, and waits for open calls until `deadline`. */
+    private async drain(deadline: number): Promise<void> {
+        const { settings, timer } = this.options;
+        await settleBy(timer, deadline, sleep(timer, settings.times.balancerDelayMs));
+        await Promise.race([this.callerListener.close(), this.waitUntilIdle(deadline)]);
+    }
+
     /** Creates a handler that serves the product's own API under its path prefix and the platform's elsewhere. */
     private createCallerHandler(): RequestHandler {
         const { jobCalls } = this.core;
@@ -201,9 +207,8 @@
         metrics.gauge("celerywind_resident_bytes", {}, () => process.memoryUsage.rss());
     }
 
-    private async waitUntilIdle(timeoutMs: number): Promise<void> {
+    private async waitUntilIdle(deadline: number): Promise<void> {
         const { timer } = this.options;
-        const deadline = timer.now() + timeoutMs;
         while (this.core.jobCalls.activeCount > 0 && timer.now() < deadline) {
             await sleep(timer, idlePollMs);
         }
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -1,3 +1,4 @@
+import { connect } from "node:net";
 import { afterAll, beforeAll, describe, expect, test } from "vitest";
 import { createPlatformEntry } from "../platform/entry.js";
 import { decodeManifest } from "../platform/lists.js";
@@ -20,6 +21,40 @@
     tenants: [{ name: "t1", "api-keys": ["k1"], weight: 5, cap: { cpu: 9000, "mem-mb": 0, gpu: 0 } }],
 };
 
+async function createEntry(platform: WirePlatform, name: string, changes: Record<string, unknown> = {}) {
+    const ports = await freePorts(4);
+    const [callers, readiness, metrics, listen] = ports.map(port => `127.0.0.1:${port}`);
+    const settings = parseSiteSettings(
+        "test",
+        JSON.stringify({
+            entry: name,
+            callers,
+            readiness,
+            metrics,
+            peers: { listen, secret: "0123456789abcdef", seeds: [] },
+            store: platform.address,
+            inventory: platform.address,
+            times: { balancerDelayMs: 10 },
+            ...changes,
+        }),
+    );
+    const entry = createPlatformEntry({
+        settings,
+        incarnation: `${name}#1`,
+        timer: SystemTimer.create(),
+        metrics: Metrics.create(),
+        log: silentLog,
+    });
+    return { entry, callerUrl: `http://${callers}`, metricsAddress: metrics!, peerPort: ports[3]! };
+}
+
+/** Polls a condition every 25 ms, at most 400 times; returns without an error when it never holds. */
+async function waitUntil(condition: () => Promise<boolean>): Promise<void> {
+    for (let i = 0; i < 400 && !await condition(); i++) {
+        await new Promise(resolve => setTimeout(resolve, 25));
+    }
+}
+
 describe("an entry with the platform adapter", () => {
     const platform = WirePlatform.create({ pool: "bench", workers: 2 });
     const entries: SiteEntry[] = [];
@@ -30,30 +65,9 @@
         await platform.start();
         platform.writeOperatorRow("config", manifest);
         for (const name of ["e1", "e2"]) {
-            const ports = await freePorts(4);
-            const [callers, readiness, metrics, listen] = ports.map(port => `127.0.0.1:${port}`);
-            callerUrls.push(`http://${callers}`);
-            metricsAddresses.push(metrics!);
-            const settings = parseSiteSettings(
-                "test",
-                JSON.stringify({
-                    entry: name,
-                    callers,
-                    readiness,
-                    metrics,
-                    peers: { listen, secret: "0123456789abcdef", seeds: [] },
-                    store: platform.address,
-                    inventory: platform.address,
-                    times: { balancerDelayMs: 10 },
-                }),
-            );
-            const entry = createPlatformEntry({
-                settings,
-                incarnation: `${name}#1`,
-                timer: SystemTimer.create(),
-                metrics: Metrics.create(),
-                log: silentLog,
-            });
+            const { entry, callerUrl, metricsAddress } = await createEntry(platform, name);
+            callerUrls.push(callerUrl);
+            metricsAddresses.push(metricsAddress);
             entries.push(entry);
             await entry.start();
         }
@@ -67,13 +81,6 @@
         await platform.stop();
     });
 
-    /** Polls a condition every 25 ms, at most 400 times; returns without an error when it never holds. */
-    async function waitUntil(condition: () => Promise<boolean>): Promise<void> {
-        for (let i = 0; i < 400 && !await condition(); i++) {
-            await new Promise(resolve => setTimeout(resolve, 25));
-        }
-    }
-
     async function call(
         method: string,
         path: string,
@@ -282,3 +289,35 @@
         );
     });
 });
+
+describe("an entry that owns the domain", () => {
+    const graceMs = 3000;
+    const platform = WirePlatform.create({ pool: "bench", workers: 2 });
+
+    beforeAll(async () => {
+        await platform.start();
+        platform.writeOperatorRow("config", manifest);
+    });
+
+    afterAll(() => platform.stop());
+
+    test("stops within the grace although store and peers are silent and an end is not stored", async () => {
+        const { entry, peerPort } = await createEntry(platform, "e1", { bounds: { graceMs } });
+        await entry.start();
+        await waitUntil(() => Promise.resolve(entry.core.domain.tenure?.isReady === true));
+        const id = "00000000000000c1";
+        const spec = jobOf({ tasks: 1 });
+        platform.expectJob(id, spec, { workMs: 300 });
+        const queue = entry.core.lists.directory!.queues[0]!;
+        expect((await entry.core.jobCalls.submit(id, queue, "t1", spec, 3000)).kind).toBe("accepted");
+        await waitUntil(() => Promise.resolve(platform.checker.startCount === 1));
+        const silentPeer = connect(peerPort, "127.0.0.1");
+        await new Promise(resolve => silentPeer.once("connect", resolve));
+        platform.rows.faults.isUnresponsive = true;
+        await waitUntil(() => Promise.resolve(entry.core.domain.tenure!.jobs.runs.size === 0));
+        const startedAt = performance.now();
+        await entry.stop();
+        expect(performance.now() - startedAt).toBeLessThan(graceMs);
+        silentPeer.destroy();
+    });
+});
--- a/test/site.test.ts
+++ b/test/site.test.ts
@@ -192,6 +192,29 @@
         expect(site.checker.startCount).toBe(4);
     });
 
+    test("at a planned stop ends by its deadline although the store is silent, and repeats no run", async () => {
+        const site = await createSite();
+        await site.runUntilSettled(site.submit(site.entries[0]!, "j1", jobOf({ tasks: 4 }), { workMs: 300 }));
+        await site.timer.advance(250);
+        site.rows.faults.isUnresponsive = true;
+        await site.timer.advance(300);
+        const owner = ownerOf(site);
+        let hasLeft = false;
+        void owner.core.leave(owner.timer.now() + 2000).then(() => {
+            hasLeft = true;
+        });
+        await site.timer.advance(2000);
+        expect(hasLeft).toBe(true);
+        site.kill(owner);
+        site.startEntry(owner.name);
+        await site.timer.advance(1000);
+        site.rows.faults.isUnresponsive = false;
+        await site.timer.advance(8000);
+        expect(ownerOf(site).core.domain.tenure?.isReady).toBe(true);
+        await expectPhase(site, "j1", "succeeded");
+        expect(site.checker.startCount).toBe(4);
+    });
+
     test("keeps the results of runs that ended while the domain had no owner", async () => {
         const site = await createSite();
         await site.runUntilSettled(site.submit(site.entries[0]!, "j1", jobOf({ tasks: 6 }), { workMs: 600 }));
