--- a/src/site-entry.ts
+++ b/src/site-entry.ts
@@ -10,7 +10,7 @@
 import type { Metrics } from "./process/metrics.js";
 import type { RowStore } from "./process/rows.js";
 import { type SiteSettings, splitEndpoint } from "./process/site-settings.js";
-import { sleep, type Timer } from "./process/timer.js";
+import { settleBy, sleep, type Timer } from "./process/timer.js";
 import type { JobCallHandler } from "./request/job-call-handler.js";
 import { createStepJobsHandler, stepJobsPathPrefix } from "./request/step-jobs-api.js";
 import { SiteCore, type SitePlatform } from "./site-core.js";
@@ -33,9 +33,7 @@
 
 const maxConnections = 2000;
 const idlePollMs = 20;
-/** Fraction of the grace period that a planned stop may spend on waiting for open calls. */
-const drainGraceFraction = 0.5;
-/** Part of the drain time that may go into accepting waiting connections; the rest is for their calls. */
+/** Part of the time left until the stop's deadline that may go into accepting waiting connections. */
 const acceptDrainFraction = 0.7;
 const statusPath = "/v1/status";
 const explainPath = "/v1/requests/";
@@ -85,23 +83,18 @@
         log.write(Severity.Info, EventId.EntryReady);
     }
 
-    /** Planned stop: accepts no new connections, waits for open calls up to a time limit, and hands the domain over. */
+    /**
+     * Planned stop: accepts no new connections, waits for open calls, and hands the domain over at the same time. All
+     * stages share one deadline, so that store and peers that do not respond cannot use up the grace period.
+     */
     async stop(): Promise<void> {
-        const { settings, log, timer } = this.options;
+        const { log, timer } = this.options;
+        const deadline = this.core.stopDeadline();
         log.write(Severity.Info, EventId.EntryStopping, { calls: this.core.jobCalls.activeCount });
-        const domainStopped = this.core.leave();
-        await sleep(timer, settings.times.balancerDelayMs);
-        const drainMs = settings.bounds.graceMs * drainGraceFraction;
-        const drainEndsAt = timer.now() + drainMs;
-        await Promise.race([
-            this.callerListener.acceptPending(),
-            sleep(timer, drainMs * acceptDrainFraction),
-        ]);
-        const closed = this.callerListener.close();
-        await Promise.race([closed, this.waitUntilIdle(drainEndsAt)]);
+        const domainStopped = this.core.leave(deadline);
+        await this.drain(deadline);
         await domainStopped;
-        await this.core.stop();
-        await this.mesh.stop();
+        await settleBy(timer, deadline, Promise.all([this.core.stop(), this.mesh.stop()]));
         log.write(Severity.Info, EventId.EntryStopped);
     }
 
@@ -123,6 +116,15 @@
         }
     }
 
+    /** Closes the callers' listener once the load balancer has noticed, and waits for open calls until `deadline`. */
+    private async drain(deadline: number): Promise<void> {
+        const { settings, timer } = this.options;
+        await settleBy(timer, deadline, sleep(timer, settings.times.balancerDelayMs));
+        const acceptMs = (deadline - timer.now()) * acceptDrainFraction;
+        await Promise.race([this.callerListener.acceptPending(), sleep(timer, acceptMs)]);
+        await Promise.race([this.callerListener.close(), this.waitUntilIdle(deadline)]);
+    }
+
     /** Creates a handler that serves the product's own API under its path prefix and the platform's elsewhere. */
     private createCallerHandler(): RequestHandler {
         const { jobCalls } = this.core;
