--- a/soak/entry-process.ts
+++ b/soak/entry-process.ts
@@ -198,7 +198,7 @@
  * Whether the program handles signals by now, by the system's own word: bit 0 of the caught signals is SIGHUP. While
  * the runtime starts, no program can, and a signal ends the process.
  */
-function handlesSignals({ pid }: ChildProcess): boolean {
+export function handlesSignals({ pid }: ChildProcess): boolean {
     const status = readFileSync(`/proc/${pid}/status`, "utf8");
     const caught = /^SigCgt:\s*([0-9a-f]+)$/m.exec(status)?.[1] ?? "0";
     return (BigInt(`0x${caught}`) & 1n) === 1n;
--- a/src/process/early-signals.ts
+++ b/src/process/early-signals.ts
@@ -1,19 +1,23 @@
 /**
- * Buffers signals that arrive while the modules of the program are still loading. Import this module before all others.
+ * Handles signals that arrive before the program has installed its own handlers: SIGTERM ends the process with code 0, as
+ * nothing has been started yet, and SIGHUP has no effect. Import this module before all others.
  */
 
-const receivedSignals: NodeJS.Signals[] = [];
+const exitOk = 0;
 
-function record(signal: NodeJS.Signals): void {
-    receivedSignals.push(signal);
+function exit(): void {
+    process.exit(exitOk);
 }
 
-process.on("SIGTERM", record);
-process.on("SIGHUP", record);
+function ignore(): void {
+    // The settings are read after this.
+}
+
+process.on("SIGTERM", exit);
+process.on("SIGHUP", ignore);
 
-/** Stops buffering and returns the signals received so far. Call it after installing the handlers of the program. */
-export function takeEarlySignals(): readonly NodeJS.Signals[] {
-    process.off("SIGTERM", record);
-    process.off("SIGHUP", record);
-    return receivedSignals;
+/** Removes the handlers of this module. Call it after installing the handlers of the program. */
+export function releaseEarlySignals(): void {
+    process.off("SIGTERM", exit);
+    process.off("SIGHUP", ignore);
 }
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -3,8 +3,10 @@
 import { createServer, type Socket } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { setTimeout as pause } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
-import { afterAll, beforeAll, describe, expect, test } from "vitest";
+import { afterAll, beforeAll, describe, expect, onTestFinished, test } from "vitest";
+import { handlesSignals } from "../soak/entry-process.js";
 import { judgeCalls } from "../soak/judge.js";
 import { Link, LinkMode } from "../soak/link.js";
 import { host, listenAnywhere } from "../soak/loopback.js";
@@ -22,6 +24,8 @@
 afterAll(() => rmSync(folder, { recursive: true, force: true }));
 
 describe("the built daemon", () => {
+    const pollMs = 1;
+    const signalGapMs = 100;
     const settings = JSON.stringify({
         entry: "e",
         callers: "127.0.0.1:0",
@@ -31,8 +35,51 @@
         store: "127.0.0.1:1",
     });
 
+    /** Creates a FIFO for the settings: its reader waits until a writer has closed its end. */
+    function createFifo(name: string): string {
+        const file = join(folder, name);
+        execFileSync("mkfifo", [file]);
+        return file;
+    }
+
     function startDaemon(file: string): ChildProcess {
-        return spawn(process.execPath, [program], { env: { CELERYWIND_SETTINGS: file }, stdio: "ignore" });
+        const child = spawn(process.execPath, [program], {
+            env: { CELERYWIND_SETTINGS: file },
+            stdio: "ignore",
+        });
+        onTestFinished(() => void child.kill("SIGKILL"));
+        return child;
+    }
+
+    async function waitUntil(child: ChildProcess, isReached: () => boolean): Promise<void> {
+        while (!isReached()) {
+            expect(endOf(child)).toBeUndefined();
+            await pause(pollMs);
+        }
+    }
+
+    /** Waits until the daemon has opened the FIFO, and returns the writer's end. */
+    async function openWriter(child: ChildProcess, file: string): Promise<number> {
+        let writer: number | undefined;
+        await waitUntil(child, () => (writer = tryOpenWriter(file)) !== undefined);
+        return writer!;
+    }
+
+    /** Returns undefined while the FIFO has no reader. */
+    function tryOpenWriter(file: string): number | undefined {
+        try {
+            return openSync(file, constants.O_WRONLY | constants.O_NONBLOCK);
+        }
+        catch (err) {
+            if ((err as NodeJS.ErrnoException).code === "ENXIO") {
+                return undefined;
+            }
+            throw err;
+        }
+    }
+
+    function endOf(child: ChildProcess): number | string | undefined {
+        return child.exitCode ?? child.signalCode ?? undefined;
     }
 
     function waitForExit(child: ChildProcess): Promise<string> {
@@ -55,6 +102,28 @@
         closeSync(pipe);
         expect(await exited).toBe("0");
     });
+
+    test("exits with code 0 on a SIGTERM while it waits for its settings", async () => {
+        const file = createFifo("silent.jsonc");
+        const child = startDaemon(file);
+        const exited = waitForExit(child);
+        const writer = await openWriter(child, file);
+        child.kill("SIGHUP");
+        await pause(signalGapMs);
+        expect(endOf(child)).toBeUndefined();
+        child.kill("SIGTERM");
+        expect(await exited).toBe("0");
+        closeSync(writer);
+    });
+
+    test("exits with code 0 on a SIGTERM that arrives as soon as it handles signals, without ever getting settings", async () => {
+        const child = startDaemon(createFifo("unwritten.jsonc"));
+        const exited = waitForExit(child);
+        await waitUntil(child, () => handlesSignals(child));
+        child.kill("SIGHUP");
+        child.kill("SIGTERM");
+        expect(await exited).toBe("0");
+    });
 });
 
 describe("a link", () => {
