--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -1,5 +1,5 @@
 import { type ChildProcess, execFileSync, spawn } from "node:child_process";
-import { closeSync, constants, mkdtempSync, openSync, rmSync, writeSync } from "node:fs";
+import { closeSync, constants, mkdtempSync, openSync, readFileSync, rmSync, writeSync } from "node:fs";
 import { createServer, type Socket } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -82,24 +82,29 @@
         return child.exitCode ?? child.signalCode ?? undefined;
     }
 
+    function isStopped({ pid }: ChildProcess): boolean {
+        return /^State:\s*T/m.test(readFileSync(`/proc/${pid}/status`, "utf8"));
+    }
+
     function waitForExit(child: ChildProcess): Promise<string> {
         return new Promise(resolve => child.once("exit", (code, signal) => resolve(String(code ?? signal))));
     }
 
     test("survives a SIGHUP, and exits with code 0 on a SIGTERM, that arrive before it has read its settings", async () => {
-        const file = join(folder, "settings.jsonc");
-        // Reading the FIFO blocks startup until the settings are written.
-        execFileSync("mkfifo", [file]);
+        const file = createFifo("settings.jsonc");
         const child = startDaemon(file);
         const exited = waitForExit(child);
-        await new Promise(resolve => setTimeout(resolve, 1500));
+        const writer = await openWriter(child, file);
         child.kill("SIGHUP");
-        await new Promise(resolve => setTimeout(resolve, 100));
+        await pause(signalGapMs);
+        expect(endOf(child)).toBeUndefined();
+        // Stopped, it cannot act on the SIGTERM before the settings are there as well.
+        child.kill("SIGSTOP");
+        await waitUntil(child, () => isStopped(child));
         child.kill("SIGTERM");
-        await new Promise(resolve => setTimeout(resolve, 100));
-        const pipe = openSync(file, constants.O_RDWR | constants.O_NONBLOCK);
-        writeSync(pipe, settings);
-        closeSync(pipe);
+        writeSync(writer, settings);
+        closeSync(writer);
+        child.kill("SIGCONT");
         expect(await exited).toBe("0");
     });
 
