--- a/src/process/early-signals.ts
+++ b/src/process/early-signals.ts
@@ -1,23 +1,22 @@
-/**
- * Handles signals that arrive before the program has installed its own handlers: SIGTERM ends the process with code 0, as
- * nothing has been started yet, and SIGHUP has no effect. Import this module before all others.
- */
+/** Handles signals that arrive before the program has installed its own handlers. */
 
 const exitOk = 0;
 
-function exit(): void {
-    process.exit(exitOk);
+export interface EarlySignalOptions {
+    /** Signals that end the process with code 0, as nothing has been started yet. */
+    readonly exitOn: readonly NodeJS.Signals[];
+    /** Signals without effect. */
+    readonly ignored: readonly NodeJS.Signals[];
 }
 
-function ignore(): void {
-    // The settings are read after this.
-}
-
-process.on("SIGTERM", exit);
-process.on("SIGHUP", ignore);
-
-/** Removes the handlers of this module. Call it after installing the handlers of the program. */
-export function releaseEarlySignals(): void {
-    process.off("SIGTERM", exit);
-    process.off("SIGHUP", ignore);
+/** Installs the handlers, and returns what removes them; call that after installing the handlers of the program. */
+export function handleEarlySignals({ exitOn, ignored }: EarlySignalOptions): () => void {
+    const exit = (): void => process.exit(exitOk);
+    const ignore = (): void => undefined;
+    exitOn.forEach(signal => process.on(signal, exit));
+    ignored.forEach(signal => process.on(signal, ignore));
+    return () => {
+        exitOn.forEach(signal => process.off(signal, exit));
+        ignored.forEach(signal => process.off(signal, ignore));
+    };
 }
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -1,5 +1,5 @@
 import { type ChildProcess, execFileSync, spawn } from "node:child_process";
-import { closeSync, constants, mkdtempSync, openSync, readFileSync, rmSync, writeSync } from "node:fs";
+import { closeSync, mkdtempSync, readFileSync, rmSync, writeSync } from "node:fs";
 import { createServer, type Socket } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -12,6 +12,7 @@
 import { host, listenAnywhere } from "../soak/loopback.js";
 import { type Fault, FaultKind, planFaults } from "../soak/plan.js";
 import { playRound, roundFolder } from "../soak/round.js";
+import { createFifo, endOf, openWriter, waitForExit, waitUntil } from "./daemon-process.js";
 
 const folder = mkdtempSync(join(tmpdir(), "celerywind-soak-"));
 const program = join(folder, "celerywind-site.js");
@@ -24,7 +25,6 @@
 afterAll(() => rmSync(folder, { recursive: true, force: true }));
 
 describe("the built daemon", () => {
-    const pollMs = 1;
     const signalGapMs = 100;
     const settings = JSON.stringify({
         entry: "e",
@@ -35,13 +35,6 @@
         store: "127.0.0.1:1",
     });
 
-    /** Creates a FIFO for the settings: its reader waits until a writer has closed its end. */
-    function createFifo(name: string): string {
-        const file = join(folder, name);
-        execFileSync("mkfifo", [file]);
-        return file;
-    }
-
     function startDaemon(file: string): ChildProcess {
         const child = spawn(process.execPath, [program], {
             env: { CELERYWIND_SETTINGS: file },
@@ -51,47 +44,12 @@
         return child;
     }
 
-    async function waitUntil(child: ChildProcess, isReached: () => boolean): Promise<void> {
-        while (!isReached()) {
-            expect(endOf(child)).toBeUndefined();
-            await pause(pollMs);
-        }
-    }
-
-    /** Waits until the daemon has opened the FIFO, and returns the writer's end. */
-    async function openWriter(child: ChildProcess, file: string): Promise<number> {
-        let writer: number | undefined;
-        await waitUntil(child, () => (writer = tryOpenWriter(file)) !== undefined);
-        return writer!;
-    }
-
-    /** Returns undefined while the FIFO has no reader. */
-    function tryOpenWriter(file: string): number | undefined {
-        try {
-            return openSync(file, constants.O_WRONLY | constants.O_NONBLOCK);
-        }
-        catch (err) {
-            if ((err as NodeJS.ErrnoException).code === "ENXIO") {
-                return undefined;
-            }
-            throw err;
-        }
-    }
-
-    function endOf(child: ChildProcess): number | string | undefined {
-        return child.exitCode ?? child.signalCode ?? undefined;
-    }
-
     function isStopped({ pid }: ChildProcess): boolean {
         return /^State:\s*T/m.test(readFileSync(`/proc/${pid}/status`, "utf8"));
     }
 
-    function waitForExit(child: ChildProcess): Promise<string> {
-        return new Promise(resolve => child.once("exit", (code, signal) => resolve(String(code ?? signal))));
-    }
-
     test("survives a SIGHUP, and exits with code 0 on a SIGTERM, that arrive before it has read its settings", async () => {
-        const file = createFifo("settings.jsonc");
+        const file = createFifo(folder, "settings.jsonc");
         const child = startDaemon(file);
         const exited = waitForExit(child);
         const writer = await openWriter(child, file);
@@ -109,7 +67,7 @@
     });
 
     test("exits with code 0 on a SIGTERM while it waits for its settings", async () => {
-        const file = createFifo("silent.jsonc");
+        const file = createFifo(folder, "silent.jsonc");
         const child = startDaemon(file);
         const exited = waitForExit(child);
         const writer = await openWriter(child, file);
@@ -122,7 +80,7 @@
     });
 
     test("exits with code 0 on a SIGTERM that arrives as soon as it handles signals, without ever getting settings", async () => {
-        const child = startDaemon(createFifo("unwritten.jsonc"));
+        const child = startDaemon(createFifo(folder, "unwritten.jsonc"));
         const exited = waitForExit(child);
         await waitUntil(child, () => handlesSignals(child));
         child.kill("SIGHUP");
