--- a/src/process/hub.ts
+++ b/src/process/hub.ts
@@ -43,7 +43,15 @@
     private constructor(private readonly broker: ServiceBroker) {}
 
     static create(nodeID: string): Hub {
-        return new Hub(new ServiceBroker({ nodeID, logLevel: "warn", logger: false }));
+        return new Hub(
+            new ServiceBroker({
+                nodeID,
+                logLevel: "warn",
+                logger: false,
+                // Its signal handlers would end the process during the planned stop of the entry.
+                skipProcessEventRegistration: true,
+            }),
+        );
     }
 
     /** Adds a task; call before `start`. */
