--- a/src/process/early-signals.ts
+++ b/src/process/early-signals.ts
@@ -1,19 +1,22 @@
-/**
- * Buffers signals that arrive while the modules of the program are still loading. Import this module before all others.
- */
+/** Handles signals that arrive before the program has installed its own handlers. */
 
-const receivedSignals: NodeJS.Signals[] = [];
+const exitOk = 0;
 
-function record(signal: NodeJS.Signals): void {
-    receivedSignals.push(signal);
+export interface EarlySignalOptions {
+    /** Signals that end the process with code 0, as nothing has been started yet. */
+    readonly exitOn: readonly NodeJS.Signals[];
+    /** Signals without effect. */
+    readonly ignored: readonly NodeJS.Signals[];
 }
 
-process.on("SIGTERM", record);
-process.on("SIGHUP", record);
-
-/** Stops buffering and returns the signals received so far. Call it after installing the handlers of the program. */
-export function takeEarlySignals(): readonly NodeJS.Signals[] {
-    process.off("SIGTERM", record);
-    process.off("SIGHUP", record);
-    return receivedSignals;
+/** Installs the handlers, and returns what removes them; call that after installing the handlers of the program. */
+export function handleEarlySignals({ exitOn, ignored }: EarlySignalOptions): () => void {
+    const exit = (): void => process.exit(exitOk);
+    const ignore = (): void => undefined;
+    exitOn.forEach(signal => process.on(signal, exit));
+    ignored.forEach(signal => process.on(signal, ignore));
+    return () => {
+        exitOn.forEach(signal => process.off(signal, exit));
+        ignored.forEach(signal => process.off(signal, ignore));
+    };
 }
--- a/src/process/hub.ts
+++ b/src/process/hub.ts
@@ -43,10 +43,14 @@
     private constructor(private readonly broker: ServiceBroker) {}
 
     static create(nodeID: string): Hub {
-        // By default the broker would stop its services on a signal, and end the process with code 0, by itself.
-        const skipProcessEventRegistration = true;
         return new Hub(
-            new ServiceBroker({ nodeID, logLevel: "warn", logger: false, skipProcessEventRegistration }),
+            new ServiceBroker({
+                nodeID,
+                logLevel: "warn",
+                logger: false,
+                // Its signal handlers would end the process during the planned stop of the entry.
+                skipProcessEventRegistration: true,
+            }),
         );
     }
 
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -1,15 +1,18 @@
 import { type ChildProcess, execFileSync, spawn } from "node:child_process";
-import { closeSync, constants, mkdtempSync, openSync, rmSync, writeFileSync, writeSync } from "node:fs";
+import { closeSync, mkdtempSync, readFileSync, rmSync, writeFileSync, writeSync } from "node:fs";
 import { createServer, type Socket } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { setTimeout as pause } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
-import { afterAll, beforeAll, describe, expect, test } from "vitest";
+import { afterAll, beforeAll, describe, expect, onTestFinished, test } from "vitest";
+import { handlesSignals } from "../soak/entry-process.js";
 import { judgeCalls } from "../soak/judge.js";
 import { Link, LinkMode } from "../soak/link.js";
 import { host, listenAnywhere } from "../soak/loopback.js";
 import { type Fault, FaultKind, planFaults } from "../soak/plan.js";
 import { playRound, roundFolder } from "../soak/round.js";
+import { createFifo, endOf, openWriter, waitForExit, waitUntil } from "./daemon-process.js";
 
 const folder = mkdtempSync(join(tmpdir(), "celerywind-soak-"));
 const program = join(folder, "celerywind-site.js");
@@ -22,6 +25,7 @@
 afterAll(() => rmSync(folder, { recursive: true, force: true }));
 
 describe("the built daemon", () => {
+    const signalGapMs = 100;
     const settings = JSON.stringify({
         entry: "e",
         callers: "127.0.0.1:0",
@@ -32,27 +36,55 @@
     });
 
     function startDaemon(file: string): ChildProcess {
-        return spawn(process.execPath, [program], { env: { CELERYWIND_SETTINGS: file }, stdio: "ignore" });
+        const child = spawn(process.execPath, [program], {
+            env: { CELERYWIND_SETTINGS: file },
+            stdio: "ignore",
+        });
+        onTestFinished(() => void child.kill("SIGKILL"));
+        return child;
     }
 
-    function waitForExit(child: ChildProcess): Promise<string> {
-        return new Promise(resolve => child.once("exit", (code, signal) => resolve(String(code ?? signal))));
+    function isStopped({ pid }: ChildProcess): boolean {
+        return /^State:\s*T/m.test(readFileSync(`/proc/${pid}/status`, "utf8"));
     }
 
     test("survives a SIGHUP, and exits with code 0 on a SIGTERM, that arrive before it has read its settings", async () => {
-        const file = join(folder, "settings.jsonc");
-        // Reading the FIFO blocks startup until the settings are written.
-        execFileSync("mkfifo", [file]);
+        const file = createFifo(folder, "settings.jsonc");
+        const child = startDaemon(file);
+        const exited = waitForExit(child);
+        const writer = await openWriter(child, file);
+        child.kill("SIGHUP");
+        await pause(signalGapMs);
+        expect(endOf(child)).toBeUndefined();
+        // Stopped, it cannot act on the SIGTERM before the settings are there as well.
+        child.kill("SIGSTOP");
+        await waitUntil(child, () => isStopped(child));
+        child.kill("SIGTERM");
+        writeSync(writer, settings);
+        closeSync(writer);
+        child.kill("SIGCONT");
+        expect(await exited).toBe("0");
+    });
+
+    test("exits with code 0 on a SIGTERM while it waits for its settings", async () => {
+        const file = createFifo(folder, "silent.jsonc");
         const child = startDaemon(file);
         const exited = waitForExit(child);
-        await new Promise(resolve => setTimeout(resolve, 1500));
+        const writer = await openWriter(child, file);
+        child.kill("SIGHUP");
+        await pause(signalGapMs);
+        expect(endOf(child)).toBeUndefined();
+        child.kill("SIGTERM");
+        expect(await exited).toBe("0");
+        closeSync(writer);
+    });
+
+    test("exits with code 0 on a SIGTERM that arrives as soon as it handles signals, without ever getting settings", async () => {
+        const child = startDaemon(createFifo(folder, "unwritten.jsonc"));
+        const exited = waitForExit(child);
+        await waitUntil(child, () => handlesSignals(child));
         child.kill("SIGHUP");
-        await new Promise(resolve => setTimeout(resolve, 100));
         child.kill("SIGTERM");
-        await new Promise(resolve => setTimeout(resolve, 100));
-        const pipe = openSync(file, constants.O_RDWR | constants.O_NONBLOCK);
-        writeSync(pipe, settings);
-        closeSync(pipe);
         expect(await exited).toBe("0");
     });
 });
