--- a/src/connection/json-http-client.ts
+++ b/src/connection/json-http-client.ts
@@ -49,8 +49,11 @@
         return new JsonHttpClient(options);
     }
 
-    /** Sends a call; never rejects. */
+    /** Sends a call; never rejects. Without an address, as of a worker that no list has shown, nothing is sent. */
     call(address: string, call: HttpCall): Promise<HttpResult> {
+        if (!address.includes(":")) {
+            return Promise.resolve({ kind: "not-sent", reason: `no address: "${address}"` });
+        }
         return new Promise(resolve => {
             const exchange = new Exchange(this.options.timer, call.timeoutMs, resolve);
             const hasBody = call.body !== undefined;
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -2,6 +2,8 @@
 import { afterAll, beforeAll, describe, expect, test } from "vitest";
 import { createPlatformEntry } from "../platform/entry.js";
 import { decodeManifest } from "../platform/lists.js";
+import { PlatformWorkerClient } from "../platform/workers.js";
+import { JsonHttpClient } from "../src/connection/json-http-client.js";
 import { RunEnd } from "../src/job/index.js";
 import { StartStatus } from "../src/pool/job-registry.js";
 import { EventId } from "../src/process/events.js";
@@ -451,3 +453,13 @@
         silentPeer.destroy();
     });
 });
+
+describe("the client of workers", () => {
+    // A run of an earlier owner may name a worker that has left the list, so that its address is not known.
+    test("sends nothing to a worker without an address", async () => {
+        const http = JsonHttpClient.create({ timer: SystemTimer.create(), maxConnections: 1 });
+        const client = PlatformWorkerClient.create(http);
+        const result = await client.stop({ worker: "w-1", address: "" }, "j.0.0.0", 1, 1);
+        expect(result.kind).toBe("failed");
+    });
+});
