--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -10,7 +10,7 @@
 import type { Peer, Peers } from "../process/peers.js";
 import { readRow, type RowStore, type StoredRow } from "../process/rows.js";
 import { type Cancel, sleep } from "../process/timer.js";
-import { inheritLeaseBounds, leaseBoundsKey } from "./lease-bounds.js";
+import { inheritLeaseBounds, leaseBoundsKey, leaseBoundsRow } from "./lease-bounds.js";
 import { type LedgerEffect, releaseTransaction, takeOver, type TakeoverResult } from "./ledger.js";
 import { memberPart, type MemberRow } from "./member-rows.js";
 import { Membership } from "./membership.js";
@@ -60,6 +60,8 @@
     readonly storeAgeMs: number;
 }
 
+type CompletedTakeover = Extract<TakeoverResult, { kind: "taken" }>;
+
 /** Topics of peer messages about the ownership of a domain. */
 enum Topic {
     Heartbeat = "owner.beacon",
@@ -110,6 +112,8 @@
     private isStopping = false;
     /** Set during a takeover attempt or a check for a release, so that only one of them runs at a time. */
     private isChangingOwner = false;
+    /** The takeover in progress, or the last one. */
+    private takeover: Promise<void> = Promise.resolve();
     /** Client for the owner's state of jobs. */
     readonly ownerClient: OwnerClient;
     private readonly members: Membership;
@@ -165,7 +169,10 @@
     async stop(): Promise<void> {
         this.isStopping = true;
         this.fitness.isStopping = true;
-        await Promise.all([this.releaseOwnership(ReleaseCause.Stopping), this.members.leave()]);
+        await Promise.all([
+            Promise.allSettled([this.takeover]).then(() => this.releaseOwnership(ReleaseCause.Stopping)),
+            this.members.leave(),
+        ]);
         this.isRunning = false;
         this.options.lag.stop();
         this.cancelTimers.forEach(cancel => cancel());
@@ -305,7 +312,8 @@
         }
         this.isChangingOwner = true;
         try {
-            await this.tryTakeOver();
+            this.takeover = this.tryTakeOver();
+            await this.takeover;
         }
         catch (err) {
             this.options.log.write(Severity.Warn, EventId.StoreUnavailable, { err: messageOf(err) });
@@ -380,14 +388,25 @@
                 );
                 return;
             case "taken":
-                if ((this.owner?.fence ?? 0) <= result.head.owner.fence) {
+                if (this.isStopping) {
+                    await this.releaseUnused(result);
+                }
+                else if ((this.owner?.fence ?? 0) <= result.head.owner.fence) {
                     await this.beginTenure(result);
                 }
         }
     }
 
+    /** Releases the domain after a takeover that ended during the shutdown. */
+    private async releaseUnused({ head, leaseBounds }: CompletedTakeover): Promise<void> {
+        const { store, name, peers } = this.options;
+        const flags = { hasLeft: true, wasSlow: false, mayShareVms: head.owner.mayShareVms === true };
+        await store.transact(releaseTransaction(head, flags, leaseBoundsRow(name, leaseBounds)));
+        peers.broadcast(Topic.Released, { fence: head.owner.fence });
+    }
+
     private async beginTenure(
-        { head, previous, leaseBounds }: Extract<TakeoverResult, { kind: "taken" }>,
+        { head, previous, leaseBounds }: CompletedTakeover,
     ): Promise<void> {
         const { log, metrics, timer } = this.options;
         const isPreviousGone = this.hasStoppedOrdering(previous);
--- a/test/site.test.ts
+++ b/test/site.test.ts
@@ -215,6 +215,19 @@
         expect(site.checker.startCount).toBe(4);
     });
 
+    test("that an entry begins while it is stopping leaves no tenure behind", async () => {
+        for (let killedForMs = 690; killedForMs <= 740; killedForMs += 2) {
+            const site = await createSite();
+            const owner = ownerOf(site);
+            site.kill(owner);
+            await site.timer.advance(killedForMs);
+            const others = site.entries.filter(entry => entry !== owner);
+            await site.runUntilSettled(Promise.all(others.map(({ core }) => core.leave())));
+            await site.timer.advance(100);
+            expect(others.filter(({ core }) => core.domain.tenure !== undefined)).toEqual([]);
+        }
+    });
+
     test("keeps the results of runs that ended while the domain had no owner", async () => {
         const site = await createSite();
         await site.runUntilSettled(site.submit(site.entries[0]!, "j1", jobOf({ tasks: 6 }), { workMs: 600 }));
