--- a/src/pool/advice-cache.ts
+++ b/src/pool/advice-cache.ts
@@ -7,7 +7,7 @@
 import type { JobEntry, RunRecord } from "./job-registry.js";
 import type { Adviser } from "./ports.js";
 
-/** Options of `AdviceBook.create`. */
+/** Options of `AdviceCache.create`. */
 export interface AdviceCacheOptions {
     readonly adviser: Adviser;
     readonly timer: Timer;
--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -391,12 +391,26 @@
                 if (this.isStopping) {
                     await this.releaseUnused(result);
                 }
-                else if ((this.owner?.fence ?? 0) <= result.head.owner.fence) {
+                else if ((this.owner?.fence ?? 0) > result.head.owner.fence) {
+                    this.abandonTakeover(result);
+                }
+                else {
                     await this.beginTenure(result);
                 }
         }
     }
 
+    /** Begins no tenure after a takeover whose answer came later than the news of the next owner. */
+    private abandonTakeover({ head }: CompletedTakeover): void {
+        const { log, peers } = this.options;
+        log.write(Severity.Warn, EventId.OwnerSuperseded, {
+            domain: head.domain,
+            fence: head.owner.fence,
+            cause: `owner row had the higher fence ${this.owner?.fence} before this takeover was answered`,
+        });
+        peers.broadcast(Topic.SteppedDown, { fence: head.owner.fence });
+    }
+
     /** Releases the domain after a takeover that ended during the shutdown. */
     private async releaseUnused({ head, leaseBounds }: CompletedTakeover): Promise<void> {
         const { store, name, peers } = this.options;
--- a/src/pool/fleet-controller.ts
+++ b/src/pool/fleet-controller.ts
@@ -12,7 +12,7 @@
 import { WaveReporter, type WaveReporterOptions } from "./wave-reporter.js";
 import type { WorkerState } from "./worker-registry.js";
 
-/** Options of `FleetKeeper.create`. */
+/** Options of `FleetController.create`. */
 export interface FleetControllerOptions
     extends WaveReporterOptions, Omit<VmOrderDispatcherOptions, "waveTracker" | "onOrderAccepted">
 {}
--- a/src/pool/lease-bounds-recorder.ts
+++ b/src/pool/lease-bounds-recorder.ts
@@ -1,6 +1,10 @@
 /**
  * Keeps the stored lease bounds of a tenure current: the earlier owners that may still renew leases, and the workers that
- * do not answer. A worker that is named in them gets no lease until it answers again and bounds without it are stored.
+ * do not answer.
+ *
+ * A worker with runs goes through these states: it answers and its leases are renewed; it does not answer, and for
+ * `recordAfterMs` nothing is stored; it is named in the row, and blocked from the moment the row is built; it answers again,
+ * still blocked; a row without it is stored, and its leases are renewed again.
  */
 import type { RowPut } from "../process/rows.js";
 import type { Timer } from "../process/timer.js";
@@ -29,18 +33,18 @@
 /** Time without an answer from which a worker is named, so that a single failed call does not cost it a lease. */
 const recordAfterMs = 500;
 
-interface OrderingOwner extends EarlierOwner {
+interface ActiveOwner extends EarlierOwner {
     /** Monotonic time by which all its leases have expired. */
     readonly until: number;
 }
 
 /** Records the lease bounds of one tenure. Rows are stored one at a time: `takeRow`, the write, `confirmStored`. */
 export class LeaseBoundsRecorder {
-    private owners: readonly OrderingOwner[];
+    private owners: readonly ActiveOwner[];
     private readonly inheritedWorkers: readonly (WorkerLeaseBound & { readonly until: number })[];
     private recordedAt: number;
-    /** Whether the last row names any owner or worker. */
-    private hasStoredBounds: boolean;
+    /** Whether the row last taken names any owner or worker; if so, one without them must follow. */
+    private hasNamedAny: boolean;
     private readonly unreachableSince = new Map<WorkerState, number>();
     private namedWorkers: readonly WorkerState[] = [];
 
@@ -53,7 +57,7 @@
             until: now + worker.remainingMs,
         }));
         this.recordedAt = now;
-        this.hasStoredBounds = inherited.owners.length > 0 || inherited.workers.length > 0;
+        this.hasNamedAny = inherited.owners.length > 0 || inherited.workers.length > 0;
     }
 
     static create(options: LeaseBoundsRecorderOptions): LeaseBoundsRecorder {
@@ -62,10 +66,10 @@
 
     /** Earlier owners that may still renew leases. */
     get earlierOwners(): readonly EarlierOwner[] {
-        return this.orderingOwners(this.options.timer.now());
+        return this.activeOwners(this.options.timer.now());
     }
 
-    /** Records that an earlier owner grants no more leases; returns false if it was not among those that may. */
+    /** Removes an earlier owner that grants no more leases, and lowers the workers' bounds; false if it was not known. */
     removeOwner(fence: number): boolean {
         const owners = this.owners.filter(owner => owner.fence !== fence);
         if (owners.length === this.owners.length) {
@@ -79,21 +83,21 @@
         return true;
     }
 
-    /** The row to store with the next batch; undefined if the stored one is recent enough. */
+    /** Builds the row to store with the next batch, and blocks the workers it names; undefined if none is due. */
     takeRow(): RowPut | undefined {
         const now = this.options.timer.now();
         this.updateUnreachable(now);
         const bounded = [...this.unreachableSince]
             .filter(([worker, since]) => worker.isLeaseBlocked || now - since >= recordAfterMs)
             .map(([worker]) => worker);
-        const owners = this.orderingOwners(now);
+        const owners = this.activeOwners(now);
         const hasBounds = bounded.length > 0 || owners.length > 0;
         const isPeriodOver = now - this.recordedAt >= recordPeriodMs;
-        if (!this.hasAnsweredWhileBlocked() && !(isPeriodOver && (hasBounds || this.hasStoredBounds))) {
+        if (!this.hasBlockedWorkerAnswered() && !(isPeriodOver && (hasBounds || this.hasNamedAny))) {
             return undefined;
         }
         this.recordedAt = now;
-        this.hasStoredBounds = hasBounds;
+        this.hasNamedAny = hasBounds;
         this.options.workers.blockLeases(bounded);
         this.namedWorkers = bounded;
         return this.rowOf(owners, bounded.map(worker => boundOf(worker, now)), now);
@@ -114,7 +118,7 @@
                 ...bound,
                 remainingMs: Math.max(0, until - now),
             }));
-        return this.rowOf(this.orderingOwners(now), workers, now);
+        return this.rowOf(this.activeOwners(now), workers, now);
     }
 
     private updateUnreachable(now: number): void {
@@ -133,18 +137,18 @@
         }
     }
 
-    private hasAnsweredWhileBlocked(): boolean {
+    private hasBlockedWorkerAnswered(): boolean {
         return [...this.options.workers.byId.values()].some(worker =>
             worker.isLeaseBlocked && worker.isReachable
         );
     }
 
-    private orderingOwners(now: number): readonly OrderingOwner[] {
+    private activeOwners(now: number): readonly ActiveOwner[] {
         return this.owners.filter(({ until }) => until > now);
     }
 
     private rowOf(
-        owners: readonly OrderingOwner[],
+        owners: readonly ActiveOwner[],
         workers: readonly WorkerLeaseBound[],
         now: number,
     ): RowPut {
--- a/src/pool/ledger.ts
+++ b/src/pool/ledger.ts
@@ -19,11 +19,11 @@
 /** Effects that the flows in this file yield. */
 export type LedgerEffect =
     | { readonly kind: "transact"; readonly tx: RowTransaction }
-    /** Reads the owner row and the row of lease bounds; returns `OwnershipRows`. */
+    /** Reads the owner row and the row of lease bounds, and returns `OwnershipRows`. Yielded by `takeOver` only. */
     | { readonly kind: "read-ownership" }
     | { readonly kind: "pause"; readonly ms: number };
 
-/** Rows that a takeover replaces; undefined if they do not exist. */
+/** Rows that a takeover replaces; undefined if they do not exist. The owner can be the candidate, if an answer was lost. */
 export interface OwnershipRows {
     readonly owner?: StoredRow | undefined;
     readonly leaseBounds?: StoredRow | undefined;
--- a/src/pool/reconcile.ts
+++ b/src/pool/reconcile.ts
@@ -21,7 +21,7 @@
     readonly orphans: readonly RunningRun[];
     /** Successes of runs whose record is gone, for example because the worker was unreachable for long. */
     readonly lateSuccesses: readonly EndedRun[];
-    /** Highest position lastPosition in the worker's list of ended runs. */
+    /** Highest position in the worker's list of ended runs. */
     readonly lastPosition: number;
 }
 
--- a/src/pool/vm-order-dispatcher.ts
+++ b/src/pool/vm-order-dispatcher.ts
@@ -11,7 +11,7 @@
 import { VmOrderLog, type VmOrderLogOptions } from "./vm-order-log.js";
 import type { WaveTracker } from "./wave-tracker.js";
 
-/** Options of `VmDesk.create`. */
+/** Options of `VmOrderDispatcher.create`. */
 export interface VmOrderDispatcherOptions extends VmOrderLogOptions {
     readonly tenure: Tenure;
     readonly entry: string;
