--- a/src/pool/tenure.ts
+++ b/src/pool/tenure.ts
@@ -193,9 +193,9 @@
         return { head, leaseBounds: this.leaseBounds.lastRow(this.isLoaded) };
     }
 
-    /** Accepts a job that an entry has stored. */
+    /** Accepts a job that an entry has stored. Until the stored jobs are loaded, their rows alone tell which are new. */
     accept(job: AcceptedJob): void {
-        if (this.jobs.entries.has(job.id)) {
+        if (!this.isLoaded || this.jobs.entries.has(job.id)) {
             return;
         }
         const entry = this.jobs.accept(job, { exceedsTeamShare: this.teamShare.chargeJob(job.team) });
--- a/test/owner-changes.test.ts
+++ b/test/owner-changes.test.ts
@@ -212,6 +212,27 @@
     });
 });
 
+describe("an owner that loads the stored jobs", () => {
+    test("does not take a job for new that an entry reports meanwhile", async () => {
+        const site = await createSite({ entries: 3 });
+        await startService(site);
+        const first = ownerOf(site)!;
+        const { job } = first.core.domain.tenure!.jobs.entries.get("j1")!;
+        site.kill(first);
+        const next = () => site.entries.find(e => e !== first && e.core.domain.tenure !== undefined);
+        while (next() === undefined) {
+            await site.timer.advance(1);
+        }
+        const tenure = next()!.core.domain.tenure!;
+        expect(tenure.isReady).toBe(false);
+        tenure.accept(job);
+        await site.timer.advance(5000);
+        expect([...tenure.jobs.activeEntries].map(entry => entry.job.id)).toEqual(["j1"]);
+        expect(site.checker.violations).toEqual([]);
+        expect(site.checker.startCount).toBe(1);
+    });
+});
+
 describe("what an owner knows, after a change of owner:", () => {
     test("a stalled run is stopped although the owner changes every 3 s", async () => {
         const site = await createSite({ entries: 4, vmsPerPool: 3 });
