Entries link to the peers that they need instead of to all

Each of 4,656 links was pinged twice a second from both ends and carried the version of the lists twice a second in both directions: about 800 frames a second and entry.

Change: src/pool/peer-selection.ts decides which links an entry needs: owner, first in line, the ring's next entry, one neighbour of its own zone and two of others; the five strongest (zones in turns) watch the owner closely and link to each other. Up to nine entries keep the full mesh. Heartbeats go to successors five times a second, to all every third time; links with traffic carry no pings; lists are broadcast on change and announced to one peer at a time; news of an owner passes from peer to peer for entries cut off from the store; tenures that ended are reported to each new owner. Ranks count registered entries, in groups behind the successors.

--- a/src/connection/peer/index.ts
+++ b/src/connection/peer/index.ts
@@ -1,3 +1,3 @@
 export { notificationBytes as noticeBytes } from "./message.js";
 export { type PeerIdentity as Identity } from "./peer-link.js";
-export { type PeerAddress, PeerMesh as Mesh } from "./peer-mesh.js";
+export { PeerMesh as Mesh } from "./peer-mesh.js";
--- a/src/connection/peer/message.ts
+++ b/src/connection/peer/message.ts
@@ -71,9 +71,14 @@
     return packr.pack(frame);
 }
 
+/** Encodes a notification, once for all peers that it is sent to. */
+export function encodeNotification(topic: string, body: unknown): Buffer {
+    return encodeFrame({ kind: FrameKind.Notification, topic, body });
+}
+
 /** Encoded size of a notification, in bytes. */
 export function notificationBytes(topic: string, body: unknown): number {
-    return encodeFrame({ kind: FrameKind.Notification, topic, body }).length;
+    return encodeNotification(topic, body).length;
 }
 
 /** Decodes and validates a frame; undefined when it is malformed. */
--- a/src/connection/peer/peer-link.ts
+++ b/src/connection/peer/peer-link.ts
@@ -34,6 +34,8 @@
     RejectedHandshake = "rejected-handshake",
     /** The peer read too slowly and the send buffer exceeded its limit. */
     SendBacklog = "send-backlog",
+    /** The end that dialed has no more use for the link. */
+    Unneeded = "unneeded",
 }
 
 /** Options of `Link.create`. */
@@ -44,7 +46,8 @@
     readonly secret: string;
     readonly timer: Timer;
     readonly events: LinkEvents;
-    readonly pingIntervalMs?: number;
+    /** Time without any frame, ping or pong from the peer after which a ping is sent. */
+    readonly pingAfterMs?: number;
     /** Time without any frame, ping or pong from the peer after which the link is closed. */
     readonly receiveTimeoutMs?: number;
 }
@@ -56,6 +59,11 @@
 }
 
 const maxBacklogBytes = 32 * 1024 * 1024;
+/** The dialing end pings first; its ping tells the accepting end as much as one of its own would. */
+const defaultPingAfterMs = { [LinkRole.Dialer]: 500, [LinkRole.Acceptor]: 1000 } as const;
+const defaultReceiveTimeoutMs = 1500;
+/** WebSocket close code of `CloseReason.Unneeded`, from the range for private use. */
+const unneededCode = 4001;
 
 /** A link to a peer, open once its handshake has completed. */
 export class Link {
@@ -66,7 +74,6 @@
     private closeReason = CloseReason.Closed;
     private readonly nonce = createNonce();
     private readonly pendingRequests = new Map<number, PendingRequest>();
-    private readonly cancels: Cancel[] = [];
 
     private constructor(private readonly options: LinkOptions) {
         this.receivedAt = options.timer.now();
@@ -78,11 +85,20 @@
         return link;
     }
 
+    get role(): LinkRole {
+        return this.options.role;
+    }
+
     /** The peer's identity once the handshake is complete. */
     get identity(): PeerIdentity | undefined {
         return this.isOpen ? this.peer : undefined;
     }
 
+    /** The peer's identity, also after the link was closed; undefined until the peer has presented it. */
+    get lastIdentity(): PeerIdentity | undefined {
+        return this.peer;
+    }
+
     /** Monotonic time of the last receipt from the peer, in milliseconds. */
     get lastReceivedAt(): number {
         return this.receivedAt;
@@ -93,6 +109,11 @@
         return this.isOpen && this.send({ kind: FrameKind.Notification, topic, body });
     }
 
+    /** Sends an encoded notification; returns false when the link is not open or its send buffer is full. */
+    notifyEncoded(bytes: Buffer): boolean {
+        return this.isOpen && this.sendEncoded(bytes);
+    }
+
     /**
      * Sends a request and resolves with its response. Rejects with a `PeerError` whose property `wasSent` is false
      * when the peer cannot have received the request.
@@ -119,25 +140,37 @@
         this.options.socket.terminate();
     }
 
+    /** Closes the link and tells the peer that it is unneeded. */
+    release(): void {
+        this.closeReason = CloseReason.Unneeded;
+        this.options.socket.close(unneededCode);
+    }
+
     private listen(): void {
-        const { socket, timer, pingIntervalMs = 500, receiveTimeoutMs = 1500 } = this.options;
+        const { socket } = this.options;
         socket.on("message", (data: Buffer) => this.receiveFrame(data));
         socket.on("pong", () => this.recordReceipt());
         socket.on("ping", () => this.recordReceipt());
         socket.on("error", () => undefined);
-        socket.on("close", () => this.handleClose());
-        this.cancels.push(timer.every(pingIntervalMs, () => this.checkHeartbeat(receiveTimeoutMs)));
+        socket.on("close", code => this.handleClose(code));
         if (this.options.role === LinkRole.Dialer) {
             socket.on("open", () => this.sendHello());
         }
     }
 
-    private checkHeartbeat(receiveTimeoutMs: number): void {
-        const { socket, timer } = this.options;
-        if (timer.now() - this.receivedAt > receiveTimeoutMs) {
+    /**
+     * Closes the link if nothing was received within the receive timeout, and pings the peer if nothing was received for
+     * a while. Called a few times a second; a link with traffic in both directions carries no pings.
+     */
+    checkHeartbeat(): void {
+        const { socket, timer, role } = this.options;
+        const { pingAfterMs = defaultPingAfterMs[role], receiveTimeoutMs = defaultReceiveTimeoutMs } =
+            this.options;
+        const silentMs = timer.now() - this.receivedAt;
+        if (silentMs > receiveTimeoutMs) {
             this.close(CloseReason.HeartbeatTimeout);
         }
-        else if (socket.readyState === WebSocket.OPEN) {
+        else if (silentMs >= pingAfterMs && socket.readyState === WebSocket.OPEN) {
             socket.ping();
         }
     }
@@ -277,6 +310,10 @@
     }
 
     private send(frame: Frame): boolean {
+        return this.sendEncoded(encodeFrame(frame));
+    }
+
+    private sendEncoded(bytes: Buffer): boolean {
         const { socket, events } = this.options;
         if (socket.readyState !== WebSocket.OPEN) {
             return false;
@@ -285,15 +322,16 @@
             this.close(CloseReason.SendBacklog);
             return false;
         }
-        const bytes = encodeFrame(frame);
         events.onSent(bytes.length);
         socket.send(bytes);
         return true;
     }
 
-    private handleClose(): void {
+    private handleClose(code: number): void {
         this.isOpen = false;
-        this.cancels.forEach(cancel => cancel());
+        if (code === unneededCode) {
+            this.closeReason = CloseReason.Unneeded;
+        }
         [...this.pendingRequests.keys()].forEach(id =>
             this.failRequest(id, "peer link closed before the response arrived")
         );
--- a/src/connection/peer/peer-mesh.ts
+++ b/src/connection/peer/peer-mesh.ts
@@ -1,5 +1,6 @@
 /**
- * The links of one entry to all its peers: accepts and dials links, replaces lost ones, and routes messages by topic.
+ * The links of one entry to its peers: accepts links, dials those that this entry needs, replaces lost ones, lets go of
+ * those that it no longer needs, and routes messages by topic.
  */
 import { createServer, type Server } from "node:http";
 import { createServer as createTlsServer } from "node:https";
@@ -10,17 +11,17 @@
 import type { Task } from "../../process/hub.js";
 import type { Log } from "../../process/log.js";
 import type { Metrics } from "../../process/metrics.js";
-import type { PeerHandler, Peers } from "../../process/peers.js";
+import type { PeerAddress, PeerHandler, Peers } from "../../process/peers.js";
 import type { Cancel, Timer } from "../../process/timer.js";
 import { listen } from "../listen.js";
 import { LinkRole } from "./auth.js";
+import { encodeNotification } from "./message.js";
 import { CloseReason, Link, type PeerIdentity } from "./peer-link.js";
 
-/** Address of a peer. */
-export interface PeerAddress {
-    readonly vm: string;
-    /** WebSocket URL of its peer listener. */
+interface NeededPeer {
     readonly url: string;
+    /** Monotonic time from which this entry dials, in milliseconds. */
+    readonly dialFrom: number;
 }
 
 /** Options of `PeerMesh.create`. */
@@ -35,18 +36,29 @@
 }
 
 const maxFrameBytes = 72 * 1024 * 1024;
-const redialIntervalMs = 250;
+/** Period of dialing missing links, and of the heartbeat checks of all links. */
+const maintenanceIntervalMs = 250;
+/** Time for which the peer with the smaller VM name may dial first, so that a link that both need is dialed once. */
+const dialGraceMs = 600;
+/** Time for which a link is kept after it became unneeded. */
+const lingerMs = 5000;
+/** Silence after which a link no longer takes precedence over a new one to the same process. */
+const staleAfterMs = 750;
 
 /** Task that runs the peer listener and all peer links. */
 export class PeerMesh implements Task, Peers {
     readonly name = "peers";
     private self: PeerIdentity = { vm: "", incarnation: "" };
     private server: Server | undefined;
-    private configuredPeers: readonly PeerAddress[] = [];
-    private cancelRedial: Cancel = () => undefined;
+    /** Peers that this entry needs links to, by VM, with the monotonic time since which it has needed them. */
+    private neededPeers = new Map<string, NeededPeer>();
+    private cancelMaintenance: Cancel = () => undefined;
     private readonly topicHandlers = new Map<string, PeerHandler>();
     private readonly openLinks = new Map<string, Link>();
-    private readonly dialingLinks = new Map<string, Link>();
+    /** URLs of the links that this entry has dialed, open or not. */
+    private readonly dialedUrls = new Map<Link, string>();
+    /** Monotonic time since which a dialed link is unneeded. */
+    private readonly unneededSince = new Map<Link, number>();
     private readonly allLinks = new Set<Link>();
     /** Accepted connections, also those that have not become links, which the listener would wait for. */
     private readonly acceptedSockets = new Set<Socket>();
@@ -76,14 +88,14 @@
         // Added only now, since it throws the errors of its server instead of passing them on.
         const webSocketServer = new WebSocketServer({ server: this.server, maxPayload: maxFrameBytes });
         webSocketServer.on("connection", socket => this.createLink(socket, LinkRole.Acceptor));
-        this.cancelRedial = timer.every(redialIntervalMs, () => this.dialMissing());
+        this.cancelMaintenance = timer.every(maintenanceIntervalMs, () => this.maintain());
     }
 
     /** Closes the listener and all connections at once, whether or not their other ends respond. */
     async stop(): Promise<void> {
         const { server } = this;
-        this.cancelRedial();
-        this.configuredPeers = [];
+        this.cancelMaintenance();
+        this.neededPeers.clear();
         this.allLinks.forEach(link => link.close());
         if (server !== undefined) {
             const closed = new Promise(resolve => server.close(resolve));
@@ -92,9 +104,19 @@
         }
     }
 
-    /** Sets the peers to maintain links to. Of each pair of entries, the one with the smaller VM name dials. */
+    /**
+     * Sets the peers that this entry needs links to. A link that this entry dialed and that is no longer needed is closed
+     * after `lingerMs`; one that the peer dialed stays, since the peer needs it.
+     */
     setPeers(peers: readonly PeerAddress[]): void {
-        this.configuredPeers = peers.filter(peer => peer.vm !== this.self.vm);
+        const now = this.options.timer.now();
+        this.neededPeers = new Map(
+            peers.filter(({ vm }) => vm !== this.self.vm).map(({ vm, url, isMutual = true }) => {
+                const before = this.neededPeers.get(vm);
+                const dialFrom = isMutual && vm < this.self.vm ? now + dialGraceMs : now;
+                return [vm, { url, dialFrom: Math.min(before?.dialFrom ?? Infinity, dialFrom) }];
+            }),
+        );
         this.dialMissing();
     }
 
@@ -110,7 +132,8 @@
 
     /** Sends a notification to every connected peer. */
     broadcast(topic: string, body: unknown): void {
-        this.openLinks.forEach(link => link.notify(topic, body));
+        const bytes = encodeNotification(topic, body);
+        this.openLinks.forEach(link => link.notifyEncoded(bytes));
     }
 
     /** Sends a notification to one peer; returns false when there is no open link to it. */
@@ -134,11 +157,36 @@
         socket.once("close", () => this.acceptedSockets.delete(socket));
     }
 
+    private maintain(): void {
+        this.allLinks.forEach(link => link.checkHeartbeat());
+        this.dialMissing();
+        this.releaseUnneeded();
+    }
+
     private dialMissing(): void {
-        for (const { vm, url } of this.configuredPeers) {
-            if (vm > this.self.vm && !this.openLinks.has(vm) && !this.dialingLinks.has(vm)) {
+        const now = this.options.timer.now();
+        const dialedUrls = new Set(this.dialedUrls.values());
+        for (const [vm, { url, dialFrom }] of this.neededPeers) {
+            if (now >= dialFrom && !this.openLinks.has(vm) && !dialedUrls.has(url)) {
                 const link = this.createLink(new WebSocket(url, { handshakeTimeout: 1000 }), LinkRole.Dialer);
-                this.dialingLinks.set(vm, link);
+                this.dialedUrls.set(link, url);
+            }
+        }
+    }
+
+    private releaseUnneeded(): void {
+        const now = this.options.timer.now();
+        const neededUrls = new Set([...this.neededPeers.values()].map(({ url }) => url));
+        for (const [link, url] of this.dialedUrls) {
+            const vm = link.identity?.vm;
+            if (neededUrls.has(url) || vm === undefined || this.neededPeers.has(vm)) {
+                this.unneededSince.delete(link);
+                continue;
+            }
+            const since = this.unneededSince.get(link) ?? now;
+            this.unneededSince.set(link, since);
+            if (now - since >= lingerMs) {
+                link.release();
             }
         }
     }
@@ -175,34 +223,44 @@
     }
 
     private handleOpen(link: Link, peer: PeerIdentity): void {
-        this.removeDialing(link);
         const previous = this.openLinks.get(peer.vm);
+        if (previous !== undefined && this.takesPrecedence(previous, link, peer)) {
+            link.release();
+            return;
+        }
         this.openLinks.set(peer.vm, link);
-        previous?.close();
+        previous?.release();
         this.options.log.write(Severity.Info, EventId.PeerConnected, { peer: peer.incarnation });
     }
 
+    /**
+     * Whether an open link is kept rather than a new one to the same process. Of two that both ends dialed at the same
+     * time, both keep the one that the smaller VM name dialed.
+     */
+    private takesPrecedence(open: Link, opened: Link, peer: PeerIdentity): boolean {
+        const silentMs = this.options.timer.now() - open.lastReceivedAt;
+        const keptRole = this.self.vm < peer.vm ? LinkRole.Dialer : LinkRole.Acceptor;
+        return open.identity?.incarnation === peer.incarnation && silentMs < staleAfterMs
+            && open.role === keptRole && opened.role !== keptRole;
+    }
+
     private handleClose(link: Link, reason: CloseReason): void {
+        const { metrics, log } = this.options;
         this.allLinks.delete(link);
-        this.removeDialing(link);
-        this.options.metrics.count("celerywind_peer_links_closed_total", { reason });
-        const [vm] = [...this.openLinks].find(([, openLink]) => openLink === link) ?? [];
-        if (vm !== undefined) {
+        this.dialedUrls.delete(link);
+        this.unneededSince.delete(link);
+        metrics.count("celerywind_peer_links_closed_total", { reason });
+        const vm = link.lastIdentity?.vm ?? "";
+        if (this.openLinks.get(vm) === link) {
             this.openLinks.delete(vm);
-            this.options.log.write(Severity.Warn, EventId.PeerLost, { peer: vm, reason });
+            const severity = reason === CloseReason.Unneeded ? Severity.Info : Severity.Warn;
+            log.write(severity, EventId.PeerLost, { peer: vm, reason });
         }
         else if (reason === CloseReason.RejectedHandshake) {
-            this.options.log.write(Severity.Warn, EventId.PeerRejected, { reason });
+            log.write(Severity.Warn, EventId.PeerRejected, { reason });
         }
         if (reason === CloseReason.MalformedFrame) {
-            this.options.log.write(Severity.Warn, EventId.PeerFrameInvalid, { reason });
-        }
-    }
-
-    private removeDialing(link: Link): void {
-        const [vm] = [...this.dialingLinks].find(([, dialingLink]) => dialingLink === link) ?? [];
-        if (vm !== undefined) {
-            this.dialingLinks.delete(vm);
+            log.write(Severity.Warn, EventId.PeerFrameInvalid, { reason });
         }
     }
 }
--- a/src/entry.ts
+++ b/src/entry.ts
@@ -1,7 +1,7 @@
 /** One entry of the fleet: connects the core to listeners, peer links and the platform, and runs all of them. */
 import { randomUUID } from "node:crypto";
 import { WebListener } from "./connection/caller/index.js";
-import { Mesh, type PeerAddress } from "./connection/peer/index.js";
+import { Mesh } from "./connection/peer/index.js";
 import { StoreClient } from "./connection/platform/index.js";
 import { Upstream } from "./connection/upstream/index.js";
 import { Core } from "./core.js";
@@ -11,6 +11,7 @@
 import { Hub, Topic } from "./process/hub.js";
 import type { Log } from "./process/log.js";
 import { Metrics } from "./process/metrics.js";
+import type { PeerAddress } from "./process/peers.js";
 import { entryPoolName, type Platform } from "./process/platform.js";
 import type { Random } from "./process/random.js";
 import type { Settings } from "./process/settings.js";
--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -7,16 +7,25 @@
 import { EventId, Severity } from "../process/events.js";
 import { runFlow } from "../process/flow.js";
 import type { Task } from "../process/hub.js";
-import type { Peer, Peers } from "../process/peers.js";
+import type { Peer, PeerAddress, Peers } from "../process/peers.js";
 import { readRow, type RowStore, type StoredRow } from "../process/rows.js";
 import { type Cancel, sleep } from "../process/timer.js";
 import { inheritLeaseBounds, leaseBoundsKey, leaseBoundsRow } from "./lease-bounds.js";
 import { type LedgerEffect, releaseTransaction, takeOver, type TakeoverResult } from "./ledger.js";
-import { memberPart, type MemberRow } from "./member-rows.js";
+import { memberPart } from "./member-rows.js";
 import { Membership } from "./membership.js";
 import { OwnerClient } from "./owner-client.js";
 import { maxHealthyProbeMs, OwnerFitness } from "./owner-fitness.js";
-import { decodeOwner, type Owner, ownerKey, ownerTimeoutMs, shouldTakeOver, tables } from "./ownership.js";
+import {
+    decodeOwner,
+    type Owner,
+    ownerKey,
+    ownerStoreStaleMs,
+    ownerTimeoutMs,
+    shouldTakeOver,
+    tables,
+} from "./ownership.js";
+import { PeerLinks } from "./peer-links.js";
 import type { TenureOptions } from "./tenure-context.js";
 import { Tenure } from "./tenure.js";
 
@@ -33,11 +42,13 @@
     readonly peerUrl: string;
     /** Strength of this entry's VM, in units of `strengthUnitMb`. */
     readonly strength: number;
+    /** Availability zone of this entry's VM; empty if unknown. */
+    readonly zone: string;
     readonly store: RowStore & { readonly ageMs: number };
     readonly peers: Peers;
     readonly lag: EventLoopLagMonitor;
-    /** Called whenever the members may have changed. */
-    readonly onMembers: (members: ReadonlyMap<string, MemberRow>) => void;
+    /** Sets the peers that this entry keeps links to; called whenever they have changed. */
+    readonly connectPeers: (peers: readonly PeerAddress[]) => void;
     /**
      * Creates the VM manager for a tenure that begins. `hasHolderEnded`: whether the process that last ordered VMs has
      * ended or is shutting down.
@@ -60,19 +71,31 @@
     readonly storeAgeMs: number;
 }
 
+/** News of an owner, which entries pass on to their peers until every entry has it. */
+interface OwnerNews {
+    readonly owner: Owner;
+    /** URL at which the owner's peers reach it; empty if unknown. */
+    readonly url: string;
+}
+
 type CompletedTakeover = Extract<TakeoverResult, { kind: "taken" }>;
 
 /** Topics of peer messages about the ownership of a domain. */
 enum Topic {
     Heartbeat = "owner.beacon",
+    News = "owner.news",
     Silence = "owner.heard",
     Released = "owner.released",
     SteppedDown = "owner.stepped-down",
 }
 
+/** Period of the owner's heartbeats to the successors; every `slowHeartbeatFactor`th goes to all entries. */
 const heartbeatPeriodMs = 200;
+const slowHeartbeatFactor = 3;
 const checkPeriodMs = 100;
 const feedTimeoutMs = 4000;
+/** Pause after a change of the cluster table, so that changes in quick succession are read and applied together. */
+const clusterPauseMs = 50;
 const retryDelayMs = 200;
 const silenceQueryTimeoutMs = 200;
 /** Pause before the next attempt after another entry has won a takeover. */
@@ -100,6 +123,11 @@
 export class Domain implements Task {
     readonly name = "domain";
     private owner: Owner | undefined;
+    /** URL of the owner's peer listener, where the members lack it. */
+    private ownerUrl = "";
+    private heartbeatsSent = 0;
+    /** Fences of tenures of this process that have ended, so that a later owner learns that they send no more orders. */
+    private readonly ownEndedFences = new Set<number>();
     /** Monotonic start of the owner's silence: its last heartbeat, a change of owner, or a lost takeover. */
     private ownerSeenAt: number;
     private lastHeartbeat: Heartbeat | undefined;
@@ -117,13 +145,15 @@
     /** Client for the owner's state of jobs. */
     readonly ownerClient: OwnerClient;
     private readonly members: Membership;
+    private readonly links: PeerLinks;
     private readonly fitness: OwnerFitness;
     private readonly cancelTimers: Cancel[] = [];
 
     private constructor(private readonly options: DomainOptions) {
         this.ownerSeenAt = options.timer.now();
         this.members = Membership.create(options);
-        this.fitness = OwnerFitness.create({ ...options, members: this.members });
+        this.links = PeerLinks.create({ ...options, members: this.members });
+        this.fitness = OwnerFitness.create({ ...options, members: this.members, links: this.links });
         const { peers, metrics, log } = options;
         this.ownerClient = OwnerClient.create({
             peers,
@@ -180,7 +210,7 @@
 
     /** Ends this entry's tenure and releases the domain, so that another entry can take it over without waiting. */
     private async releaseOwnership(cause: ReleaseCause): Promise<void> {
-        const { store, log, metrics, peers, lag } = this.options;
+        const { store, log, metrics, lag } = this.options;
         const tenure = this.currentTenure;
         if (tenure === undefined) {
             return;
@@ -197,7 +227,7 @@
         const outcome = await store.transact(releaseTransaction(head, flags, leaseBounds));
         this.owner = { ...head.owner, entry: "" };
         this.ownerSeenAt = this.options.timer.now();
-        peers.broadcast(Topic.Released, { fence: head.owner.fence });
+        this.announceEnd(Topic.Released, head.owner.fence);
         metrics.count("celerywind_owner_releases_total", { cause });
         log.write(Severity.Info, EventId.OwnerReleased, {
             fence: head.owner.fence,
@@ -239,6 +269,7 @@
     private registerHandlers(): void {
         const { peers, timer } = this.options;
         peers.on(Topic.Heartbeat, (peer, body) => this.handleHeartbeat(peer, body as Heartbeat));
+        peers.on(Topic.News, (_, body) => this.handleNews(body as OwnerNews));
         peers.on(
             Topic.Silence,
             () => ({ silentMs: timer.now() - this.ownerSeenAt, isOwner: this.currentTenure !== undefined }),
@@ -258,8 +289,62 @@
                 incarnation,
                 storeAgeMs: store.ageMs,
             };
-            this.options.peers.broadcast(Topic.Heartbeat, heartbeat);
+            const { peers, entry } = this.options;
+            if (this.heartbeatsSent++ % slowHeartbeatFactor === 0) {
+                peers.broadcast(Topic.Heartbeat, heartbeat);
+            }
+            else {
+                this.links.successors
+                    .filter(successor => successor !== entry)
+                    .forEach(successor => peers.notify(successor, Topic.Heartbeat, heartbeat));
+            }
+        }
+    }
+
+    /** Tells the peers, and later owners, that a tenure of this process has ended and sends no more orders. */
+    private announceEnd(topic: Topic.Released | Topic.SteppedDown, fence: number): void {
+        this.ownEndedFences.add(fence);
+        if (this.ownEndedFences.size > maxEndedFences) {
+            this.ownEndedFences.delete(Math.min(...this.ownEndedFences));
         }
+        this.options.peers.broadcast(topic, { fence });
+    }
+
+    /** Tells an owner from which this process hears for the first time which of its own tenures have ended. */
+    private reportOwnEnds(owner: string): void {
+        for (const fence of this.ownEndedFences) {
+            this.options.peers.notify(owner, Topic.SteppedDown, { fence });
+        }
+    }
+
+    /** Applies news of an owner from a peer, for an entry that neither hears from the owner nor reads its row. */
+    private handleNews({ owner, url }: OwnerNews): void {
+        if (owner.fence > (this.owner?.fence ?? 0)) {
+            this.logOwnerSeen(owner.entry, owner.fence, "peer");
+            this.adoptOwner(owner, url);
+            this.currentTenure?.supersede(`a peer has seen an owner with the higher fence ${owner.fence}`);
+        }
+    }
+
+    /** Records a new owner, links to it, and passes the news on. */
+    private adoptOwner(owner: Owner, url = ""): void {
+        this.owner = owner;
+        this.ownerUrl = url;
+        this.ownerSeenAt = this.options.timer.now();
+        this.updateLinks();
+        if (owner.entry !== "") {
+            const news: OwnerNews = { owner, url: this.members.urlOf(owner.entry) ?? url };
+            this.options.peers.broadcast(Topic.News, news);
+        }
+    }
+
+    private updateLinks(): void {
+        const owner = this.ownerEntry;
+        this.links.update(
+            owner === undefined || owner === ""
+                ? undefined
+                : { vm: owner, url: this.members.urlOf(owner) ?? this.ownerUrl },
+        );
     }
 
     private handleHeartbeat(peer: Peer, heartbeat: Heartbeat): void {
@@ -276,15 +361,19 @@
                 return;
             }
         }
-        if (peer.vm !== this.owner?.entry || heartbeat.fence !== this.owner.fence) {
-            this.logOwnerSeen(peer.vm, heartbeat.fence, "heartbeat");
-            this.owner = { entry: peer.vm, incarnation: heartbeat.incarnation, fence: heartbeat.fence };
+        const { incarnation, fence } = heartbeat;
+        if (peer.vm !== this.owner?.entry || fence !== this.owner.fence) {
+            this.logOwnerSeen(peer.vm, fence, "heartbeat");
+            this.adoptOwner({ entry: peer.vm, incarnation, fence });
+        }
+        if (this.lastHeartbeat?.fence !== fence) {
+            this.reportOwnEnds(peer.vm);
         }
         this.ownerSeenAt = this.options.timer.now();
         this.lastHeartbeat = heartbeat;
     }
 
-    private logOwnerSeen(owner: string, fence: number, source: "row" | "heartbeat"): void {
+    private logOwnerSeen(owner: string, fence: number, source: "row" | "heartbeat" | "peer"): void {
         const { entry, log } = this.options;
         if (owner !== entry) {
             log.write(Severity.Info, EventId.OwnerSeen, { owner, fence, source });
@@ -295,6 +384,8 @@
         this.recordOwnerEnded(fence);
         if (this.owner !== undefined && this.owner.fence === fence) {
             this.owner = { ...this.owner, entry: "" };
+            // The wait by rank counts from the release, however long ago the last heartbeat was.
+            this.ownerSeenAt = this.options.timer.now() - 1;
             void this.checkOwnership();
         }
     }
@@ -306,7 +397,7 @@
         }
         if (
             this.isChangingOwner || this.currentTenure !== undefined || !this.isRunning
-            || !this.wouldTakeOver(this.ownerSilenceMs())
+            || this.hearsOwner() || !this.wouldTakeOver(this.ownerSilenceMs())
         ) {
             return;
         }
@@ -324,6 +415,13 @@
         }
     }
 
+    /** Whether a healthy owner was heard from lately, which no rank of this entry can change. */
+    private hearsOwner(): boolean {
+        return (this.owner?.entry ?? "") !== "" && this.ownerSilenceMs() <= ownerTimeoutMs
+            && (this.lastHeartbeat?.storeAgeMs ?? 0) <= ownerStoreStaleMs
+            && this.owner?.incarnation !== this.options.incarnation && !this.hasProcessEnded(this.owner);
+    }
+
     private ownerSilenceMs(): number {
         return this.options.timer.now() - this.ownerSeenAt;
     }
@@ -402,21 +500,20 @@
 
     /** Begins no tenure after a takeover whose answer came later than the news of the next owner. */
     private abandonTakeover({ head }: CompletedTakeover): void {
-        const { log, peers } = this.options;
-        log.write(Severity.Warn, EventId.OwnerSuperseded, {
+        this.options.log.write(Severity.Warn, EventId.OwnerSuperseded, {
             domain: head.domain,
             fence: head.owner.fence,
             cause: `owner row had the higher fence ${this.owner?.fence} before this takeover was answered`,
         });
-        peers.broadcast(Topic.SteppedDown, { fence: head.owner.fence });
+        this.announceEnd(Topic.SteppedDown, head.owner.fence);
     }
 
     /** Releases the domain after a takeover that ended during the shutdown. */
     private async releaseUnused({ head, leaseBounds }: CompletedTakeover): Promise<void> {
-        const { store, name, peers } = this.options;
+        const { store, name } = this.options;
         const flags = { hasLeft: true, wasSlow: false, mayShareVms: head.owner.mayShareVms === true };
         await store.transact(releaseTransaction(head, flags, leaseBoundsRow(name, leaseBounds)));
-        peers.broadcast(Topic.Released, { fence: head.owner.fence });
+        this.announceEnd(Topic.Released, head.owner.fence);
     }
 
     private async beginTenure(
@@ -449,6 +546,8 @@
         this.checkEarlierOwners();
         this.ownerSeenAt = timer.now();
         this.fitness.scheduleComparison();
+        this.heartbeatsSent = 0;
+        this.updateLinks();
         this.sendHeartbeat();
         this.vmManager = this.options.createVmManager(tenure, head.owner.mayShareVms !== true);
         this.vmManager.start();
@@ -494,16 +593,15 @@
             this.currentTenure = undefined;
             this.ownerSeenAt = this.options.timer.now();
             this.lastHeartbeat = undefined;
-            this.options.peers.broadcast(Topic.SteppedDown, { fence: tenure.fence });
+            this.announceEnd(Topic.SteppedDown, tenure.fence);
         }
     }
 
-    /** Shortest time, over this entry and the peers that respond, since a message from the owner was received. */
+    /** Shortest time, over this entry and the witnesses that respond, since a message from the owner was received. */
     private async minOwnerSilenceMs(): Promise<number> {
         const { peers } = this.options;
-        const queries = peers.connected()
-            .filter(({ vm }) => vm !== this.owner?.entry)
-            .map(({ vm }) => peers.request(vm, Topic.Silence, {}, silenceQueryTimeoutMs));
+        const queries = this.links.witnesses(this.owner?.entry)
+            .map(vm => peers.request(vm, Topic.Silence, {}, silenceQueryTimeoutMs));
         const responses = await Promise.allSettled(queries);
         const silencesMs = responses.map(response =>
             response.status === "fulfilled" ? (response.value as { silentMs: number }).silentMs : Infinity
@@ -549,6 +647,7 @@
                 }
                 isStoreDown = true;
                 await this.members.loadFromPeer();
+                this.updateLinks();
                 await sleep(timer, retryDelayMs);
             }
         }
@@ -558,6 +657,7 @@
         const { store, name } = this.options;
         this.applyOwnerRow(await readRow(store, ownerKey(name)));
         const version = await this.members.load();
+        this.updateLinks();
         this.checkEarlierOwners();
         return version;
     }
@@ -576,8 +676,12 @@
                 this.applyOwnerRow(row);
             }
         }
-        await this.members.publishChanges();
-        this.checkEarlierOwners();
+        await this.members.register();
+        if (result.rows.length > 0) {
+            this.updateLinks();
+            this.checkEarlierOwners();
+            await sleep(this.options.timer, clusterPauseMs);
+        }
         return Math.max(version, result.version);
     }
 
@@ -590,12 +694,11 @@
 
     /** Tells peers that this process never sent orders as the owner before `next`, for lack of the takeover's answer. */
     private announceUnusedTakeover(next: Owner): void {
-        const { incarnation, peers } = this.options;
         if (
-            this.owner?.incarnation === incarnation && this.currentTenure === undefined
+            this.owner?.incarnation === this.options.incarnation && this.currentTenure === undefined
             && next.fence > this.owner.fence
         ) {
-            peers.broadcast(Topic.SteppedDown, { fence: this.owner.fence });
+            this.announceEnd(Topic.SteppedDown, this.owner.fence);
         }
     }
 
@@ -606,11 +709,13 @@
         }
         const hasOwnerChanged = owner.fence > (this.owner?.fence ?? 0) || owner.entry !== this.owner?.entry;
         this.announceUnusedTakeover(owner);
-        this.owner = owner;
-        if (hasOwnerChanged) {
+        if (!hasOwnerChanged) {
+            this.owner = owner;
+        }
+        else {
             this.logOwnerSeen(owner.entry, owner.fence, "row");
             this.lastHeartbeat = undefined;
-            this.ownerSeenAt = this.options.timer.now();
+            this.adoptOwner(owner);
             if (this.currentTenure !== undefined && owner.fence > this.currentTenure.fence) {
                 this.currentTenure.supersede(`owner row has the higher fence ${owner.fence}`);
             }
--- a/src/pool/member-rows.ts
+++ b/src/pool/member-rows.ts
@@ -9,6 +9,8 @@
     url: z.string(),
     /** See `RankedEntry`. */
     strength: z.number().optional(),
+    /** Availability zone; absent in rows of earlier versions. */
+    zone: z.string().optional(),
 });
 
 /** A member: one process on an entry VM. */
--- a/src/pool/membership.ts
+++ b/src/pool/membership.ts
@@ -7,6 +7,7 @@
 import type { Timer } from "../process/timer.js";
 import { decodeMember, memberKey, memberPart, type MemberRow } from "./member-rows.js";
 import { tables } from "./ownership.js";
+import type { SiteMember } from "./peer-selection.js";
 import type { RankedEntry } from "./ranking.js";
 
 /** Options of `Membership.create`. */
@@ -16,12 +17,12 @@
     readonly peerUrl: string;
     /** Strength of this entry's VM. */
     readonly strength: number;
+    /** Availability zone of this entry's VM; empty if unknown. */
+    readonly zone: string;
     readonly store: RowStore;
     readonly peers: Peers;
     readonly timer: Timer;
     readonly log: Log;
-    /** Called whenever the members may have changed. */
-    readonly onMembers: (members: ReadonlyMap<string, MemberRow>) => void;
 }
 
 const membersTopic = "members";
@@ -53,6 +54,16 @@
         return this.members.get(entry)?.incarnation;
     }
 
+    /** URL at which an entry's peers reach it; undefined if it is not registered. */
+    urlOf(entry: string): string | undefined {
+        return this.members.get(entry)?.url;
+    }
+
+    /** The registered entries with zone and strength. */
+    siteMembers(): readonly SiteMember[] {
+        return [...this.members].map(([entry, { zone = "" }]) => ({ ...this.rankedEntry(entry), zone }));
+    }
+
     /** Returns an entry with its strength; an entry that has not reported one is assumed to equal this entry. */
     rankedEntry(entry: string): RankedEntry {
         const { entry: self, strength } = this.options;
@@ -66,7 +77,6 @@
         this.members.clear();
         page.rows.forEach(row => this.applyRow(row));
         await this.register();
-        this.options.onMembers(this.members);
         return page.version;
     }
 
@@ -81,15 +91,9 @@
         }
     }
 
-    /** Reports the members after rows were applied, and registers this entry again if its row is missing. */
-    async publishChanges(): Promise<void> {
-        await this.register();
-        this.options.onMembers(this.members);
-    }
-
     /** Fetches the members from a connected peer, for use while the store is unavailable and none are known. */
     async loadFromPeer(): Promise<void> {
-        const { peers, onMembers, log } = this.options;
+        const { peers, log } = this.options;
         const [peer] = peers.connected();
         if (peer === undefined || this.members.size > 0) {
             return;
@@ -100,7 +104,6 @@
                 MemberRow,
             ][];
             rows.forEach(([entry, member]) => this.members.set(entry, member));
-            onMembers(this.members);
         }
         catch (err) {
             log.write(Severity.Warn, EventId.PeerLost, { peer: peer.vm, err: messageOf(err) });
@@ -113,12 +116,19 @@
         await this.remove(this.options.entry);
     }
 
-    /** Records which members are connected; the owner also removes the rows of members that timed out. */
+    /**
+     * Called periodically. The owner, which every member keeps a link to, removes the rows of members that timed out; no
+     * other entry can tell, so the owner's observation starts anew with each tenure.
+     */
     async removeSilentMembers(isOwner: boolean): Promise<void> {
         const { peers, timer, entry } = this.options;
         const now = timer.now();
+        if (!isOwner) {
+            this.lastSeenAt.clear();
+            return;
+        }
         peers.connected().forEach(({ vm }) => this.lastSeenAt.set(vm, now));
-        for (const member of isOwner ? this.entryNames : []) {
+        for (const member of this.entryNames) {
             const lastSeenAt = this.lastSeenAt.get(member) ?? now;
             this.lastSeenAt.set(member, lastSeenAt);
             if (member !== entry && now - lastSeenAt > memberTimeoutMs) {
@@ -128,12 +138,13 @@
         }
     }
 
-    private async register(): Promise<void> {
-        const { entry, incarnation, peerUrl, strength, store, log } = this.options;
+    /** Registers this entry, unless its row is present or it is leaving. */
+    async register(): Promise<void> {
+        const { entry, incarnation, peerUrl, strength, zone, store, log } = this.options;
         if (this.isLeaving || this.incarnationOf(entry) === incarnation) {
             return;
         }
-        const member: MemberRow = { incarnation, url: peerUrl, strength };
+        const member: MemberRow = { incarnation, url: peerUrl, strength, zone };
         const puts = [{ ...memberKey(entry), value: JSON.stringify(member) }];
         const outcome = await store.transact({ conditions: [], puts, removals: [] });
         log.write(Severity.Info, EventId.MemberRegistered, { entry, incarnation, outcome: outcome.kind });
--- a/src/pool/owner-fitness.ts
+++ b/src/pool/owner-fitness.ts
@@ -11,7 +11,8 @@
 import type { Timer } from "../process/timer.js";
 import type { Membership } from "./membership.js";
 import { ownerKey } from "./ownership.js";
-import { findStrongerCandidate, rankCandidates } from "./ranking.js";
+import type { PeerLinks } from "./peer-links.js";
+import { findStrongerCandidate } from "./ranking.js";
 
 /** Options of `OwnerFitness.create`. */
 export interface OwnerFitnessOptions {
@@ -24,6 +25,7 @@
     readonly log: Log;
     readonly lag: EventLoopLagMonitor;
     readonly members: Membership;
+    readonly links: PeerLinks;
 }
 
 const fitnessTopic = "owner.fit";
@@ -52,14 +54,9 @@
     /** Set when the process shuts down, after which it is no longer fit. */
     isStopping = false;
 
-    /** Rank of this entry among the connected entries that could take over from `owner`; 0 takes over first. */
+    /** Rank of this entry among those that could take over from `owner`; 0 takes over first. */
     rank(owner: string | undefined): number {
-        const { entry, peers, members } = this.options;
-        const names = [entry, ...peers.connected().map(({ vm }) => vm)].filter(vm => vm !== owner);
-        const rank = rankCandidates(names.map(vm => members.rankedEntry(vm))).findIndex(other =>
-            other.entry === entry
-        );
-        return rank + (this.isDeferring() ? deferredRankOffset : 0);
+        return this.options.links.rank(owner) + (this.isDeferring() ? deferredRankOffset : 0);
     }
 
     /** Defers to other entries for `deferMs`. */
--- a/src/pool/ownership.ts
+++ b/src/pool/ownership.ts
@@ -100,7 +100,7 @@
 /** Extra delay per rank, which keeps candidates from competing for the same takeover. */
 const rankDelayMs = 150;
 /** Age of the owner's last store response from which an entry with a working store connection replaces it. */
-const ownerStoreStaleMs = 800;
+export const ownerStoreStaleMs = 800;
 /** Largest age of this entry's own last store response at which it may take a domain over. */
 const maxOwnStoreAgeMs = 600;
 
--- a/src/process/peers.ts
+++ b/src/process/peers.ts
@@ -5,6 +5,15 @@
     readonly vm: string;
 }
 
+/** Address of a peer to which an entry needs a link. */
+export interface PeerAddress {
+    readonly vm: string;
+    /** WebSocket URL of its peer listener. */
+    readonly url: string;
+    /** Whether the peer needs the link as well, so that the one with the smaller VM name dials first; true by default. */
+    readonly isMutual?: boolean;
+}
+
 /** Handles a notification or request from a peer. For a request, the result is sent as the response. */
 export type PeerHandler = (peer: Peer, body: unknown) => unknown;
 
--- a/src/site-core.ts
+++ b/src/site-core.ts
@@ -4,7 +4,6 @@
     type Adviser,
     Domain,
     FleetController,
-    type MemberRow,
     type Roster,
     type Tenure,
     type VmClient,
@@ -13,7 +12,7 @@
 import { EventLoopLagMonitor } from "./process/event-loop-lag.js";
 import type { Log } from "./process/log.js";
 import type { Metrics } from "./process/metrics.js";
-import type { Peers } from "./process/peers.js";
+import type { PeerAddress, Peers } from "./process/peers.js";
 import type { RowPut, RowStore } from "./process/rows.js";
 import type { SiteSettings } from "./process/site-settings.js";
 import { settleBy, type Timer } from "./process/timer.js";
@@ -36,7 +35,7 @@
 
 /** Options of `SiteCore.create`. */
 export interface SiteCoreOptions {
-    readonly settings: Pick<SiteSettings, "entry" | "bounds" | "times">;
+    readonly settings: Pick<SiteSettings, "entry" | "zone" | "bounds" | "times">;
     readonly incarnation: string;
     readonly peerUrl: string;
     /** Strength of this entry's VM, see `RankedEntry`. */
@@ -47,7 +46,8 @@
     readonly timer: Timer;
     readonly log: Log;
     readonly metrics: Metrics;
-    readonly onMembers: (members: ReadonlyMap<string, MemberRow>) => void;
+    /** Sets the peers that this entry keeps links to; called whenever they have changed. */
+    readonly connectPeers: (peers: readonly PeerAddress[]) => void;
 }
 
 const domainName = "main";
@@ -138,7 +138,7 @@
     }
 
     private createDomain(): Domain {
-        const { settings, incarnation, timer, log, metrics, peers, peerUrl, strength, onMembers } =
+        const { settings, incarnation, timer, log, metrics, peers, peerUrl, strength, connectPeers } =
             this.options;
         const { roster, workerClient: calls, adviser } = this.platform;
         const { leaseMs, holdWaitMs, trustMs, rosterMs, keepFinalMs } = settings.times;
@@ -148,6 +148,7 @@
             incarnation,
             peerUrl,
             strength,
+            zone: settings.zone,
             store: this.store,
             peers,
             roster,
@@ -165,7 +166,7 @@
                 keepFinalMs,
             },
             lag: this.lag,
-            onMembers,
+            connectPeers,
             createVmManager: (tenure, isPreviousHolderGone) =>
                 this.createFleetController(tenure, isPreviousHolderGone),
         });
--- a/src/site-entry.ts
+++ b/src/site-entry.ts
@@ -3,11 +3,12 @@
 import { totalmem } from "node:os";
 import { sendJson } from "./connection/caller/body.js";
 import { HttpListener } from "./connection/caller/listener.js";
-import { Mesh, type PeerAddress } from "./connection/peer/index.js";
-import { type MemberRow, strengthOfMemory, type Tenure } from "./pool/index.js";
+import { Mesh } from "./connection/peer/index.js";
+import { strengthOfMemory, type Tenure } from "./pool/index.js";
 import { EventId, Severity } from "./process/events.js";
 import type { Log } from "./process/log.js";
 import type { Metrics } from "./process/metrics.js";
+import type { PeerAddress } from "./process/peers.js";
 import type { RowStore } from "./process/rows.js";
 import { type SiteSettings, splitEndpoint } from "./process/site-settings.js";
 import { settleBy, sleep, type Timer } from "./process/timer.js";
@@ -47,7 +48,7 @@
     private readonly callerListener: HttpListener;
     private readonly readinessListener: HttpListener;
     private readonly metricsListener: HttpListener;
-    private hasSeenMembers = false;
+    private hasSeenPeers = false;
 
     private constructor(private readonly options: SiteEntryOptions) {
         const { settings } = options;
@@ -57,7 +58,7 @@
             peers: this.mesh,
             strength: strengthOfMemory(totalmem()),
             peerUrl: `ws://${settings.peers.advertise ?? settings.peers.listen}`,
-            onMembers: members => this.connectMembers(members),
+            connectPeers: peers => this.connectPeers(peers),
         });
         this.callerListener = this.createListener("callers", this.createCallerHandler());
         this.readinessListener = this.createListener("readiness", (_, res) => this.sendReadiness(res));
@@ -156,11 +157,11 @@
         this.mesh.setPeers(seeds.map((seed): PeerAddress => ({ vm: `ws://${seed}`, url: `ws://${seed}` })));
     }
 
-    /** Replaces the links to the seeds by links to the members, once there is a member other than this entry. */
-    private connectMembers(members: ReadonlyMap<string, MemberRow>): void {
-        if (members.size > 1 || this.hasSeenMembers) {
-            this.hasSeenMembers = true;
-            this.mesh.setPeers([...members].map(([vm, { url }]): PeerAddress => ({ vm, url })));
+    /** Replaces the links to the seeds by links to members, once there is a member other than this entry. */
+    private connectPeers(peers: readonly PeerAddress[]): void {
+        if (peers.length > 0 || this.hasSeenPeers) {
+            this.hasSeenPeers = true;
+            this.mesh.setPeers(peers);
         }
     }
 
--- a/src/version/list-follower.ts
+++ b/src/version/list-follower.ts
@@ -46,6 +46,7 @@
     private isRunning = false;
     private isPulling = false;
     private isFeedUnavailable = false;
+    private announcedCount = 0;
     private readonly knownWaves = new Map<number, MaintenanceWave>();
     private readonly cancels: Cancel[] = [];
 
@@ -78,7 +79,7 @@
             (peer, body) => this.receiveAnnouncement(peer.vm, (body as VersionAnnouncement).version),
         );
         peers.on(pullTopic, () => this.currentText);
-        this.cancels.push(timer.every(announceIntervalMs, () => this.announce()));
+        this.cancels.push(timer.every(announceIntervalMs, () => this.announceToNextPeer()));
         void this.follow();
         return Promise.resolve();
     }
@@ -89,9 +90,13 @@
         return Promise.resolve();
     }
 
-    private announce(): void {
-        if (this.currentDirectory !== undefined) {
-            this.options.peers.broadcast(versionTopic, { version: this.currentDirectory.version });
+    /** Announces the version in force to one peer after the other, for peers that missed the news of it. */
+    private announceToNextPeer(): void {
+        const { peers } = this.options;
+        const connected = peers.connected();
+        if (this.currentDirectory !== undefined && connected.length > 0) {
+            const peer = connected[this.announcedCount++ % connected.length]!;
+            peers.notify(peer.vm, versionTopic, { version: this.currentDirectory.version });
         }
     }
 
@@ -158,7 +163,7 @@
             queues: directory.queues.length,
             keys: directory.keys.size,
         });
-        this.announce();
+        this.options.peers.broadcast(versionTopic, { version: directory.version });
         onChange();
     }
 
--- a/standin/simulation/network.ts
+++ b/standin/simulation/network.ts
@@ -65,6 +65,13 @@
         return [...this.peersByVm.values()].filter(peers => peers.node.vm !== vm);
     }
 
+    /** Whether two entries that both run have a link. */
+    areLinked(vm: string, otherVm: string): boolean {
+        const one = this.peersByVm.get(vm);
+        const other = this.peersByVm.get(otherVm);
+        return one !== undefined && other !== undefined && one.isLinkedTo(other);
+    }
+
     /** The peers of an entry. */
     peersOf(vm: string): VirtualPeers | undefined {
         return this.peersByVm.get(vm);
@@ -75,7 +82,7 @@
      * or when it arrives.
      */
     transmit(from: string, to: string, deliver: (peers: VirtualPeers) => void): void {
-        if (this.partitionedLinks.has(linkKey(from, to))) {
+        if (this.partitionedLinks.has(linkKey(from, to)) || !this.areLinked(from, to)) {
             return;
         }
         this.timer.after(this.latencyMs, () => {
@@ -93,11 +100,28 @@
     private readonly handlers = new Map<string, PeerHandler>();
     private readonly lastReceivedTimes = new Map<string, number>();
 
+    /** Peers that this entry needs links to; undefined as long as it is linked to all. */
+    private neededPeers: ReadonlySet<string> | undefined;
+
     constructor(private readonly network: VirtualNetwork, readonly node: NetworkNode) {
         node.timer.every(pingIntervalMs, () => this.ping());
         this.ping();
     }
 
+    /** Sets the peers that this entry needs links to. Peers that need one to this entry keep it. */
+    setNeededPeers(vms: readonly string[]): void {
+        this.neededPeers = new Set(vms);
+    }
+
+    /** Whether there is a link to another entry, needed by either end. */
+    isLinkedTo(other: VirtualPeers): boolean {
+        return this.needs(other.node.vm) || other.needs(this.node.vm);
+    }
+
+    private needs(vm: string): boolean {
+        return this.neededPeers === undefined || this.neededPeers.has(vm);
+    }
+
     on(topic: string, handler: PeerHandler): void {
         this.handlers.set(topic, handler);
     }
@@ -107,6 +131,9 @@
     }
 
     notify(vm: string, topic: string, body: unknown): boolean {
+        if (!this.network.areLinked(this.node.vm, vm)) {
+            return false;
+        }
         const copy = this.recordSent(topic, body);
         this.network.transmit(
             this.node.vm,
@@ -117,6 +144,9 @@
     }
 
     request(vm: string, topic: string, body: unknown, timeoutMs: number): Promise<unknown> {
+        if (!this.network.areLinked(this.node.vm, vm)) {
+            return Promise.reject(new PeerError(`no link to ${vm}`, { props: { wasSent: false } }));
+        }
         const copy = this.recordSent(topic, body);
         return new Promise((resolve, reject) => {
             const fail = (message: string): void => {
--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -209,7 +209,8 @@
             timer,
             log: this.logTo(log, timer),
             metrics: Metrics.create(),
-            onMembers: () => undefined,
+            connectPeers: addresses =>
+                addresses.length > 0 && peers.setNeededPeers(addresses.map(({ vm }) => vm)),
         });
         const entry: StandinEntry = { name, core, timer, peers, storeFaults, log };
         const at = this.entries.findIndex(other => other.name === name);
