--- a/src/pool/peer-selection.ts
+++ b/src/pool/peer-selection.ts
@@ -37,8 +37,8 @@
 const successorCount = 5;
 /** Number of neighbours from other zones. */
 const remoteNeighbourCount = 2;
-/** Entries behind the successors that may try to take over at the same time. */
-const takeoverGroupSize = 8;
+/** Number of groups of entries behind the successors; those of one group may try to take over at the same time. */
+const takeoverGroupCount = 10;
 
 /** Selects the peers of an entry. All entries with the same members and owner agree on who is a successor. */
 export function selectPeers({ self, members, owner }: PeerSelectionInput): PeerSelection {
@@ -128,7 +128,7 @@
         const isLost = selection.needed.has(entry) && !isConnected(entry);
         ahead += entry === owner || isLost ? 0 : 1;
     }
-    return ahead < successorCount || members.length <= maxNeededPeers + 1
-        ? ahead
-        : successorCount + Math.floor((ahead - successorCount) / takeoverGroupSize);
+    const isBehind = ahead >= successorCount && members.length > maxNeededPeers + 1;
+    const groupSize = Math.ceil(members.length / takeoverGroupCount);
+    return isBehind ? successorCount + Math.floor((ahead - successorCount) / groupSize) : ahead;
 }
--- a/standin/simulation/network.ts
+++ b/standin/simulation/network.ts
@@ -15,6 +15,8 @@
 export interface TrafficCounts {
     messages: number;
     bytes: number;
+    /** Pings, which carry no message. */
+    pings: number;
 }
 
 /** Time without a message after which a peer no longer counts as connected. */
@@ -96,7 +98,7 @@
 
 /** The peers of one entry. */
 export class VirtualPeers implements Peers {
-    readonly sent: TrafficCounts = { messages: 0, bytes: 0 };
+    readonly sent: TrafficCounts = { messages: 0, bytes: 0, pings: 0 };
     private readonly handlers = new Map<string, PeerHandler>();
     private readonly lastReceivedTimes = new Map<string, number>();
 
@@ -143,9 +145,9 @@
         return true;
     }
 
-    request(vm: string, topic: string, body: unknown, timeoutMs: number): Promise<unknown> {
+    async request(vm: string, topic: string, body: unknown, timeoutMs: number): Promise<unknown> {
         if (!this.network.areLinked(this.node.vm, vm)) {
-            return Promise.reject(new PeerError(`no link to ${vm}`, { props: { wasSent: false } }));
+            throw new PeerError(`no link to ${vm}`, { props: { wasSent: false } });
         }
         const copy = this.recordSent(topic, body);
         return new Promise((resolve, reject) => {
@@ -198,6 +200,7 @@
 
     private ping(): void {
         for (const other of this.network.otherPeers(this.node.vm)) {
+            this.sent.pings += this.isLinkedTo(other) ? 1 : 0;
             this.network.transmit(
                 this.node.vm,
                 other.node.vm,
--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -67,6 +67,8 @@
     readonly capacity?: Resources;
     /** Strengths of the entries' VMs by entry name; 1 for those that are not named. */
     readonly strengths?: Readonly<Record<string, number>>;
+    /** Availability zones of the entries' VMs by entry name; unknown for those that are not named. */
+    readonly zones?: Readonly<Record<string, string>>;
     /** Whether the platform lists its VMs, so that entries move them between pools and service them. */
     readonly managesVms?: boolean;
 }
@@ -194,6 +196,7 @@
         const core = SiteCore.create({
             settings: siteSettingsSchema.parse({
                 entry: name,
+                zone: this.options.zones?.[name] ?? "",
                 callers: "x:1",
                 readiness: "x:2",
                 metrics: "x:3",
--- a/test/sockets.test.ts
+++ b/test/sockets.test.ts
@@ -411,6 +411,52 @@
         await forwarder.close();
     });
 
+    test("that both ends dial at the same time become one link, which stays open", async () => {
+        const a = await createMesh("a", "secret");
+        const b = await createMesh("b", "secret");
+        a.mesh.setPeers([{ vm: "b", url: b.url, isMutual: false }]);
+        b.mesh.setPeers([{ vm: "a", url: a.url, isMutual: false }]);
+        await waitUntil(() => a.mesh.connected().length === 1 && b.mesh.connected().length === 1);
+        await new Promise(resolve => setTimeout(resolve, 300));
+        const count = ({ metrics }: typeof a): number =>
+            metrics.read("celerywind_peer_links_closed_total", { reason: "unneeded" });
+        const closedBefore = count(a);
+        await new Promise(resolve => setTimeout(resolve, 1000));
+        expect(count(a)).toBe(closedBefore);
+        expect(await a.mesh.request("b", "echo", 1, 1000)).toEqual({ from: "a", body: 1 });
+        expect(await b.mesh.request("a", "echo", 2, 1000)).toEqual({ from: "b", body: 2 });
+    });
+
+    test("are dialed by the larger VM name when the smaller one does not need them", async () => {
+        const a = await createMesh("a", "secret");
+        const b = await createMesh("b", "secret");
+        b.mesh.setPeers([{ vm: "a", url: a.url, isMutual: false }]);
+        await waitUntil(() => a.mesh.connected().length === 1);
+        expect(await a.mesh.request("b", "echo", 1, 1000)).toEqual({ from: "a", body: 1 });
+    });
+
+    test("are closed some seconds after the end that dialed needs them no more", async () => {
+        const a = await createMesh("a", "secret");
+        const b = await createMesh("b", "secret");
+        a.mesh.setPeers([{ vm: "b", url: b.url }]);
+        await waitUntil(() => b.mesh.connected().length === 1);
+        a.mesh.setPeers([]);
+        await new Promise(resolve => setTimeout(resolve, 1000));
+        expect(b.mesh.connected()).toHaveLength(1);
+        await waitUntil(() => b.mesh.connected().length === 0);
+        expect(b.metrics.read("celerywind_peer_links_closed_total", { reason: "unneeded" })).toBe(1);
+    }, 10_000);
+
+    test("stay open at rest", async () => {
+        const a = await createMesh("a", "secret");
+        const b = await createMesh("b", "secret");
+        a.mesh.setPeers([{ vm: "b", url: b.url }]);
+        await waitUntil(() => b.mesh.connected().length === 1);
+        await new Promise(resolve => setTimeout(resolve, 3500));
+        expect(a.mesh.connected()).toHaveLength(1);
+        expect(a.metrics.read("celerywind_peer_links_closed_total", { reason: "silent" })).toBe(0);
+    }, 10_000);
+
     test.each([
         ["says nothing", ""],
         ["breaks off in its request", "GET / HTTP/1.1\r\nhost: a\r\n"],
