A plan of starts passes over tasks that need no less than one that found no room; VMs for a pool are ranked once a plan

Cause: the owner plans anew with every batch, up to 200 times a second; in a burst of five times a pool's room each waiting step was compared with every worker of its pool (400 equal tasks and 90 workers: 90,896 looks at workers), and each VM moved into a pool filtered and sorted the whole inventory of 542 again. Change: a planner remembers, for one plan, the needs that found no room; candidates keep their free resources in place; the VMs for a pool are sorted once. Which VMs and workers are chosen is unchanged.

--- a/src/pool/fleet-plan.ts
+++ b/src/pool/fleet-plan.ts
@@ -205,46 +205,42 @@
                 left--;
             }
         }
-        while (left > 0) {
-            const vm = this.pickVmFor(pool);
-            if (vm === undefined) {
-                return;
-            }
-            this.orderedVms.add(vm.vm);
-            this.actions.push({ kind: "move", vm: vm.vm, pool });
-            left--;
-        }
+        this.candidatesFor(pool).slice(0, Math.max(0, left)).forEach(vm => this.move(vm, pool));
+    }
+
+    private move({ vm }: VmSnapshot, pool: string): void {
+        this.orderedVms.add(vm);
+        this.actions.push({ kind: "move", vm, pool });
     }
 
     /** Moves a suitable VM into a pool for each step that none of its VMs can run. */
     private addVmsForUnplaceableSteps({ pool, unplaceableSteps }: PoolDemand): void {
         for (const step of unplaceableSteps) {
-            const vm = this.pickVmFor(pool, candidate => canRunWhenEmpty(step, candidate));
+            const vm = this.candidatesFor(pool).find(candidate => canRunWhenEmpty(step, candidate));
             if (vm !== undefined) {
-                this.orderedVms.add(vm.vm);
-                this.actions.push({ kind: "move", vm: vm.vm, pool });
+                this.move(vm, pool);
             }
         }
     }
 
     /**
-     * The VM to move into a pool: an idle one of the spare pool or a cordoned one. VMs not due for maintenance are
-     * preferred, then racks of which the pool has the fewest VMs.
+     * The VMs that may be moved into a pool, the best first: idle ones of the spare pool and cordoned ones. VMs not due
+     * for maintenance are preferred, then racks of which the pool has the fewest VMs.
      */
-    private pickVmFor(pool: string, isFit: (vm: VmSnapshot) => boolean = () => true): VmSnapshot | undefined {
+    private candidatesFor(pool: string): readonly VmSnapshot[] {
         const racks = new Map<string, number>();
         for (const { rack } of this.vmsInPool(pool)) {
             racks.set(rack, (racks.get(rack) ?? 0) + 1);
         }
         const candidates = this.view.vms.filter(vm =>
-            isFit(vm) && vm.isOrderable && vm.phase === VmPhase.Up && vm.pool !== pool && vm.runs === 0
+            vm.isOrderable && vm.phase === VmPhase.Up && vm.pool !== pool && vm.runs === 0
             && !this.orderedVms.has(vm.vm)
             && (vm.pool === this.sparePool || this.cordonedVms.has(vm.vm))
         );
         return candidates.sort((a, b) =>
             Number(a.dueWave !== undefined) - Number(b.dueWave !== undefined)
             || (racks.get(a.rack) ?? 0) - (racks.get(b.rack) ?? 0)
-        )[0];
+        );
     }
 
     /** Drains VMs that a pool does not demand. */
--- a/src/pool/placement.ts
+++ b/src/pool/placement.ts
@@ -42,14 +42,22 @@
     request: PlacementRequest,
     candidates: readonly PlacementCandidate[],
 ): WorkerState | undefined {
-    let best: WorkerState | undefined;
+    return chooseCandidate(request, candidates)?.worker;
+}
+
+/** Candidate with the lowest cost for a task; undefined if none can run it. */
+export function chooseCandidate<T extends PlacementCandidate>(
+    request: PlacementRequest,
+    candidates: readonly T[],
+): T | undefined {
+    let best: T | undefined;
     let lowestCost = Infinity;
     for (const candidate of candidates) {
         if (canPlace(request.step, candidate)) {
             const cost = placementCost(request, candidate);
             if (cost < lowestCost) {
                 lowestCost = cost;
-                best = candidate.worker;
+                best = candidate;
             }
         }
     }
--- a/src/pool/plan-starts.ts
+++ b/src/pool/plan-starts.ts
@@ -1,12 +1,17 @@
-/** Plans which waiting tasks start now, and on which workers. Pure: depends on its input alone. */
+/**
+ * Plans which waiting tasks start now, and on which workers. Pure: depends on its input alone.
+ *
+ * Load pattern: a burst of several times a pool's room, planned anew with every batch. Hundreds of tasks wait for which no
+ * worker has room; a task that needs no less than one that found none is passed over without a look at the workers.
+ */
 import { type StepSpec, TaskPhase } from "../job/index.js";
-import { addResources, isWithinLimit, noResources, type Resources } from "../process/resources.js";
+import { addResources, fitsInto, isWithinLimit, noResources, type Resources } from "../process/resources.js";
 import type { Directory, Queue } from "../version/directory.js";
 import type { DurationEstimator } from "./duration-estimator.js";
 import type { JobEntry, JobRegistry } from "./job-registry.js";
-import { chooseWorker, type PlacementCandidate, type PlacementRequest } from "./placement.js";
+import { chooseCandidate, type PlacementCandidate, type PlacementRequest } from "./placement.js";
 import { compareRankedJobs, estimateJob, type JobEstimate } from "./urgency.js";
-import { freeResources, type WorkerState } from "./worker-registry.js";
+import { freeResources, reservedResources, type WorkerState } from "./worker-registry.js";
 
 /** Assignment of a task to a worker. */
 export interface Placement {
@@ -74,19 +79,30 @@
     return ranked.sort(compareRankedJobs);
 }
 
+/** A worker with its free resources, which shrink as the plan assigns tasks to it. */
+interface Candidate extends PlacementCandidate {
+    free: Resources;
+    sameStepTasks: number;
+}
+
+/** The schedulable workers of one pool. */
+interface PoolRoom {
+    readonly candidates: readonly Candidate[];
+    /** Needs for which none of them has room. */
+    readonly exceeding: Resources[];
+}
+
 class StartPlanner {
-    private readonly freeByWorker = new Map<string, Resources>();
-    private readonly workersByPool = new Map<string, WorkerState[]>();
+    private readonly rooms = new Map<string, PoolRoom & { readonly candidates: Candidate[] }>();
     private readonly usageByTeam = new Map<string, Resources>();
     private readonly placements: Placement[] = [];
 
     private constructor(private readonly view: StartPlanInput) {
         for (const worker of view.workers) {
             if (isSchedulable(worker, view.now)) {
-                const pool = this.workersByPool.get(worker.listed.pool) ?? [];
-                this.workersByPool.set(worker.listed.pool, pool);
-                pool.push(worker);
-                this.freeByWorker.set(worker.id, freeResources(worker));
+                const room = this.rooms.get(worker.listed.pool) ?? { candidates: [], exceeding: [] };
+                this.rooms.set(worker.listed.pool, room);
+                room.candidates.push({ worker, free: freeResources(worker), sameStepTasks: 0 });
             }
         }
     }
@@ -106,8 +122,8 @@
     }
 
     private placeJob({ entry, queue }: RankedJob): void {
-        const workers = queue === undefined ? undefined : this.workersByPool.get(queue.pool);
-        if (queue === undefined || workers === undefined) {
+        const room = queue === undefined ? undefined : this.rooms.get(queue.pool);
+        if (queue === undefined || room === undefined) {
             return;
         }
         const exhausted = new Set<number>();
@@ -121,21 +137,33 @@
             const tickets = queue.needsAdvice
                 ? this.view.ticketsFor(entry, occurrence, stepIndex)
                 : undefined;
-            const allowed = queue.needsAdvice ? workers.filter(worker => tickets?.has(worker.id)) : workers;
-            const isPlaced = step.isGang
-                ? this.placeGang(entry, occurrence, stepIndex, allowed, tickets)
-                : this.placeTask(entry, taskIndex, step, allowed, tickets);
+            const isPlaced = queue.needsAdvice
+                ? this.place(entry, taskIndex, step, roomOfAdvised(room, tickets), tickets)
+                : this.place(entry, taskIndex, step, room, undefined);
             if (!isPlaced || step.isGang) {
                 exhausted.add(stepKey);
             }
         }
     }
 
+    /** Places a task, or all tasks of its step if they are a gang. */
+    private place(
+        entry: JobEntry,
+        taskIndex: number,
+        step: StepSpec,
+        room: PoolRoom,
+        tickets: ReadonlyMap<string, string> | undefined,
+    ): boolean {
+        return step.isGang
+            ? this.placeGang(entry, taskIndex, room, tickets)
+            : this.placeTask(entry, taskIndex, step, room, tickets);
+    }
+
     private placeTask(
         entry: JobEntry,
         taskIndex: number,
         step: StepSpec,
-        workers: readonly WorkerState[],
+        room: PoolRoom,
         tickets: ReadonlyMap<string, string> | undefined,
     ): boolean {
         const { team } = entry.job;
@@ -144,61 +172,67 @@
         if (!isWithinLimit(usage, cap) || this.placements.length >= this.view.limit) {
             return false;
         }
+        const needs = reservedResources({ step });
+        if (room.exceeding.some(exceeding => fitsInto(exceeding, needs))) {
+            return false;
+        }
         const { occurrence, step: stepIndex } = entry.state.tasks[taskIndex]!;
-        const sameStep = this.countTasksByWorker(entry, occurrence, stepIndex);
-        const candidates = workers.map((worker): PlacementCandidate => ({
-            worker,
-            free: this.freeByWorker.get(worker.id)!,
-            sameStepTasks: sameStep.get(worker.id) ?? 0,
-        }));
+        if (step.perWorker > 0) {
+            const sameStep = this.countTasksByWorker(entry, occurrence, stepIndex);
+            for (const candidate of room.candidates) {
+                candidate.sameStepTasks = sameStep.get(candidate.worker.id) ?? 0;
+            }
+        }
         const rack = step.wantsOneRack ? this.rackOf(entry, occurrence, stepIndex) : undefined;
         const request: PlacementRequest = {
             step,
             failedOn: entry.failedWorkers.get(taskIndex) ?? new Set(),
             preferredRack: rack,
         };
-        const worker = chooseWorker(request, candidates);
-        if (worker === undefined) {
+        const candidate = chooseCandidate(request, room.candidates);
+        if (candidate === undefined) {
+            // Room that a gang gives back when one of its tasks finds none would make this memory wrong.
+            if (step.label === undefined && step.perWorker === 0 && !step.isGang) {
+                room.exceeding.push(needs);
+            }
             return false;
         }
-        this.reserve(worker, step);
+        candidate.free = addResources(candidate.free, needs, -1);
         this.usageByTeam.set(team, usage);
+        const { worker } = candidate;
         const ticket = tickets?.get(worker.id);
         this.placements.push({ entry, taskIndex, worker, ...(ticket !== undefined && { ticket }) });
         return true;
     }
 
-    /** Places all members of a gang, or none. */
+    /** Places all members of a task's gang, or none. */
     private placeGang(
         entry: JobEntry,
-        occurrence: number,
-        stepIndex: number,
-        workers: readonly WorkerState[],
+        taskIndex: number,
+        room: PoolRoom,
         tickets: ReadonlyMap<string, string> | undefined,
     ): boolean {
+        const { occurrence, step: stepIndex } = entry.state.tasks[taskIndex]!;
         const step = entry.job.spec.steps[stepIndex]!;
         const members = entry.state.tasks
-            .map((task, taskIndex) => ({ task, taskIndex }))
+            .map((task, memberIndex) => ({ task, memberIndex }))
             .filter(({ task }) => task.occurrence === occurrence && task.step === stepIndex);
         const allWaiting = members.every(({ task }) => task.phase === TaskPhase.Waiting);
-        const free = new Map(this.freeByWorker);
+        const free = room.candidates.map(candidate => candidate.free);
         const usage = this.usageOf(entry.job.team);
         const before = this.placements.length;
         const isPlaced = allWaiting
-            && members.every(({ taskIndex }) => this.placeTask(entry, taskIndex, step, workers, tickets));
+            && members.every(({ memberIndex }) => this.placeTask(entry, memberIndex, step, room, tickets));
         if (!isPlaced) {
-            free.forEach((amount, worker) => this.freeByWorker.set(worker, amount));
+            room.candidates.forEach((candidate, index) => {
+                candidate.free = free[index]!;
+            });
             this.usageByTeam.set(entry.job.team, usage);
             this.placements.length = before;
         }
         return isPlaced;
     }
 
-    private reserve(worker: WorkerState, step: StepSpec): void {
-        const needs = step.isBestEffort ? { ...step.needs, cpu: 0 } : step.needs;
-        this.freeByWorker.set(worker.id, addResources(this.freeByWorker.get(worker.id)!, needs, -1));
-    }
-
     private usageOf(team: string): Resources {
         return this.usageByTeam.get(team) ?? this.view.jobs.usageOf(team);
     }
@@ -226,11 +260,20 @@
 
     private rackOf(entry: JobEntry, occurrence: number, step: number): string | undefined {
         const [first] = this.countTasksByWorker(entry, occurrence, step).keys();
-        const worker = [...this.workersByPool.values()].flat().find(({ id }) => id === first);
-        return worker === undefined ? undefined : rackLabel(worker);
+        const candidate = [...this.rooms.values()].flatMap(({ candidates }) => candidates)
+            .find(({ worker }) => worker.id === first);
+        return candidate === undefined ? undefined : rackLabel(candidate.worker);
     }
 }
 
+/** The workers for which there are tickets; they share their free resources with the whole pool. */
+function roomOfAdvised(room: PoolRoom, tickets: ReadonlyMap<string, string> | undefined): PoolRoom {
+    return {
+        candidates: room.candidates.filter(({ worker }) => tickets?.has(worker.id) === true),
+        exceeding: [],
+    };
+}
+
 /** Whether new runs may be placed on a worker at the monotonic time `now`. */
 export function isSchedulable(worker: WorkerState, now: number): boolean {
     return worker.isListed && worker.hasAcceptedFence && worker.isReachable && !worker.listed.isDraining
