A wall clock that is wrong or jumps no longer changes a job's place in the queue

Cause: the age of a job was the owner's wall clock less the time that another VM's wall clock gave at acceptance. Change: TenureClock runs with the monotonic clock, and a time of acceptance that cannot be right at receipt is replaced by the time of receipt.

--- a/src/pool/explain.ts
+++ b/src/pool/explain.ts
@@ -27,7 +27,7 @@
     const { timer } = ctx.options;
     const { job, state } = entry;
     const queue = ctx.options.directory()?.queues.find(({ name }) => name === job.queue);
-    const outlook = estimateJob({ entry, queue, durations: ctx.durations, wallMs: timer.wall() });
+    const outlook = estimateJob({ entry, queue, durations: ctx.durations, wallMs: ctx.clock.wallMs() });
     const workers = [...ctx.workers.byId.values()];
     const usable = workers.filter(worker =>
         worker.listed.pool === queue?.pool && isSchedulable(worker, timer.now())
@@ -57,7 +57,7 @@
         phase: state.phase,
         storedPhase: entry.storedPhase,
         reason: state.reason,
-        ageMs: Math.round(timer.wall() - job.acceptedAtMs),
+        ageMs: Math.round(ctx.clock.wallMs() - job.acceptedAtMs),
         urgency: Urgency[outlook.urgency],
         usableWorkers: usable.length,
         fence: ctx.fence,
--- a/src/pool/fleet-controller.ts
+++ b/src/pool/fleet-controller.ts
@@ -143,8 +143,8 @@
         if (directory === undefined || this.isInventoryLost) {
             return [];
         }
-        const { jobs, durations } = tenure;
-        this.demand.measure({ jobs, directory, durations, now, wallMs: this.options.timer.wall() });
+        const { jobs, durations, clock } = tenure;
+        this.demand.measure({ jobs, directory, durations, now, wallMs: clock.wallMs() });
         const vms = this.inventory.map(entry => this.snapshotOf(entry));
         const demands = [...directory.pools.values()].map(({ name, isSpare }) => ({
             pool: name,
--- a/src/pool/job-source.ts
+++ b/src/pool/job-source.ts
@@ -103,11 +103,12 @@
                     this.ctx.options.log.write(Severity.Error, EventId.RowMalformed, { job: row.job.id });
                     continue;
                 }
+                const job = this.ctx.clock.correctStored(row.job);
                 if (state === undefined) {
-                    this.ctx.jobs.accept(row.job);
+                    this.ctx.jobs.accept(job);
                 }
                 else {
-                    this.ctx.jobs.restore(row.job, state, now);
+                    this.ctx.jobs.restore(job, state, now);
                 }
             }
         }
--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -174,7 +174,7 @@
                 metrics.count("celerywind_runs_started_total");
                 metrics.observe(
                     "celerywind_first_start_ms",
-                    timer.wall() - record.entry.job.acceptedAtMs,
+                    this.ctx.clock.wallMs() - record.entry.job.acceptedAtMs,
                     { queue: record.entry.job.queue },
                 );
                 this.sendStop(record);
--- a/src/pool/tenure-context.ts
+++ b/src/pool/tenure-context.ts
@@ -10,6 +10,7 @@
 import type { LeaseBounds } from "./lease-bounds.js";
 import type { LedgerHead } from "./ledger.js";
 import type { Adviser, Roster, WorkerClient, WorkerTarget } from "./ports.js";
+import type { TenureClock } from "./tenure-clock.js";
 import type { WorkerRegistry, WorkerState } from "./worker-registry.js";
 
 /** Durations that govern a tenure, in milliseconds. */
@@ -49,6 +50,8 @@
     readonly options: TenureOptions;
     readonly jobs: JobRegistry;
     readonly workers: WorkerRegistry;
+    /** Clock for the age of jobs. */
+    readonly clock: TenureClock;
     readonly durations: DurationEstimator;
     readonly advice: AdviceCache;
     readonly fence: number;
--- a/src/pool/tenure.ts
+++ b/src/pool/tenure.ts
@@ -28,6 +28,7 @@
 import { RunDispatcher } from "./run-dispatcher.js";
 import { RunMonitor } from "./run-monitor.js";
 import { TeamShareLimiter } from "./team-share-limiter.js";
+import { TenureClock } from "./tenure-clock.js";
 import { retryDelayMs, type TenureContext, type TenureOptions } from "./tenure-context.js";
 import { WorkerMonitor } from "./worker-monitor.js";
 import { WorkerRegistry } from "./worker-registry.js";
@@ -53,6 +54,7 @@
 export class Tenure implements TenureContext {
     readonly jobs = JobRegistry.create();
     readonly workers: WorkerRegistry;
+    readonly clock: TenureClock;
     readonly durations = DurationEstimator.create();
     readonly advice: AdviceCache;
     readonly runController: RunDispatcher;
@@ -83,6 +85,7 @@
         const { head, timer, times, leaseBounds } = options;
         const now = timer.now();
         this.head = head;
+        this.clock = TenureClock.create(timer);
         this.startedAt = now;
         this.ownershipConfirmedAt = now;
         this.wallClockOffsetMs = timer.wall() - now;
@@ -198,7 +201,9 @@
         if (!this.isLoaded || this.jobs.entries.has(job.id)) {
             return;
         }
-        const entry = this.jobs.accept(job, { exceedsTeamShare: this.teamShare.chargeJob(job.team) });
+        const entry = this.jobs.accept(this.clock.correctReported(job), {
+            exceedsTeamShare: this.teamShare.chargeJob(job.team),
+        });
         if (this.cancelsBeforeAcceptance.delete(job.id)) {
             this.jobs.cancel(entry, this.options.timer.now());
         }
@@ -376,7 +381,7 @@
                 phase,
                 reason: entry.state.reason,
                 batch: this.head.batch,
-                ageMs: Math.round(this.options.timer.wall() - entry.job.acceptedAtMs),
+                ageMs: Math.round(this.clock.wallMs() - entry.job.acceptedAtMs),
             });
         }
     }
@@ -482,7 +487,7 @@
             durations: this.durations,
             ticketsFor: (entry, occurrence, step) => this.advice.ticketsFor(entry, occurrence, step),
             now,
-            wallMs: timer.wall(),
+            wallMs: this.clock.wallMs(),
             limit: maxStartsPerBatch,
         });
         for (const { entry, taskIndex: at, worker, ticket } of placements) {
--- a/standin/simulation/pausable-timer.ts
+++ b/standin/simulation/pausable-timer.ts
@@ -7,6 +7,8 @@
 export class PausableTimer implements Timer {
     private deferredCallbacks: (() => void)[] | undefined;
     private isEnded = false;
+    /** Error of the wall clock, in milliseconds; a test may change it at any time. */
+    wallOffsetMs = 0;
 
     private constructor(private readonly inner: Timer) {}
 
@@ -19,7 +21,7 @@
     }
 
     wall(): number {
-        return this.inner.wall();
+        return this.inner.wall() + this.wallOffsetMs;
     }
 
     after(ms: number, fn: () => void): Cancel {
