The start of a burst is told from a quarter of a second of arrivals

Demand was estimated from arrivals over 1.5 s, so the last VMs of a burst of four seconds were ordered after 1.5 s and ready after 3 s. Change: the rate of arrivals is the highest over windows of 250 to 1,500 ms; a short window counts twice its weaker half, so that a batch at one moment is no rate.

--- a/src/pool/demand.ts
+++ b/src/pool/demand.ts
@@ -22,12 +22,12 @@
     [Urgency.BeyondShare]: 0.1,
 };
 
-/** Window in which arrivals are counted to detect the start of a burst. */
+/** Windows over which the rate of arrivals is estimated: short ones detect a burst soon, long ones a slow one. */
+const rateWindowsMs = [250, 500, 1000] as const;
+/** Longest window; over it, the rate is the plain mean. */
 const arrivalWindowMs = 1500;
-/** Arrivals in that window from which they count as a burst; fewer can be chance. */
+/** Arrivals in a window from which they count as a burst; fewer can be chance. */
 const minBurstJobs = 3;
-/** Growth expected of a burst until VMs ordered now are ready. */
-const burstGrowthFactor = 1;
 
 /** Input of `DemandMeter.measure`. */
 export interface DemandInput {
@@ -58,7 +58,7 @@
     measure({ jobs, directory, durations, now, wallMs }: DemandInput): void {
         const queues = new Map(directory.queues.map(queue => [queue.name, queue]));
         const demandByPool = new Map<string, Resources>();
-        const arrivals = new Map<string, Arrivals>();
+        const arrivals = new Map<string, Arrival[]>();
         this.minVmsByPool.clear();
         for (const entry of jobs.activeEntries) {
             const queue = queues.get(entry.job.queue);
@@ -70,8 +70,11 @@
                     pool,
                     addResources(demandByPool.get(pool) ?? noResources, needs, demandWeight[urgency]),
                 );
-                if (!entry.isService && wallMs - entry.job.acceptedAtMs < arrivalWindowMs) {
-                    arrivals.set(pool, addArrival(arrivals.get(pool), entry, durations));
+                const ageMs = wallMs - entry.job.acceptedAtMs;
+                if (!entry.isService && ageMs < arrivalWindowMs) {
+                    const ofPool = arrivals.get(pool) ?? [];
+                    arrivals.set(pool, ofPool);
+                    ofPool.push({ ageMs, resourceMs: resourceMsOf(entry, durations) });
                 }
                 this.minVmsByPool.set(
                     pool,
@@ -101,26 +104,47 @@
     }
 }
 
-interface Arrivals {
-    readonly jobs: number;
-    /** Resources of their tasks times the expected milliseconds of use. */
+/** A job that arrived within the longest window. */
+interface Arrival {
+    readonly ageMs: number;
+    /** Resources of its tasks times the expected milliseconds of use. */
     readonly resourceMs: Resources;
 }
 
-function addArrival(before: Arrivals | undefined, { job }: JobEntry, durations: DurationEstimator): Arrivals {
-    const resourceMs = job.spec.steps.reduce(
+function resourceMsOf({ job }: JobEntry, durations: DurationEstimator): Resources {
+    return job.spec.steps.reduce(
         (sum, step) =>
             addResources(sum, step.needs, step.tasks * durations.estimate(job.queue, step.estimateMs)),
-        before?.resourceMs ?? noResources,
+        noResources,
     );
-    return { jobs: (before?.jobs ?? 0) + 1, resourceMs };
 }
 
-/** Resources that a burst is expected to use; none if the arrivals are no burst. */
-function expectedBurstDemand(arrivals: Arrivals | undefined): Resources {
-    return arrivals === undefined || arrivals.jobs < minBurstJobs
-        ? noResources
-        : addResources(noResources, arrivals.resourceMs, burstGrowthFactor / arrivalWindowMs);
+/**
+ * Resources that a burst is expected to use at its present rate of arrivals; none if the arrivals are no burst.
+ *
+ * Load pattern: a queue goes from a twentieth of its mean to several times its mean within a moment and stays there for
+ * some seconds, hardly longer than the VMs take that it needs. At hundreds of VMs a quarter of a second holds enough
+ * arrivals to tell their rate.
+ */
+function expectedBurstDemand(arrivals: readonly Arrival[] = []): Resources {
+    if (arrivals.length < minBurstJobs) {
+        return noResources;
+    }
+    const total = arrivals.reduce((sum, { resourceMs }) => addResources(sum, resourceMs), noResources);
+    return addResources(noResources, total, arrivalRatePerMs(arrivals) / arrivals.length);
+}
+
+/**
+ * Arrivals per millisecond: the highest over the windows. A short window counts twice the arrivals of its weaker half, since
+ * a batch that came at one moment shows no rate.
+ */
+export function arrivalRatePerMs(arrivals: readonly { readonly ageMs: number }[]): number {
+    const rates = rateWindowsMs.map(windowMs => {
+        const recent = arrivals.filter(({ ageMs }) => ageMs < windowMs).length;
+        const latest = arrivals.filter(({ ageMs }) => ageMs < windowMs / 2).length;
+        return recent < minBurstJobs ? 0 : 2 * Math.min(latest, recent - latest) / windowMs;
+    });
+    return Math.max(arrivals.length / arrivalWindowMs, ...rates);
 }
 
 function currentDemandOf(jobs: JobRegistry, entry: JobEntry): Resources {
--- a/test/fleet-plan.test.ts
+++ b/test/fleet-plan.test.ts
@@ -1,9 +1,10 @@
 import { describe, expect, test } from "vitest";
-import { DemandMeter } from "../src/pool/demand.js";
+import { arrivalRatePerMs, DemandMeter } from "../src/pool/demand.js";
 import { DurationEstimator } from "../src/pool/duration-estimator.js";
 import { CordonReason, type FleetPlanInput, planFleet, type VmSnapshot } from "../src/pool/fleet-plan.js";
 import { JobRegistry } from "../src/pool/job-registry.js";
 import { VmPhase } from "../src/pool/ports.js";
+import { Random } from "../src/process/random.js";
 import type { Resources } from "../src/process/resources.js";
 import type { Directory } from "../src/version/directory.js";
 import { jobOf, queueOf, stepOf } from "../standin/site/site.js";
@@ -233,6 +234,36 @@
         expect(peakCpuForArrivals(10)).toBeGreaterThan(cpuMillicores(60));
     });
 
+    test("is near that of the whole burst a quarter of a second after a queue has gone to many times its mean", () => {
+        const jobsPerS = 80;
+        const demandAfter = (ms: number): number => {
+            const random = Random.create(1);
+            const jobs = JobRegistry.create();
+            for (let at = 0, i = 0; at < ms; at += random.int(2000 / jobsPerS + 1), i++) {
+                jobs.accept({
+                    id: `j${i}`,
+                    queue: "q",
+                    team: "",
+                    acceptedAtMs: 100_000 + at,
+                    spec: jobOf({ tasks: 8, estimateMs: 800 }, { tasks: 8, estimateMs: 800, after: [0] }),
+                });
+            }
+            const meter = DemandMeter.create();
+            const durations = DurationEstimator.create();
+            meter.measure({ jobs, directory, durations, now: 0, wallMs: 100_000 + ms });
+            return meter.peakDemandOf("bench", 0).cpu;
+        };
+        const wholeBurst = cpuMillicores(jobsPerS * 2 * 8 * 0.8);
+        expect(demandAfter(300)).toBeGreaterThan(0.6 * wholeBurst);
+        expect(demandAfter(1200)).toBeGreaterThan(0.8 * wholeBurst);
+        expect(demandAfter(1200)).toBeLessThan(1.6 * wholeBurst);
+    });
+
+    test("does not take jobs that came at one moment for the rate of a burst", () => {
+        const arrivals = Array.from({ length: 30 }, () => ({ ageMs: 40 }));
+        expect(arrivalRatePerMs(arrivals)).toBe(30 / 1500);
+    });
+
     test("stays at its peak for a short time after a burst", () => {
         const jobs = JobRegistry.create();
         const entry = jobs.accept({
