A wave keeps its time over changes of owner, and drains as many VMs in use at once as it needs to end in time

Until a wave was urgent two VMs in use were drained at once, whatever its size; when it became urgent, services that may leave only one after the other had no time left. Change: the number drained at once follows from what is left and 0.7 of the time left, at least two; the time at which a wave was first seen is stored with its progress, limited to the wave's duration where a wall clock is wrong. Check replaced: 'a wave is as urgent for its second owner as for its first' gave the second owner nothing from the first, which no code can meet; it is now given the row that the first stored, and asks for the same equality.

--- a/src/pool/vm-order-dispatcher.ts
+++ b/src/pool/vm-order-dispatcher.ts
@@ -156,7 +156,9 @@
             case VmOrderResult.Done:
                 onOrderAccepted(vm);
                 waveTracker.recordAccepted(wave, vm);
-                tenure.putWithNextBatch(waveTracker.progressRow(wave));
+                tenure.putWithNextBatch(
+                    waveTracker.progressRow(wave, { now: timer.now(), wallMs: tenure.clock.wallMs() }),
+                );
                 break;
             case VmOrderResult.Unknown:
                 break;
--- a/src/pool/wave-reporter.ts
+++ b/src/pool/wave-reporter.ts
@@ -25,6 +25,8 @@
     private isRestored = false;
     /** Waves whose start is not yet reported. */
     private readonly startUnreported = new Set<number>();
+    /** Waves of which this owner has not stored since when they are known. */
+    private readonly unstored = new Set<number>();
 
     private constructor(private readonly options: WaveReporterOptions) {
         this.tracker = WaveTracker.create(options.domain, options.maintenanceMs);
@@ -36,18 +38,24 @@
 
     /** Loads new waves and reports their start; rejects if the progress of an earlier owner cannot be read. */
     async loadNew(): Promise<void> {
-        const { store, domain, timer, waves } = this.options;
+        const { store, domain, timer, tenure, waves } = this.options;
         for (const { wave } of this.tracker.addOrders(waves(), timer.now())) {
             this.startUnreported.add(wave);
+            this.unstored.add(wave);
         }
         if (this.startUnreported.size === 0) {
             return;
         }
+        const time = { now: timer.now(), wallMs: tenure.clock.wallMs() };
         if (!this.isRestored) {
             const page = await readAll(store, { table: waveTable, part: domain });
-            this.tracker.restore(page.rows);
+            this.tracker.restore(page.rows, time);
             this.isRestored = true;
         }
+        for (const wave of this.unstored) {
+            this.unstored.delete(wave);
+            tenure.putWithNextBatch(this.tracker.progressRow(wave, time));
+        }
         for (const wave of this.startUnreported) {
             await this.reportStarted(wave);
         }
--- a/src/pool/wave-tracker.ts
+++ b/src/pool/wave-tracker.ts
@@ -9,8 +9,8 @@
 
 interface WaveState {
     readonly order: MaintenanceWave;
-    /** Monotonic time at which this owner first saw the wave. */
-    readonly firstSeenAt: number;
+    /** Monotonic time at which an owner first saw the wave; before this process began, if it was an earlier one. */
+    firstSeenAt: number;
     readonly done: Set<string>;
     /** VMs that cannot be maintained: gone, or not part of the wave according to the platform. */
     readonly excluded: Set<string>;
@@ -19,7 +19,19 @@
     isReported: boolean;
 }
 
-const waveRowSchema = z.object({ done: z.array(z.string()) });
+const waveRowSchema = z.object({
+    done: z.array(z.string()),
+    /** Unix time at which an owner first saw the wave, in milliseconds; absent in rows of earlier versions. */
+    firstSeenMs: z.number().optional(),
+});
+
+/** The present time on both clocks, in milliseconds. */
+export interface WaveTime {
+    /** Monotonic time. */
+    readonly now: number;
+    /** Unix time. */
+    readonly wallMs: number;
+}
 
 /**
  * Share of the remaining time that the remaining rounds of maintenance may need. Above it the wave is urgent, and VMs
@@ -28,8 +40,9 @@
 const urgentTimeShare = 0.5;
 /** Initial share of a wave's time in which only idle VMs are maintained. */
 const idleOnlyTimeShare = 0.1;
-/** VMs in use that are drained at once after that time, until the wave is urgent. */
-const maxDrainingBeforeUrgent = 2;
+/** Share of the remaining time within which the VMs in use are to be drained after that, and the fewest at once. */
+const drainTimeShare = 0.7;
+const minDraining = 2;
 /** Time that draining a VM and its orders add to a round of maintenance. */
 const roundOverheadMs = 2500;
 
@@ -62,22 +75,28 @@
         return added;
     }
 
-    /** Adds the progress that an earlier owner stored. */
-    restore(rows: readonly StoredRow[]): void {
+    /** Adds the progress that an earlier owner stored, and when an owner first saw each wave. */
+    restore(rows: readonly StoredRow[], { now, wallMs }: WaveTime): void {
         for (const row of rows) {
             const state = this.waves.get(Number(row.key));
             // A malformed row counts as no progress; the platform itself records which VMs are done.
             const parsed = waveRowSchema.safeParse(parseJson(row.value));
             if (state !== undefined && parsed.success) {
-                parsed.data.done.forEach(vm => state.done.add(vm));
+                const { done, firstSeenMs = wallMs } = parsed.data;
+                done.forEach(vm => state.done.add(vm));
+                // Wall clocks may be wrong: the time is limited to what the wave's duration allows.
+                const ageMs = Math.min(state.order.durationMs, Math.max(0, wallMs - firstSeenMs));
+                state.firstSeenAt = Math.min(state.firstSeenAt, now - ageMs);
             }
         }
     }
 
     /** Row with the progress of a wave. */
-    progressRow(wave: number): RowPut {
-        const done = [...this.waves.get(wave)?.done ?? []];
-        return { ...this.key(wave), value: JSON.stringify({ done }) };
+    progressRow(wave: number, { now, wallMs }: WaveTime): RowPut {
+        const state = this.waves.get(wave);
+        const done = [...state?.done ?? []];
+        const firstSeenMs = Math.round(wallMs - (now - (state?.firstSeenAt ?? now)));
+        return { ...this.key(wave), value: JSON.stringify({ done, firstSeenMs }) };
     }
 
     /** First wave for which a VM is still due; undefined if there is none. */
@@ -94,6 +113,9 @@
     /**
      * Waves that still have VMs due, with the number of VMs that may enter maintenance now. VMs that the inventory
      * shows in maintenance count against the cap as well, since an earlier owner may have ordered them.
+     *
+     * Load pattern: a wave over half of the site's VMs, many of which run services that may leave only one after the other.
+     * As many VMs in use are drained at once as the remaining ones need to be done in time.
      */
     openWaves(now: number, inMaintenance: ReadonlySet<string>) {
         return [...this.waves].flatMap(([wave, state]) => {
@@ -105,10 +127,12 @@
                 state.inProgress.has(vm) || inMaintenance.has(vm)
             ).length;
             const timeLeftMs = state.firstSeenAt + state.order.durationMs - now;
-            const neededMs = Math.ceil(remaining / cap) * (this.maintenanceMs + roundOverheadMs);
+            const roundMs = this.maintenanceMs + roundOverheadMs;
+            const neededMs = Math.ceil(remaining / cap) * roundMs;
+            const draining = Math.ceil(remaining * roundMs / Math.max(1, timeLeftMs * drainTimeShare));
             const isUrgent = neededMs > timeLeftMs * urgentTimeShare;
             const isDue = now - state.firstSeenAt > state.order.durationMs * idleOnlyTimeShare;
-            const maxDraining = isUrgent ? cap : isDue ? Math.min(cap, maxDrainingBeforeUrgent) : 0;
+            const maxDraining = isUrgent ? cap : isDue ? Math.min(cap, Math.max(minDraining, draining)) : 0;
             return remaining === 0
                 ? []
                 : [{ wave, availableSlots: Math.max(0, cap - slotsInUse), isUrgent, maxDraining }];
--- a/test/fleet-plan.test.ts
+++ b/test/fleet-plan.test.ts
@@ -4,6 +4,7 @@
 import { CordonReason, type FleetPlanInput, planFleet, type VmSnapshot } from "../src/pool/fleet-plan.js";
 import { JobRegistry } from "../src/pool/job-registry.js";
 import { VmPhase } from "../src/pool/ports.js";
+import { WaveTracker } from "../src/pool/wave-tracker.js";
 import { Random } from "../src/process/random.js";
 import type { Resources } from "../src/process/resources.js";
 import type { Directory } from "../src/version/directory.js";
@@ -283,3 +284,38 @@
         expect(meter.peakDemandOf("bench", 2500).cpu).toBe(0);
     });
 });
+
+describe("a maintenance wave over half of the VMs of a large site", () => {
+    const vms = Array.from({ length: 183 }, (_, i) => `vm-${i}`);
+    const order = { wave: 1, vms, durationMs: 28_000, cap: 66 };
+
+    function trackerWithDone(count: number): WaveTracker {
+        const tracker = WaveTracker.create("d", 2000);
+        tracker.addOrders([order], 0);
+        vms.slice(0, count).forEach(name => tracker.recordAccepted(1, name));
+        return tracker;
+    }
+
+    test("drains enough VMs in use at once to be done in time, and few once few are left", () => {
+        const drainingOf = (done: number, now: number): number =>
+            trackerWithDone(done).openWaves(now, new Set())[0]!.maxDraining;
+        expect(drainingOf(120, 2000)).toBe(0);
+        expect(drainingOf(120, 4000)).toBeGreaterThanOrEqual(63 * 4500 / 24_000);
+        expect(drainingOf(180, 4000)).toBe(2);
+        expect(drainingOf(0, 4000)).toBeLessThanOrEqual(order.cap);
+    });
+
+    test.each([-2_400_000, 2_400_000])(
+        "keeps a time limit within its duration for an owner whose clock is off by %i ms",
+        offsetMs => {
+            const row = trackerWithDone(1).progressRow(1, { now: 0, wallMs: 5_000_000 });
+            const second = WaveTracker.create("d", 2000);
+            second.addOrders([order], 10_000);
+            second.restore([{ ...row, version: 1, isRemoved: false }], {
+                now: 10_000,
+                wallMs: 5_010_000 + offsetMs,
+            });
+            expect(second.openWaves(10_000, new Set())[0]!.isUrgent).toBe(offsetMs > 0);
+        },
+    );
+});
--- a/test/owner-changes.test.ts
+++ b/test/owner-changes.test.ts
@@ -258,6 +258,8 @@
         first.addOrders([order], 0);
         const second = WaveTracker.create("d", 2000);
         second.addOrders([order], 15_000);
+        const stored = first.progressRow(1, { now: 0, wallMs: 1_000_000 });
+        second.restore([{ ...stored, version: 1, isRemoved: false }], { now: 15_000, wallMs: 1_015_000 });
         expect(second.openWaves(15_000, new Set())).toEqual(first.openWaves(15_000, new Set()));
     });
 
