A run that hangs is stopped although owners change

Change: the age of a run claimed by an earlier owner is that of its job, and it counts as stalled only after a tenth of its expected duration more without progress. The duration of such a run is no longer taken into the estimates, as its start is unknown.

--- a/src/pool/job-registry.ts
+++ b/src/pool/job-registry.ts
@@ -52,6 +52,8 @@
     /** Incarnation of the worker that the run was claimed for. */
     readonly workerIncarnation: number;
     readonly step: StepSpec;
+    /** Whether an earlier owner claimed the run, so that its start is known only to be after the job's acceptance. */
+    readonly isInherited: boolean;
     start: StartStatus;
     /** Monotonic time of the claim, in milliseconds. */
     readonly claimedAt: number;
@@ -340,6 +342,7 @@
             worker: task.worker,
             workerIncarnation: task.workerStartedAt,
             step: entry.job.spec.steps[task.step]!,
+            isInherited: start === StartStatus.Inherited,
             start,
             claimedAt: now,
             startedAt: now,
--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -240,9 +240,11 @@
         const { entry, step, startedAt } = record;
         switch (outcome) {
             case RunEnd.Done: {
-                const ms = now - startedAt;
-                updateSlowdown(worker, ms, this.ctx.durations.estimate(entry.job.queue, step.estimateMs));
-                this.ctx.durations.record(entry.job.queue, ms);
+                if (!record.isInherited) {
+                    const ms = now - startedAt;
+                    updateSlowdown(worker, ms, this.ctx.durations.estimate(entry.job.queue, step.estimateMs));
+                    this.ctx.durations.record(entry.job.queue, ms);
+                }
                 worker.consecutiveFailures = 0;
                 return;
             }
--- a/src/pool/run-monitor.ts
+++ b/src/pool/run-monitor.ts
@@ -12,6 +12,11 @@
 const stallTimeoutMs = 2500;
 /** Multiple of its expected duration before which a run never counts as stalled. */
 const stallDurationFactor = 2.5;
+/**
+ * Share of its expected duration by which that time is longer for a run whose start is not known: a run that makes progress
+ * reports another percent well within it.
+ */
+const inheritedStallShare = 0.1;
 /** Shortest time between two log lines about runs whose workers do not answer. */
 const leaseEndLogIntervalMs = 1000;
 
@@ -107,7 +112,7 @@
     }
 
     private isStalled(record: RunRecord, now: number): boolean {
-        const { entry, step, start, startedAt, progressedAt: percentAt, pacePercent: pace } = record;
+        const { entry, step, start, progressedAt: percentAt, pacePercent: pace, isInherited } = record;
         if (start !== StartStatus.Confirmed || step.isBestEffort || pace < 100 || step.isGang) {
             return false;
         }
@@ -115,8 +120,9 @@
             return false;
         }
         const expected = this.ctx.durations.estimate(entry.job.queue, step.estimateMs);
-        return now - startedAt > stallDurationFactor * expected + stallTimeoutMs
-            && now - percentAt > stallTimeoutMs;
+        const ageMs = isInherited ? this.ctx.clock.wallMs() - entry.job.acceptedAtMs : now - record.startedAt;
+        return ageMs > stallDurationFactor * expected + stallTimeoutMs
+            && now - percentAt > stallTimeoutMs + (isInherited ? inheritedStallShare * expected : 0);
     }
 
     private sendPace(worker: WorkerState, record: RunRecord, percent: number): void {
