A write that the store leaves unanswered is relayed by a peer after 0.4 s

A caller's job at such an entry waited for the whole 2.5 s of the first attempt, of the 3 s that its caller gives, before a peer was asked; peers that were turned away as well took 0.9 s each, and the next job began with another peer. Change: a write without any sign of the store for 0.4 s is relayed as well (its row's condition lets one commit), the peer that carried out the last one is asked first, a peer whose own calls fail says so at once, up to three are asked for 0.5 s each. Test: 'that leaves an entry without answers is reached through a peer, in a second' failed before (not settled), passes.

--- a/src/connection/instrumented-row-store.ts
+++ b/src/connection/instrumented-row-store.ts
@@ -21,6 +21,7 @@
 /** Forwards calls to a row store, with metrics, and records the time of the last success. */
 export class InstrumentedRowStore implements RowStore {
     private lastSuccessAt = -Infinity;
+    private lastFailureAt = -Infinity;
 
     private constructor(private readonly options: InstrumentedRowStoreOptions) {}
 
@@ -33,6 +34,11 @@
         return this.options.timer.now() - this.lastSuccessAt;
     }
 
+    /** Whether the last call that ended failed, other than by a conflict. */
+    get isFailing(): boolean {
+        return this.lastFailureAt > this.lastSuccessAt;
+    }
+
     async transact(tx: RowTransaction): Promise<TransactionOutcome> {
         const startedAt = this.options.timer.now();
         const outcome = await this.options.store.transact(tx);
@@ -42,6 +48,9 @@
         if (outcome.kind === TransactionStatus.Committed || outcome.kind === TransactionStatus.Conflict) {
             this.recordSuccess();
         }
+        else {
+            this.lastFailureAt = timer.now();
+        }
         return outcome;
     }
 
@@ -63,6 +72,7 @@
         }
         catch (err) {
             metrics.count("celerywind_store_read_failures_total", { call });
+            this.lastFailureAt = this.options.timer.now();
             throw err;
         }
     }
--- a/src/request/job-call-handler.ts
+++ b/src/request/job-call-handler.ts
@@ -11,8 +11,6 @@
 import {
     readRow,
     type RowKey,
-    type RowStore,
-    type RowTransaction,
     type TransactionOutcome,
     TransactionStatus,
 } from "../process/rows.js";
@@ -29,6 +27,7 @@
     submit,
     type SubmitResult,
 } from "./job-calls.js";
+import { type RelayedStore, StoreRelay } from "./store-relay.js";
 
 /** Result of finding the queue of a call and checking its key. */
 export type QueueLookup =
@@ -42,7 +41,7 @@
 export interface JobCallHandlerOptions {
     readonly domain: Domain;
     readonly domainName: string;
-    readonly store: RowStore & { readonly ageMs: number };
+    readonly store: RelayedStore;
     readonly peers: Peers;
     readonly directory: () => Directory | undefined;
     readonly timer: Timer;
@@ -50,11 +49,6 @@
     readonly metrics: Metrics;
 }
 
-const relayTopic = "store.relay";
-/** Wait for one peer's reply before the next peer is tried. */
-const relayTimeoutMs = 900;
-/** Most peers that are tried, one after the other, to relay a transaction. */
-const maxRelayPeers = 2;
 /** Retry delay to suggest to callers while the entry has no lists (the operators' configuration) yet. */
 export const noListsRetryMs = 500;
 /** Part of a caller's time limit that is reserved for the response to reach it. */
@@ -63,19 +57,21 @@
 /** Handles calls about jobs. */
 export class JobCallHandler implements Task {
     readonly name = "job-desk";
-    private nextRelayPeer = 0;
+    private readonly relay: StoreRelay;
     /** Number of calls in progress. */
     activeCount = 0;
     isStopping = false;
 
-    private constructor(private readonly options: JobCallHandlerOptions) {}
+    private constructor(private readonly options: JobCallHandlerOptions) {
+        this.relay = StoreRelay.create(options);
+    }
 
     static create(options: JobCallHandlerOptions): JobCallHandler {
         return new JobCallHandler(options);
     }
 
     start(): Promise<void> {
-        this.options.peers.on(relayTopic, (_, tx) => this.options.store.transact(tx as RowTransaction));
+        this.relay.start();
         return Promise.resolve();
     }
 
@@ -201,12 +197,12 @@
     }
 
     private async perform(effect: JobCallEffect, deadline: number): Promise<unknown> {
-        const { store, timer, domain, domainName } = this.options;
+        const { timer, domain, domainName } = this.options;
         switch (effect.kind) {
             case "transact":
-                return this.resolveByDeadline(store.transact(effect.tx), deadline);
+                return this.resolveByDeadline(this.relay.transactHedged(effect.tx), deadline);
             case "relay":
-                return this.resolveByDeadline(this.relay(effect.tx), deadline);
+                return this.resolveByDeadline(this.relay.transactByPeers(effect.tx), deadline);
             case "read-job":
                 return this.read(jobKey(effect.id));
             case "read-progress":
@@ -248,41 +244,4 @@
             return undefined;
         }
     }
-
-    /**
-     * Has a peer carry out a transaction; falls back to this entry's own connection to the store. A refusal there
-     * counts as unknown if a peer may have carried the transaction out without a conclusive reply.
-     */
-    private async relay(tx: RowTransaction): Promise<TransactionOutcome> {
-        const { peers, store, metrics } = this.options;
-        const connected = peers.connected();
-        let isUncertain = false;
-        for (let i = 0; i < Math.min(maxRelayPeers, connected.length); i++) {
-            const peer = connected[this.nextRelayPeer++ % connected.length]!;
-            try {
-                const outcome = await peers.request(
-                    peer.vm,
-                    relayTopic,
-                    tx,
-                    relayTimeoutMs,
-                ) as TransactionOutcome;
-                metrics.count("celerywind_relayed_transactions_total", { outcome: outcome.kind });
-                if (
-                    outcome.kind === TransactionStatus.Committed
-                    || outcome.kind === TransactionStatus.Conflict
-                ) {
-                    return outcome;
-                }
-                isUncertain ||= outcome.kind === TransactionStatus.Unknown;
-            }
-            catch (err) {
-                isUncertain ||= (err as { wasSent?: boolean }).wasSent !== false;
-                metrics.count("celerywind_relayed_transactions_total", { outcome: "no-answer" });
-            }
-        }
-        const outcome = await store.transact(tx);
-        return outcome.kind === TransactionStatus.Refused && isUncertain
-            ? { kind: TransactionStatus.Unknown, reason: "a relayed transaction was not answered" }
-            : outcome;
-    }
 }
--- a/test/site.test.ts
+++ b/test/site.test.ts
@@ -716,6 +716,17 @@
         await expectPhase(site, "j1", "succeeded");
     });
 
+    test("that leaves an entry without answers is reached through a peer, in a second", async () => {
+        const site = await createSite();
+        const entry = anotherEntry(site, ownerOf(site));
+        entry.storeFaults.isUnresponsive = true;
+        const submission = site.submit(entry, "j1", jobOf({}));
+        expect((await site.runUntilSettled(submission, 1000)).kind).toBe("accepted");
+        await site.timer.advance(1500);
+        await expectPhase(site, "j1", "succeeded");
+        expect(site.checker.startCount).toBe(1);
+    });
+
     test("that is fifty times slower accepts a burst of jobs within the callers' timeout", async () => {
         const site = await createSite();
         site.rows.faults.latencyFactor = 50;
