Messages about the owner are decoded with a schema; a notification that a handler cannot use is logged and counted

Cause: handlers of peer notifications took the body's type on trust, and an error in one was thrown out of the socket's event: the process went on only because the daemon catches all errors at its top, and the log named no peer. Change: what entries tell each other about the owner has a module of its own with schemas (domain.ts is 45 lines shorter), and the mesh catches errors of handlers, synchronous or not. Test: 'stay open when a notification's body is not what its handler expects'.

--- a/src/connection/peer/peer-mesh.ts
+++ b/src/connection/peer/peer-mesh.ts
@@ -6,7 +6,7 @@
 import { createServer as createTlsServer } from "node:https";
 import type { Socket } from "node:net";
 import { WebSocket, WebSocketServer } from "ws";
-import { PeerError } from "../../process/errors.js";
+import { messageOf, PeerError } from "../../process/errors.js";
 import { EventId, Severity } from "../../process/events.js";
 import type { Task } from "../../process/hub.js";
 import type { Log } from "../../process/log.js";
@@ -202,7 +202,7 @@
             events: {
                 onOpen: (openedLink, peer) => this.handleOpen(openedLink, peer),
                 onClose: (closedLink, reason) => this.handleClose(closedLink, reason),
-                onNotification: (peer, topic, body) => void this.topicHandlers.get(topic)?.(peer, body),
+                onNotification: (peer, topic, body) => this.receiveNotification(peer, topic, body),
                 onRequest: async (peer, topic, body) => await this.handlerOf(topic)(peer, body),
                 onSent: bytes => {
                     metrics.count("celerywind_peer_messages_total");
@@ -214,6 +214,21 @@
         return link;
     }
 
+    /** Hands a notification to its handler; a body that the handler cannot use is logged and counted. */
+    private receiveNotification(peer: PeerIdentity, topic: string, body: unknown): void {
+        const { log, metrics } = this.options;
+        const reject = (err: unknown): void => {
+            metrics.count("celerywind_peer_notifications_rejected_total", { topic });
+            log.write(Severity.Warn, EventId.PeerFrameInvalid, { peer: peer.vm, topic, err: messageOf(err) });
+        };
+        try {
+            Promise.resolve(this.topicHandlers.get(topic)?.(peer, body)).catch(reject);
+        }
+        catch (err) {
+            reject(err);
+        }
+    }
+
     private handlerOf(topic: string): PeerHandler {
         const handler = this.topicHandlers.get(topic);
         if (handler === undefined) {
--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -16,6 +16,16 @@
 import { Membership } from "./membership.js";
 import { OwnerClient } from "./owner-client.js";
 import { maxHealthyProbeMs, OwnerFitness } from "./owner-fitness.js";
+import {
+    decodeEndedFence,
+    decodeHeartbeat,
+    decodeNews,
+    type Heartbeat,
+    maxEndedFences,
+    OwnerMessenger,
+    type OwnerNews,
+    OwnerTopic,
+} from "./owner-messages.js";
 import {
     decodeOwner,
     type Owner,
@@ -64,34 +74,9 @@
     readonly isHolderGapOver: boolean;
 }
 
-interface Heartbeat {
-    readonly fence: number;
-    readonly incarnation: string;
-    /** Milliseconds since the owner last reached the store. */
-    readonly storeAgeMs: number;
-}
-
-/** News of an owner, which entries pass on to their peers until every entry has it. */
-interface OwnerNews {
-    readonly owner: Owner;
-    /** URL at which the owner's peers reach it; empty if unknown. */
-    readonly url: string;
-}
-
 type CompletedTakeover = Extract<TakeoverResult, { kind: "taken" }>;
 
-/** Topics of peer messages about the ownership of a domain. */
-enum Topic {
-    Heartbeat = "owner.beacon",
-    News = "owner.news",
-    Silence = "owner.heard",
-    Released = "owner.released",
-    SteppedDown = "owner.stepped-down",
-}
-
-/** Period of the owner's heartbeats to the successors; every `slowHeartbeatFactor`th goes to all entries. */
 const heartbeatPeriodMs = 200;
-const slowHeartbeatFactor = 3;
 const checkPeriodMs = 100;
 const feedTimeoutMs = 4000;
 /** Pause after a change of the cluster table, so that changes in quick succession are read and applied together. */
@@ -101,7 +86,6 @@
 /** Pause before the next attempt after another entry has won a takeover. */
 const lostTakeoverPauseMs = 500;
 const memberCheckPeriodMs = 5000;
-const maxEndedFences = 100;
 /**
  * Time from a takeover in which lag is no reason to release the domain: any new owner loads the jobs, asks all workers and
  * places what has waited, and the next one would do it all again.
@@ -125,9 +109,7 @@
     private owner: Owner | undefined;
     /** URL of the owner's peer listener, where the members lack it. */
     private ownerUrl = "";
-    private heartbeatsSent = 0;
-    /** Fences of tenures of this process that have ended, so that a later owner learns that they send no more orders. */
-    private readonly ownEndedFences = new Set<number>();
+    private readonly messenger: OwnerMessenger;
     /** Monotonic start of the owner's silence: its last heartbeat, a change of owner, or a lost takeover. */
     private ownerSeenAt: number;
     private lastHeartbeat: Heartbeat | undefined;
@@ -152,6 +134,7 @@
     private constructor(private readonly options: DomainOptions) {
         this.ownerSeenAt = options.timer.now();
         this.members = Membership.create(options);
+        this.messenger = OwnerMessenger.create(options.peers);
         this.links = PeerLinks.create({ ...options, members: this.members });
         this.fitness = OwnerFitness.create({ ...options, members: this.members, links: this.links });
         const { peers, metrics, log } = options;
@@ -227,7 +210,7 @@
         const outcome = await store.transact(releaseTransaction(head, flags, leaseBounds));
         this.owner = { ...head.owner, entry: "" };
         this.ownerSeenAt = this.options.timer.now();
-        this.announceEnd(Topic.Released, head.owner.fence);
+        this.messenger.announceEnd(OwnerTopic.Released, head.owner.fence);
         metrics.count("celerywind_owner_releases_total", { cause });
         log.write(Severity.Info, EventId.OwnerReleased, {
             fence: head.owner.fence,
@@ -268,52 +251,25 @@
 
     private registerHandlers(): void {
         const { peers, timer } = this.options;
-        peers.on(Topic.Heartbeat, (peer, body) => this.handleHeartbeat(peer, body as Heartbeat));
-        peers.on(Topic.News, (_, body) => this.handleNews(body as OwnerNews));
+        peers.on(OwnerTopic.Heartbeat, (peer, body) => this.handleHeartbeat(peer, decodeHeartbeat(body)));
+        peers.on(OwnerTopic.News, (_, body) => this.handleNews(decodeNews(body)));
         peers.on(
-            Topic.Silence,
+            OwnerTopic.Silence,
             () => ({ silentMs: timer.now() - this.ownerSeenAt, isOwner: this.currentTenure !== undefined }),
         );
-        peers.on(Topic.Released, (_, body) => this.handleRelease((body as { fence: number }).fence));
+        peers.on(OwnerTopic.Released, (_, body) => this.handleRelease(decodeEndedFence(body)));
         peers.on(
-            Topic.SteppedDown,
-            (_, body) => this.recordOwnerEnded((body as { fence: number }).fence),
+            OwnerTopic.SteppedDown,
+            (_, body) => this.recordOwnerEnded(decodeEndedFence(body)),
         );
     }
 
     private sendHeartbeat(): void {
         if (this.currentTenure !== undefined) {
-            const { store, incarnation } = this.options;
-            const heartbeat: Heartbeat = {
-                fence: this.currentTenure.fence,
-                incarnation,
-                storeAgeMs: store.ageMs,
-            };
-            const { peers, entry } = this.options;
-            if (this.heartbeatsSent++ % slowHeartbeatFactor === 0) {
-                peers.broadcast(Topic.Heartbeat, heartbeat);
-            }
-            else {
-                this.links.successors
-                    .filter(successor => successor !== entry)
-                    .forEach(successor => peers.notify(successor, Topic.Heartbeat, heartbeat));
-            }
-        }
-    }
-
-    /** Tells the peers, and later owners, that a tenure of this process has ended and sends no more orders. */
-    private announceEnd(topic: Topic.Released | Topic.SteppedDown, fence: number): void {
-        this.ownEndedFences.add(fence);
-        if (this.ownEndedFences.size > maxEndedFences) {
-            this.ownEndedFences.delete(Math.min(...this.ownEndedFences));
-        }
-        this.options.peers.broadcast(topic, { fence });
-    }
-
-    /** Tells an owner from which this process hears for the first time which of its own tenures have ended. */
-    private reportOwnEnds(owner: string): void {
-        for (const fence of this.ownEndedFences) {
-            this.options.peers.notify(owner, Topic.SteppedDown, { fence });
+            const { store, incarnation, entry } = this.options;
+            const { fence } = this.currentTenure;
+            const successors = this.links.successors.filter(successor => successor !== entry);
+            this.messenger.sendHeartbeat({ fence, incarnation, storeAgeMs: store.ageMs }, successors);
         }
     }
 
@@ -333,8 +289,7 @@
         this.ownerSeenAt = this.options.timer.now();
         this.updateLinks();
         if (owner.entry !== "") {
-            const news: OwnerNews = { owner, url: this.members.urlOf(owner.entry) ?? url };
-            this.options.peers.broadcast(Topic.News, news);
+            this.messenger.passOn(owner, this.members.urlOf(owner.entry) ?? url);
         }
     }
 
@@ -367,7 +322,7 @@
             this.adoptOwner({ entry: peer.vm, incarnation, fence });
         }
         if (this.lastHeartbeat?.fence !== fence) {
-            this.reportOwnEnds(peer.vm);
+            this.messenger.reportOwnEnds(peer.vm);
         }
         this.ownerSeenAt = this.options.timer.now();
         this.lastHeartbeat = heartbeat;
@@ -505,7 +460,7 @@
             fence: head.owner.fence,
             cause: `owner row had the higher fence ${this.owner?.fence} before this takeover was answered`,
         });
-        this.announceEnd(Topic.SteppedDown, head.owner.fence);
+        this.messenger.announceEnd(OwnerTopic.SteppedDown, head.owner.fence);
     }
 
     /** Releases the domain after a takeover that ended during the shutdown. */
@@ -513,7 +468,7 @@
         const { store, name } = this.options;
         const flags = { hasLeft: true, wasSlow: false, mayShareVms: head.owner.mayShareVms === true };
         await store.transact(releaseTransaction(head, flags, leaseBoundsRow(name, leaseBounds)));
-        this.announceEnd(Topic.Released, head.owner.fence);
+        this.messenger.announceEnd(OwnerTopic.Released, head.owner.fence);
     }
 
     private async beginTenure(
@@ -546,7 +501,7 @@
         this.checkEarlierOwners();
         this.ownerSeenAt = timer.now();
         this.fitness.scheduleComparison();
-        this.heartbeatsSent = 0;
+        this.messenger.restartHeartbeats();
         this.updateLinks();
         this.sendHeartbeat();
         this.vmManager = this.options.createVmManager(tenure, head.owner.mayShareVms !== true);
@@ -593,7 +548,7 @@
             this.currentTenure = undefined;
             this.ownerSeenAt = this.options.timer.now();
             this.lastHeartbeat = undefined;
-            this.announceEnd(Topic.SteppedDown, tenure.fence);
+            this.messenger.announceEnd(OwnerTopic.SteppedDown, tenure.fence);
         }
     }
 
@@ -601,7 +556,7 @@
     private async minOwnerSilenceMs(): Promise<number> {
         const { peers } = this.options;
         const queries = this.links.witnesses(this.owner?.entry)
-            .map(vm => peers.request(vm, Topic.Silence, {}, silenceQueryTimeoutMs));
+            .map(vm => peers.request(vm, OwnerTopic.Silence, {}, silenceQueryTimeoutMs));
         const responses = await Promise.allSettled(queries);
         const silencesMs = responses.map(response =>
             response.status === "fulfilled" ? (response.value as { silentMs: number }).silentMs : Infinity
@@ -698,7 +653,7 @@
             this.owner?.incarnation === this.options.incarnation && this.currentTenure === undefined
             && next.fence > this.owner.fence
         ) {
-            this.announceEnd(Topic.SteppedDown, this.owner.fence);
+            this.messenger.announceEnd(OwnerTopic.SteppedDown, this.owner.fence);
         }
     }
 
--- a/test/sockets.test.ts
+++ b/test/sockets.test.ts
@@ -384,6 +384,24 @@
         expect(a.metrics.read("celerywind_peer_links_closed_total", { reason: "malformed-frame" })).toBe(1);
     });
 
+    test("stay open when a notification's body is not what its handler expects", async () => {
+        const a = await createMesh("a", "secret");
+        const b = await createMesh("b", "secret");
+        b.mesh.on("strict", (_, body) => (body as { list: string[] }).list.length);
+        b.mesh.on("strict later", async (_, body) => {
+            await Promise.resolve();
+            return (body as { list: string[] }).list.length;
+        });
+        a.mesh.setPeers([{ vm: "b", url: b.url }]);
+        await waitUntil(() => a.mesh.connected().length === 1);
+        a.mesh.notify("b", "strict", 1);
+        a.mesh.notify("b", "strict later", {});
+        const rejected = (topic: string): number =>
+            b.metrics.read("celerywind_peer_notifications_rejected_total", { topic });
+        await waitUntil(() => rejected("strict") + rejected("strict later") === 2);
+        expect(await a.mesh.request("b", "echo", 1, 1000)).toEqual({ from: "a", body: 1 });
+    });
+
     test("report a request as possibly sent when the link closes before the reply", async () => {
         const a = await createMesh("a", "secret");
         const b = await createMesh("b", "secret");
