--- a/test/large-site.test.ts
+++ b/test/large-site.test.ts
@@ -96,6 +96,30 @@
         60_000,
     );
 
+    test(
+        "never uses a withdrawn key again at an entry that restarts while the store refuses it",
+        async () => {
+            const site = await createLargeSite(44);
+            const refused = site.entries.filter((entry, i) => i % 3 === 0 && entry !== site.owner());
+            refused.forEach(({ storeFaults }) => {
+                storeFaults.isBusy = true;
+            });
+            site.setLists({ ...lists, version: 2, keys: { other: "team" } });
+            await site.timer.advance(4000);
+            for (const { name } of refused.slice(0, 5)) {
+                site.kill(site.entries.find(entry => entry.name === name)!);
+                const restarted = site.startEntry(name);
+                restarted.storeFaults.isBusy = true;
+                for (let ms = 0; ms < 3000; ms += 100) {
+                    await site.timer.advance(100);
+                    expect(restarted.core.lists.directory?.version ?? 2).toBe(2);
+                }
+                expect(restarted.core.lists.directory?.version).toBe(2);
+            }
+        },
+        60_000,
+    );
+
     test(
         "is served again within 3 s of the restart of all processes, which left and joined at once",
         async () => {
