--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,6 +3,7 @@
 import { parseArgs } from "node:util";
 import { judge, readBounds, type Verdict } from "./bounds.js";
 import type { Figures, Measure } from "./measure.js";
+import { background } from "./measures/background.js";
 import { config } from "./measures/config.js";
 import { control } from "./measures/control.js";
 import { latency } from "./measures/latency.js";
@@ -25,6 +26,7 @@
     latency,
     slopes,
     owner,
+    background,
 ];
 
 const { values } = parseArgs({
