--- a/src/connection/peer/peer-mesh.ts
+++ b/src/connection/peer/peer-mesh.ts
@@ -50,7 +50,7 @@
     readonly name = "peers";
     private self: PeerIdentity = { vm: "", incarnation: "" };
     private server: Server | undefined;
-    /** Peers that this entry needs links to, by VM, with the monotonic time since which it has needed them. */
+    /** Peers that this entry needs links to, by VM. */
     private neededPeers = new Map<string, NeededPeer>();
     private cancelMaintenance: Cancel = () => undefined;
     private readonly topicHandlers = new Map<string, PeerHandler>();
--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -370,7 +370,7 @@
         }
     }
 
-    /** Whether a healthy owner was heard from lately, which no rank of this entry can change. */
+    /** Whether a healthy owner was heard from so lately that this entry would not take over at any rank. */
     private hearsOwner(): boolean {
         return (this.owner?.entry ?? "") !== "" && this.ownerSilenceMs() <= ownerTimeoutMs
             && (this.lastHeartbeat?.storeAgeMs ?? 0) <= ownerStoreStaleMs
--- a/src/pool/peer-links.ts
+++ b/src/pool/peer-links.ts
@@ -18,7 +18,8 @@
 /** The links of one entry to the peers that it needs. */
 export class PeerLinks {
     private selection: PeerSelection = { needed: new Map(), successors: [] };
-    private connectedTo = "";
+    /** Addresses that were last passed to `connectPeers`, as JSON. */
+    private lastAddresses = "";
 
     private constructor(private readonly options: PeerLinksOptions) {}
 
@@ -44,9 +45,9 @@
             url: members.urlOf(vm) ?? owner?.url ?? "",
             isMutual,
         }));
-        const key = JSON.stringify(addresses);
-        if (key !== this.connectedTo) {
-            this.connectedTo = key;
+        const encoded = JSON.stringify(addresses);
+        if (encoded !== this.lastAddresses) {
+            this.lastAddresses = encoded;
             connectPeers(addresses);
         }
     }
--- a/src/request/store-relay.ts
+++ b/src/request/store-relay.ts
@@ -40,6 +40,7 @@
     kind: TransactionStatus.Refused,
     reason: "no peer reaches the store",
 };
+
 /** Carries transactions out directly and through peers. */
 export class StoreRelay {
     /** Position, among the connected peers, of the one to ask first. */
