A wave drains the share of its VMs in use that these need, not one for all VMs that are due

Change: the wave gives the share of VMs that has to be drained at once, and the plan applies it to those in use, at least two.

--- a/src/pool/fleet-plan.ts
+++ b/src/pool/fleet-plan.ts
@@ -50,6 +50,8 @@
     readonly isUrgent: boolean;
     /** VMs in use that may be drained for it at the same time. */
     readonly maxDraining: number;
+    /** Share of the VMs in use that has to be drained at the same time, but for a few; all of them by default. */
+    readonly drainShare?: number;
 }
 
 /** An order to the platform. */
@@ -80,6 +82,8 @@
     readonly minVms: number;
 }
 
+/** VMs in use that are drained for a wave at once even if fewer were enough. */
+const minDraining = 2;
 /** Share of a VM's capacity that can be used in practice. */
 const maxVmUtilization = 0.9;
 
@@ -168,7 +172,7 @@
      * budgets make their tasks leave one after the other, so these VMs take longest to drain.
      */
     private drainDueVms(): void {
-        for (const { wave, availableSlots, maxDraining } of this.view.waves) {
+        for (const { wave, availableSlots, maxDraining, drainShare = 1 } of this.view.waves) {
             const due = this.view.vms.filter(vm =>
                 vm.dueWave === wave && vm.phase === VmPhase.Up && vm.pool !== this.sparePool
                 && !this.orderedVms.has(vm.vm)
@@ -176,7 +180,8 @@
             const leaving = due.filter(({ vm }) => this.cordonedVms.has(vm)).length;
             const staying = due.filter(({ vm }) => !this.cordonedVms.has(vm))
                 .sort((a, b) => b.serviceRuns - a.serviceRuns || a.runs - b.runs);
-            const room = Math.max(0, Math.min(availableSlots, maxDraining) - leaving);
+            const wanted = Math.max(minDraining, Math.ceil(due.length * drainShare));
+            const room = Math.max(0, Math.min(availableSlots, maxDraining, wanted) - leaving);
             staying.slice(0, room).forEach(({ vm }) => this.cordon(vm, CordonReason.DueForMaintenance));
         }
     }
--- a/src/pool/wave-tracker.ts
+++ b/src/pool/wave-tracker.ts
@@ -40,9 +40,8 @@
 const urgentTimeShare = 0.5;
 /** Initial share of a wave's time in which only idle VMs are maintained. */
 const idleOnlyTimeShare = 0.1;
-/** Share of the remaining time within which the VMs in use are to be drained after that, and the fewest at once. */
+/** Share of the remaining time within which the VMs in use are to be drained after that. */
 const drainTimeShare = 0.7;
-const minDraining = 2;
 /** Time that draining a VM and its orders add to a round of maintenance. */
 const roundOverheadMs = 2500;
 
@@ -115,7 +114,7 @@
      * shows in maintenance count against the cap as well, since an earlier owner may have ordered them.
      *
      * Load pattern: a wave over half of the site's VMs, many of which run services that may leave only one after the other.
-     * As many VMs in use are drained at once as the remaining ones need to be done in time.
+     * Of the VMs in use, the share is drained at once that is needed for all of them to be done in time.
      */
     openWaves(now: number, inMaintenance: ReadonlySet<string>) {
         return [...this.waves].flatMap(([wave, state]) => {
@@ -129,13 +128,19 @@
             const timeLeftMs = state.firstSeenAt + state.order.durationMs - now;
             const roundMs = this.maintenanceMs + roundOverheadMs;
             const neededMs = Math.ceil(remaining / cap) * roundMs;
-            const draining = Math.ceil(remaining * roundMs / Math.max(1, timeLeftMs * drainTimeShare));
+            const drainShare = roundMs / Math.max(1, timeLeftMs * drainTimeShare);
             const isUrgent = neededMs > timeLeftMs * urgentTimeShare;
             const isDue = now - state.firstSeenAt > state.order.durationMs * idleOnlyTimeShare;
-            const maxDraining = isUrgent ? cap : isDue ? Math.min(cap, Math.max(minDraining, draining)) : 0;
+            const maxDraining = isUrgent || isDue ? cap : 0;
             return remaining === 0
                 ? []
-                : [{ wave, availableSlots: Math.max(0, cap - slotsInUse), isUrgent, maxDraining }];
+                : [{
+                    wave,
+                    availableSlots: Math.max(0, cap - slotsInUse),
+                    isUrgent,
+                    maxDraining,
+                    drainShare: isUrgent ? 1 : drainShare,
+                }];
         });
     }
 
