The log tells how long the feed of the lists could not be read

The log had the first failed read of a series and its end, not how many reads failed between and how long each was open, which tells a read that waits out its own timeout (hypothesis 1) from one that waits for a connection (2). 1501 now has readMs for the lists, 1502 failedReads, lostMs and readMs.

The new test fails without the change: the fields were absent. No change of logic.

--- a/src/version/list-follower.ts
+++ b/src/version/list-follower.ts
@@ -45,7 +45,9 @@
     private adoptedAt = -Infinity;
     private isRunning = false;
     private isPulling = false;
-    private isFeedUnavailable = false;
+    /** Start of the first of the reads of the feed that have failed since one was answered; undefined if none has. */
+    private feedLostAt: number | undefined;
+    private failedReadCount = 0;
     private announcedCount = 0;
     private readonly knownWaves = new Map<number, MaintenanceWave>();
     private readonly cancels: Cancel[] = [];
@@ -101,34 +103,53 @@
     }
 
     private async follow(): Promise<void> {
-        const { feed, timer, log } = this.options;
+        const { feed, timer } = this.options;
         let version: number | undefined;
         while (this.isRunning) {
+            const sentAt = timer.now();
             try {
                 const update = await feed.next(version);
                 version = update.version;
+                this.recordFeedAnswer(sentAt);
                 update.waves.forEach(wave => this.recordWave(wave));
                 if (update.lists !== undefined) {
                     this.adopt(update.lists, "feed");
                 }
-                if (this.isFeedUnavailable) {
-                    this.isFeedUnavailable = false;
-                    log.write(Severity.Info, EventId.StoreRecovered, { source: "lists" });
-                }
             }
             catch (err) {
-                if (!this.isFeedUnavailable) {
-                    this.isFeedUnavailable = true;
-                    log.write(Severity.Warn, EventId.StoreUnavailable, {
-                        source: "lists",
-                        err: messageOf(err),
-                    });
-                }
+                this.recordFeedFailure(sentAt, messageOf(err));
                 await sleep(timer, feedRetryDelayMs);
             }
         }
     }
 
+    private recordFeedFailure(sentAt: number, reason: string): void {
+        const { timer, log } = this.options;
+        this.failedReadCount++;
+        if (this.feedLostAt === undefined) {
+            this.feedLostAt = sentAt;
+            log.write(Severity.Warn, EventId.StoreUnavailable, {
+                source: "lists",
+                err: reason,
+                readMs: Math.round(timer.now() - sentAt),
+            });
+        }
+    }
+
+    private recordFeedAnswer(sentAt: number): void {
+        const { timer, log } = this.options;
+        if (this.feedLostAt !== undefined) {
+            log.write(Severity.Info, EventId.StoreRecovered, {
+                source: "lists",
+                failedReads: this.failedReadCount,
+                lostMs: Math.round(timer.now() - this.feedLostAt),
+                readMs: Math.round(timer.now() - sentAt),
+            });
+            this.feedLostAt = undefined;
+            this.failedReadCount = 0;
+        }
+    }
+
     private recordWave(wave: MaintenanceWave): void {
         if (!this.knownWaves.has(wave.wave)) {
             this.options.log.write(Severity.Info, EventId.WaveSeen, {
--- a/test/site.test.ts
+++ b/test/site.test.ts
@@ -788,6 +788,24 @@
         expect(site.entries.map(({ core }) => core.lists.directory?.version)).toEqual([5, 5, 5]);
     });
 
+    test("that could not be read are logged with the reads that failed and for how long", async () => {
+        const site = await createSite({ entries: 1 });
+        const [entry] = site.entries;
+        entry!.storeFaults.isBusy = true;
+        await site.timer.advance(5000);
+        entry!.storeFaults.isBusy = false;
+        await site.timer.advance(3000);
+        const fieldsOf = (event: EventId) =>
+            entry!.log.filter(line => line.event === event && line.fields["source"] === "lists")
+                .map(({ fields }) => fields);
+        expect(fieldsOf(EventId.StoreUnavailable)).toEqual([
+            expect.objectContaining({ readMs: expect.any(Number) as number }),
+        ]);
+        const [recovered] = fieldsOf(EventId.StoreRecovered);
+        expect(recovered!["failedReads"]).toBeGreaterThan(5);
+        expect(recovered!["lostMs"]).toBeGreaterThan(2500);
+    });
+
     test("determine which keys are valid, on every entry", async () => {
         const site = StandinSite.create();
         await site.start({ version: 1, queues: [{ isOpen: false }], keys: { k1: "team" } });
