--- a/standin/site/rows.ts
+++ b/standin/site/rows.ts
@@ -54,6 +54,8 @@
 const readLatencyMs = 6;
 const transactionLatencyMs = 12;
 const callTimeoutMs = 2500;
+/** Time after which the client gives up a read of the feed, in addition to the wait for a change. */
+const feedAnswerTimeoutMs = 2000;
 /** Time for which a transaction occupies its part, which applies one at a time. */
 const partOccupancyMs = 5;
 /** Longest wait for a part; a transaction that would wait longer is refused. */
@@ -233,7 +235,7 @@
     }
 
     private async read(range: RowRange, timer: Timer, clientFaults: RowStoreFaults): Promise<RowPage> {
-        await this.simulateReadCall(timer, clientFaults);
+        await this.simulateReadCall(timer, clientFaults, timer.now() + callTimeoutMs);
         const { table, part, from = "", to, limit = defaultPageRows } = range;
         const rows = [...this.rows.values()]
             .filter(row => row.table === table && row.part === part && row.key >= from)
@@ -249,7 +251,8 @@
         timer: Timer,
         clientFaults: RowStoreFaults,
     ): Promise<FeedResult> {
-        await this.simulateReadCall(timer, clientFaults);
+        const deadline = timer.now() + waitMs + feedAnswerTimeoutMs;
+        await this.simulateReadCall(timer, clientFaults, deadline);
         if (since < this.compactedVersion) {
             return { kind: "history-lost" };
         }
@@ -258,7 +261,7 @@
         if (changed().length === 0) {
             await this.waitForChange(table, waitMs, timer);
         }
-        await this.failIfUnresponsive(timer, [this.faults, clientFaults]);
+        await this.failIfUnresponsive(timer, [this.faults, clientFaults], deadline);
         return { kind: "changes", rows: changed(), version: this.version };
     }
 
@@ -276,20 +279,29 @@
         });
     }
 
-    private async simulateReadCall(timer: Timer, clientFaults: RowStoreFaults): Promise<void> {
+    private async simulateReadCall(
+        timer: Timer,
+        clientFaults: RowStoreFaults,
+        deadline: number,
+    ): Promise<void> {
         this.callCount++;
         const faults = [this.faults, clientFaults];
-        await this.failIfUnresponsive(timer, faults);
+        await this.failIfUnresponsive(timer, faults, deadline);
         await sleep(timer, readLatencyMs * maxLatencyFactor(faults));
         if (faults.some(({ isBusy }) => isBusy)) {
             throw new PlatformError("row store refused the call: busy");
         }
     }
 
-    private async failIfUnresponsive(timer: Timer, faults: readonly RowStoreFaults[]): Promise<void> {
+    /** Rejects at `deadline`, when the client gives the call up, if a fault keeps the store from answering now. */
+    private async failIfUnresponsive(
+        timer: Timer,
+        faults: readonly RowStoreFaults[],
+        deadline: number,
+    ): Promise<void> {
         if (faults.some(({ isUnresponsive }) => isUnresponsive)) {
-            await sleep(timer, callTimeoutMs);
-            throw new PlatformError(`row store call timed out after ${callTimeoutMs} ms`);
+            await sleep(timer, deadline - timer.now());
+            throw new PlatformError("row store did not respond within the timeout of the call");
         }
     }
 }
--- a/test/site.test.ts
+++ b/test/site.test.ts
@@ -806,6 +806,25 @@
         expect(recovered!["lostMs"]).toBeGreaterThan(2500);
     });
 
+    test.each([1, 7])("reach a site of size %i within 3 s of the return of a silent store", async entries => {
+        for (let outageMs = 6000; outageMs < 12_000; outageMs += 400) {
+            const site = await createSite({ entries });
+            // The change puts the reads of all entries into step.
+            site.setLists({ version: 2, queues: [{}] });
+            await site.timer.advance(500);
+            site.rows.faults.isUnresponsive = true;
+            await site.timer.advance(outageMs);
+            site.rows.faults.isUnresponsive = false;
+            await site.timer.advance(500);
+            site.setLists({ version: 3, queues: [{}, { name: "added" }] });
+            await site.timer.advance(2500);
+            expect(
+                site.entries.map(({ core }) => core.lists.directory?.version),
+                `store silent for ${outageMs} ms`,
+            ).toEqual(Array(entries).fill(3));
+        }
+    });
+
     test("determine which keys are valid, on every entry", async () => {
         const site = StandinSite.create();
         await site.start({ version: 1, queues: [{ isOpen: false }], keys: { k1: "team" } });
