A read of the feed that is overdue is not waited for: it is read again beside it and without a wait

Cause: an entry waited for a read of the feed until the client's own timeout, 4 s after it was sent (2 s wait for a change, 2 s for the answer). A read that is sent right before the store comes back is dropped, so the lists were up to 4.2 s late, and as a change had put all entries into step, none could tell the others. The bound is 2 s from the acknowledgement, 3 s from the return. Class: a wait for a lost answer that is longer than the promise it serves, in step on all entries.

Change: FeedReader takes an answer as overdue 0.5 s after its wait (1.5 s) and then reads without a wait every 0.7 s, while earlier reads stay open: the first answer counts, so a store that is only slow is still followed. The operators' table is decoded by the adapter and read by ListFollower itself, which the stand-in had to do again before.

--- a/src/pool/wave-reporter.ts
+++ b/src/pool/wave-reporter.ts
@@ -3,7 +3,7 @@
 import type { Log } from "../process/log.js";
 import { readAll, type RowPut, type RowStore, TransactionStatus } from "../process/rows.js";
 import type { Timer } from "../process/timer.js";
-import type { MaintenanceWave } from "../version/operator-feed.js";
+import type { MaintenanceWave } from "../version/operator-table.js";
 import type { Tenure } from "./tenure.js";
 import { waveTable, WaveTracker } from "./wave-tracker.js";
 
--- a/src/pool/wave-tracker.ts
+++ b/src/pool/wave-tracker.ts
@@ -2,7 +2,7 @@
 import { z } from "zod";
 import { parseJson } from "../process/json.js";
 import type { RowKey, RowPut, StoredRow } from "../process/rows.js";
-import type { MaintenanceWave } from "../version/operator-feed.js";
+import type { MaintenanceWave } from "../version/operator-table.js";
 
 /** Table of the rows with the progress of waves. */
 export const waveTable = "waves";
--- a/src/site-core.ts
+++ b/src/site-core.ts
@@ -19,7 +19,7 @@
 import { JobCallHandler } from "./request/job-call-handler.js";
 import type { Directory } from "./version/directory.js";
 import { ListFollower } from "./version/list-follower.js";
-import type { OperatorFeed } from "./version/operator-feed.js";
+import type { OperatorTable } from "./version/operator-table.js";
 
 /** The platform's services as used by an entry, created on the entry's own store client. */
 export interface SitePlatform {
@@ -27,7 +27,7 @@
     readonly workerClient: WorkerClient;
     readonly adviser: Adviser;
     readonly vmClient: VmClient;
-    readonly feed: OperatorFeed;
+    readonly operatorTable: OperatorTable;
     readonly decodeLists: (text: string) => Directory | undefined;
     /** Returns the row that reports the progress of a wave to operators. */
     readonly waveStatusRow: (wave: number, isFinished: boolean) => RowPut;
@@ -125,9 +125,10 @@
 
     private createLists(): ListFollower {
         const { timer, log, metrics, peers } = this.options;
-        const { feed, decodeLists } = this.platform;
+        const { operatorTable, decodeLists } = this.platform;
         return ListFollower.create({
-            feed,
+            store: this.store,
+            operatorTable,
             decode: decodeLists,
             peers,
             timer,
--- a/src/version/list-follower.ts
+++ b/src/version/list-follower.ts
@@ -4,17 +4,20 @@
  */
 import { messageOf } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
+import { FeedReader } from "../process/feed-reader.js";
 import type { Task } from "../process/hub.js";
 import type { Log } from "../process/log.js";
 import type { Metrics } from "../process/metrics.js";
 import type { Peers } from "../process/peers.js";
+import { readAll, type RowStore, type StoredRow } from "../process/rows.js";
 import { type Cancel, sleep, type Timer } from "../process/timer.js";
 import type { Directory } from "./directory.js";
-import type { MaintenanceWave, OperatorFeed } from "./operator-feed.js";
+import type { MaintenanceWave, OperatorTable } from "./operator-table.js";
 
 /** Options of `ListFollower.create`. */
 export interface ListFollowerOptions {
-    readonly feed: OperatorFeed;
+    readonly store: RowStore;
+    readonly operatorTable: OperatorTable;
     /** Decodes the text of the lists; undefined when it is malformed. */
     readonly decode: (text: string) => Directory | undefined;
     readonly peers: Peers;
@@ -52,7 +55,12 @@
     private readonly knownWaves = new Map<number, MaintenanceWave>();
     private readonly cancels: Cancel[] = [];
 
-    private constructor(private readonly options: ListFollowerOptions) {}
+    private readonly reader: FeedReader;
+
+    private constructor(private readonly options: ListFollowerOptions) {
+        const { store, timer, operatorTable } = options;
+        this.reader = FeedReader.create({ store, timer, table: operatorTable.name });
+    }
 
     static create(options: ListFollowerOptions): ListFollower {
         return new ListFollower(options);
@@ -103,14 +111,15 @@
     }
 
     private async follow(): Promise<void> {
-        const { feed, timer } = this.options;
+        const { timer, operatorTable } = this.options;
         let version: number | undefined;
         while (this.isRunning) {
             const sentAt = timer.now();
             try {
-                const update = await feed.next(version);
-                version = update.version;
+                const page = await this.readRows(version);
+                version = page.version;
                 this.recordFeedAnswer(sentAt);
+                const update = operatorTable.decode(page.rows);
                 update.waves.forEach(wave => this.recordWave(wave));
                 if (update.lists !== undefined) {
                     this.adopt(update.lists, "feed");
@@ -123,6 +132,19 @@
         }
     }
 
+    /** Reads the rows that have changed since a version; all rows without a version or when its history is lost. */
+    private async readRows(
+        sinceVersion: number | undefined,
+    ): Promise<{ readonly rows: readonly StoredRow[]; readonly version: number }> {
+        if (sinceVersion !== undefined) {
+            const result = await this.reader.next(sinceVersion);
+            if (result.kind === "changes") {
+                return { rows: result.rows, version: Math.max(sinceVersion, result.version) };
+            }
+        }
+        return readAll(this.options.store, { table: this.options.operatorTable.name, part: "" });
+    }
+
     private recordFeedFailure(sentAt: number, reason: string): void {
         const { timer, log } = this.options;
         this.failedReadCount++;
--- a/src/version/operator-feed.ts
+++ b/src/version/operator-table.ts
@@ -1,4 +1,5 @@
-/** Feed of the lists that operators set and the maintenance waves that they order. */
+/** Table of the lists that operators set and the maintenance waves that they order. */
+import type { StoredRow } from "../process/rows.js";
 
 /** A maintenance wave: a set of VMs to be serviced within a time limit. */
 export interface MaintenanceWave {
@@ -13,19 +14,15 @@
 
 /** Changes made by operators. */
 export interface OperatorUpdate {
-    /** Store version up to which the update is complete. */
-    readonly version: number;
     /** Text of the newest lists; undefined when they have not changed. */
     readonly lists?: string;
     /** Waves that were ordered or changed. */
     readonly waves: readonly MaintenanceWave[];
 }
 
-/** Source of operator updates. */
-export interface OperatorFeed {
-    /**
-     * Resolves with the complete lists and waves, or with a version with the changes since then, for which it waits a
-     * limited time. Rejects when the source cannot be read.
-     */
-    next(sinceVersion: number | undefined): Promise<OperatorUpdate>;
+/** Table of the platform in which operators keep the lists and order waves. */
+export interface OperatorTable {
+    readonly name: string;
+    /** Decodes rows of the table, in the order of their versions. */
+    decode(rows: readonly StoredRow[]): OperatorUpdate;
 }
--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -21,7 +21,7 @@
 import { VirtualTimer } from "../../src/process/virtual-timer.js";
 import { SiteCore, type SitePlatform } from "../../src/site-core.js";
 import type { Queue } from "../../src/version/directory.js";
-import type { MaintenanceWave, OperatorUpdate } from "../../src/version/operator-feed.js";
+import type { MaintenanceWave, OperatorUpdate } from "../../src/version/operator-table.js";
 import { decodeSiteLists } from "../../src/version/site-lists.js";
 import { VirtualNetwork, type VirtualPeers } from "../simulation/network.js";
 import { PausableTimer } from "../simulation/pausable-timer.js";
@@ -376,18 +376,7 @@
                 },
             },
             vmClient: this.vmClientFor(timer),
-            feed: {
-                next: async since => {
-                    if (since !== undefined) {
-                        const changes = await store.feed(operatorTable, since, 2000);
-                        if (changes.kind === "changes") {
-                            return operatorUpdateOf(changes.rows, changes.version);
-                        }
-                    }
-                    const page = await store.read({ table: operatorTable, part: "" });
-                    return operatorUpdateOf(page.rows, page.version);
-                },
-            },
+            operatorTable: { name: operatorTable, decode: operatorUpdateOf },
             decodeLists: decodeSiteLists,
             waveStatusRow: (wave, isFinished) => ({ ...statusKey(wave), value: String(isFinished) }),
         };
@@ -551,11 +540,11 @@
     return { table: "status", part: "", key: String(wave) };
 }
 
-function operatorUpdateOf(rows: readonly StoredRow[], version: number): OperatorUpdate {
+function operatorUpdateOf(rows: readonly StoredRow[]): OperatorUpdate {
     const lists = rows.findLast(({ key }) => key === listsKey.key)?.value;
     const waves = rows.filter(({ key }) => key.startsWith(waveKeyPrefix))
         .map(({ value }) => JSON.parse(value) as MaintenanceWave);
-    return { version, waves, ...(lists !== undefined && { lists }) };
+    return { waves, ...(lists !== undefined && { lists }) };
 }
 
 /** A step with defaults for the fields that are not given. */
