The feeds of the cluster and of stored jobs do not wait out an overdue read either

Whose reads happened to be in another phase saw the store first, found the owner's reads old and took the domain over, although the store had been silent for all.

Both use FeedReader now. The test that is added states the bound of 3 s and passed before, too, since the takeover covered for the late read.

--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -5,6 +5,7 @@
 import { messageOf } from "../process/errors.js";
 import type { EventLoopLagMonitor } from "../process/event-loop-lag.js";
 import { EventId, Severity } from "../process/events.js";
+import { FeedReader } from "../process/feed-reader.js";
 import { runFlow } from "../process/flow.js";
 import type { Task } from "../process/hub.js";
 import type { Peer, PeerAddress, Peers } from "../process/peers.js";
@@ -78,7 +79,7 @@
 
 const heartbeatPeriodMs = 200;
 const checkPeriodMs = 100;
-const feedTimeoutMs = 4000;
+const clusterFeedWaitMs = 4000;
 /** Pause after a change of the cluster table, so that changes in quick succession are read and applied together. */
 const clusterPauseMs = 50;
 const retryDelayMs = 200;
@@ -110,6 +111,7 @@
     /** URL of the owner's peer listener, where the members lack it. */
     private ownerUrl = "";
     private readonly messenger: OwnerMessenger;
+    private readonly clusterReader: FeedReader;
     /** Monotonic start of the owner's silence: its last heartbeat, a change of owner, or a lost takeover. */
     private ownerSeenAt: number;
     private lastHeartbeat: Heartbeat | undefined;
@@ -137,7 +139,13 @@
         this.messenger = OwnerMessenger.create(options.peers);
         this.links = PeerLinks.create({ ...options, members: this.members });
         this.fitness = OwnerFitness.create({ ...options, members: this.members, links: this.links });
-        const { peers, metrics, log } = options;
+        const { peers, metrics, log, store, timer } = options;
+        this.clusterReader = FeedReader.create({
+            store,
+            timer,
+            table: tables.cluster,
+            waitMs: clusterFeedWaitMs,
+        });
         this.ownerClient = OwnerClient.create({
             peers,
             metrics,
@@ -618,7 +626,7 @@
     }
 
     private async readClusterFeed(version: number): Promise<number | undefined> {
-        const result = await this.options.store.feed(tables.cluster, version, feedTimeoutMs);
+        const result = await this.clusterReader.next(version);
         if (result.kind === "history-lost") {
             return undefined;
         }
--- a/src/pool/job-source.ts
+++ b/src/pool/job-source.ts
@@ -2,6 +2,7 @@
 import { type AcceptedJob, decodeState } from "../job/index.js";
 import { messageOf } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
+import { FeedReader } from "../process/feed-reader.js";
 import { readAll, type StoredRow } from "../process/rows.js";
 import { sleep } from "../process/timer.js";
 import { decodeJobRow, jobRanges, JobRowKind } from "./job-rows.js";
@@ -18,8 +19,6 @@
 
 /** Pause between reads of the feed. Most jobs arrive earlier, by a notification from the entry that accepted them. */
 const feedPollDelayMs = 400;
-/** Longest wait of the store for a change before it answers a read of the feed. */
-const feedTimeoutMs = 2000;
 
 /** Feeds the stored jobs of a domain into a tenure. */
 export class JobSource {
@@ -54,10 +53,11 @@
     /** Applies jobs and cancellations that entries store after version `since`, until the tenure ends. */
     async follow(since: number): Promise<void> {
         const { store, timer, log } = this.ctx.options;
+        const reader = FeedReader.create({ store, timer, table: tables.jobs });
         let version = since;
         while (this.ctx.isActive) {
             try {
-                const result = await store.feed(tables.jobs, version, feedTimeoutMs);
+                const result = await reader.next(version);
                 if (result.kind === "history-lost") {
                     log.write(Severity.Warn, EventId.StoreHistoryLost, { table: tables.jobs, version });
                     const page = await this.readJobs();
--- a/test/site.test.ts
+++ b/test/site.test.ts
@@ -768,6 +768,29 @@
     });
 });
 
+describe("a cancellation", () => {
+    test("that the owner finds only in the feed stops the runs within 3 s of the return of a silent store", async () => {
+        for (let outageMs = 3000; outageMs < 5600; outageMs += 200) {
+            const site = await createSite();
+            const entry = anotherEntry(site, ownerOf(site));
+            await submitAccepted(site, "j1", { tasks: 2, isService: true });
+            await site.timer.advance(1000);
+            site.rows.faults.isUnresponsive = true;
+            await site.timer.advance(outageMs);
+            site.rows.faults.isUnresponsive = false;
+            await site.timer.advance(50);
+            site.net.partition(entry.name, ownerOf(site).name);
+            const cancelled = await site.runUntilSettled(entry.core.jobCalls.cancel("j1", 3000));
+            expect(cancelled.kind).toBe("cancelled");
+            await site.timer.advance(2800);
+            expect(
+                site.workers.flatMap(({ running }) => [...running.keys()]),
+                `store silent for ${outageMs} ms`,
+            ).toEqual([]);
+        }
+    });
+});
+
 describe("lists", () => {
     test("reach an entry that the store refuses through its peers within a second", async () => {
         const site = await createSite();
