--- a/standin/site/checker.ts
+++ b/standin/site/checker.ts
@@ -13,6 +13,16 @@
 /** Time after the acknowledgement of a cancellation within which tasks of the job may still start. */
 const cancelGraceMs = 3000;
 
+/** Crashes of workers under a task, and its starts after the one that uses up the budget. */
+interface CrashRecord {
+    crashes: number;
+    laterStarts: number;
+}
+
+/** Number of crashes under a task after which it may start only `maxLaterStarts` times more. */
+const crashBudget = 3;
+const maxLaterStarts = 2;
+
 /** Observes all runs and collects violations of invariants; the product receives nothing from it. */
 export class InvariantChecker implements WorkerEvents {
     readonly violations: string[] = [];
@@ -30,6 +40,7 @@
     private readonly acknowledgedTasks = new Set<string>();
     private readonly cancelledAt = new Map<string, number>();
     private readonly refusedJobs = new Set<string>();
+    private readonly crashesByTask = new Map<string, CrashRecord>();
 
     constructor(private readonly timer: Timer) {}
 
@@ -62,8 +73,22 @@
         });
     }
 
+    /** Records that a worker is about to crash under the tasks that run on it. */
+    recordCrash(worker: StandinWorker): void {
+        for (const task of worker.running.keys()) {
+            const record = this.crashesByTask.get(task) ?? { crashes: 0, laterStarts: 0 };
+            this.crashesByTask.set(task, { ...record, crashes: record.crashes + 1 });
+        }
+    }
+
+    /** Number of workers that have crashed under a task. */
+    crashesUnder(task: string): number {
+        return this.crashesByTask.get(task)?.crashes ?? 0;
+    }
+
     onRunStarted(worker: StandinWorker, { task, run }: StartRequest): void {
         this.startCount++;
+        this.checkCrashBudget(task);
         const active = this.activeRuns.get(task);
         if (active !== undefined && active.worker.isAlive) {
             this.reportViolation(
@@ -94,6 +119,19 @@
         }
     }
 
+    private checkCrashBudget(task: string): void {
+        const record = this.crashesByTask.get(task);
+        if (record === undefined || record.crashes < crashBudget) {
+            return;
+        }
+        record.laterStarts++;
+        if (record.laterStarts > maxLaterStarts) {
+            this.reportViolation(
+                `${task} starts ${record.laterStarts} times more after ${crashBudget} workers have crashed under it`,
+            );
+        }
+    }
+
     private checkJob(task: string): void {
         const id = parseTaskName(task);
         const spec = id === undefined ? undefined : this.specs.get(id.job);
--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -84,6 +84,9 @@
 const callLatencyMs = 1;
 const adviceLatencyMs = 30;
 const callTimeoutMs = 200;
+/** Time from the start of a deadly task to the crash of its worker, and from there to its VM's next worker. */
+const crashDelayMs = 10;
+const crashDownMs = 3000;
 const vmMoveMs = 1500;
 const vmMaintenanceMs = 2000;
 /** Least time between commands of two holders for one VM; equals the default of the setting of that name. */
@@ -114,6 +117,8 @@
     adviserAllows: (step: string, worker: string) => boolean = () => true;
     private readonly gangs = new GangTracker();
     readonly jobProfiles = new Map<string, { workMs: number; failures: number }>();
+    /** Tasks that crash each worker that starts them, by name. */
+    readonly deadlyTasks = new Set<string>();
     private readonly vms: StandinVm[] = [];
     private readonly partitionedWorkers = new Set<string>();
     /** The only entry that reaches a worker, by worker. */
@@ -273,13 +278,23 @@
         return work;
     }
 
-    /** Crashes a worker; after `downMs` its VM starts a new incarnation under the same id. */
-    crash(worker: StandinWorker, downMs: number): void {
+    /** Crashes a worker; after `downMs` its VM starts a new incarnation, under the same id unless another is given. */
+    crash(worker: StandinWorker, downMs: number, nextId = worker.id): void {
+        this.checker.recordCrash(worker);
         worker.terminate();
         const vm = this.vms.find(candidate => candidate.worker === worker);
         this.timer.after(downMs, () => {
             if (vm?.worker === worker) {
-                vm.worker = this.createWorker(vm, worker.id);
+                vm.worker = this.createWorker(vm, nextId);
+            }
+        });
+    }
+
+    /** Crashes the worker of a deadly task shortly after its start; its VM has a worker of another id some seconds later. */
+    private crashSoon(worker: StandinWorker): void {
+        this.timer.after(crashDelayMs, () => {
+            if (worker.isAlive) {
+                this.crash(worker, crashDownMs, `w-${this.nextWorkerNumber++}`);
             }
         });
     }
@@ -339,6 +354,9 @@
                 needs: step.needs,
                 isService: step.isService,
                 ...profile,
+                ...(this.deadlyTasks.has(task) && {
+                    onStarted: (worker: StandinWorker) => this.crashSoon(worker),
+                }),
                 ...(step.isGang
                     && { gang: { name: `${id!.job}.${id!.occurrence}.${id!.step}`, size: step.tasks } }),
             };
--- a/standin/site/worker.ts
+++ b/standin/site/worker.ts
@@ -21,6 +21,8 @@
     /** Number of runs that fail by themselves before one succeeds. */
     readonly failures: number;
     readonly isService: boolean;
+    /** Called when a worker has started a run of the task. */
+    readonly onStarted?: (worker: StandinWorker) => void;
     /** Name and size of the gang that the task belongs to. */
     readonly gang?: { readonly name: string; readonly size: number };
 }
@@ -206,6 +208,7 @@
             });
         }
         this.events.onRunStarted(this, request);
+        profile.onStarted?.(this);
         return { kind: "started", clockMs };
     }
 
