A job fails once three workers were lost under one of its tasks; the losses are stored with its progress

Cause: the end of a run whose worker is gone was the same as the end of a run that a worker never received, and was counted by nobody: the task went back to waiting without limit. Class: a retry without a budget, since the failure shows at another part than the one at fault.

Change: RunEnd.WorkerLost, when a worker's next incarnation lacks the run, or its lease ended while it did not answer, but not when it was draining or its VM cordoned. The task keeps the worker's incarnation; the third one fails the job with workers-lost. A worker that answers again with the same incarnation was only out of reach, and is taken off the record; a run that was at work for 60 s clears it. The record is a further field of the job's progress row, which earlier builds ignore, so it holds over changes of owner.

--- a/src/job/codec.ts
+++ b/src/job/codec.ts
@@ -128,12 +128,16 @@
     z.string(),
 ]);
 
-/** Stored progress: phase (s), occurrences (o), reason (why), tasks (t). */
+/** Stored loss of a worker under a task: occurrence, step, index, worker, workerStartedAt. */
+const lossSchema = z.tuple([z.number(), z.number(), z.number(), z.string(), z.number()]);
+
+/** Stored progress: phase (s), occurrences (o), reason (why), tasks (t), losses of workers (c). */
 const stateSchema = z.object({
     s: z.enum(JobPhase),
     o: z.number().default(0),
     why: z.string().optional(),
     t: z.array(taskSchema).default([]),
+    c: z.array(lossSchema).default([]),
 });
 
 /**
@@ -143,6 +147,15 @@
 export function encodeState(state: JobState): string {
     const isJobFinal = isFinal(state.phase);
     const rows = state.tasks.filter(task => isJobFinal ? task.phase === TaskPhase.Claimed : task.run > 0);
+    const losses = rows.flatMap(task =>
+        task.lostWorkers.map(lost => [
+            task.occurrence,
+            task.step,
+            task.index,
+            lost.worker,
+            lost.workerStartedAt,
+        ])
+    );
     return JSON.stringify({
         s: state.phase,
         o: state.occurrences,
@@ -158,6 +171,7 @@
             task.workerStartedAt,
             task.checkpoint,
         ]),
+        ...(losses.length > 0 && { c: losses }),
     });
 }
 
@@ -173,7 +187,7 @@
     if (!parsed.success) {
         return undefined;
     }
-    const { s, o, why, t } = parsed.data;
+    const { s, o, why, t, c } = parsed.data;
     const initial = initialTasks(job, o);
     const tasks = new Map(initial.map(task => [`${task.occurrence}.${task.step}.${task.index}`, task]));
     for (const row of t) {
@@ -185,6 +199,14 @@
         const [, , , phase, run, failures, worker, workerStartedAt, checkpoint] = row;
         tasks.set(key, { ...task, phase, run, failures, worker, workerStartedAt, checkpoint });
     }
+    for (const [occurrence, step, index, worker, workerStartedAt] of c) {
+        const key = `${occurrence}.${step}.${index}`;
+        const task = tasks.get(key);
+        if (task === undefined) {
+            return undefined;
+        }
+        tasks.set(key, { ...task, lostWorkers: [...task.lostWorkers, { worker, workerStartedAt }] });
+    }
     return {
         phase: s,
         occurrences: o,
--- a/src/job/state.ts
+++ b/src/job/state.ts
@@ -37,8 +37,17 @@
     GangBroken = "gang-broken",
     /** The other members of the gang did not start in time. */
     GangIncomplete = "gang-incomplete",
-    /** The worker is gone, or never received the run. */
+    /** The worker never received the run, or no longer has it. */
     Lost = "lost",
+    /** The worker ended unexpectedly under the run, or could not be reached until its lease had expired. */
+    WorkerLost = "worker-lost",
+}
+
+/** One incarnation of a worker. */
+export interface WorkerIncarnation {
+    readonly worker: string;
+    /** Unix time at which this incarnation started, in milliseconds. */
+    readonly workerStartedAt: number;
 }
 
 /** State of a task and its latest run. */
@@ -57,6 +66,8 @@
     readonly failures: number;
     /** Checkpoint from which the next run resumes; empty when there is none. */
     readonly checkpoint: string;
+    /** Workers that were lost under runs of the task and have not been seen alive since. */
+    readonly lostWorkers: readonly WorkerIncarnation[];
 }
 
 /** A job's progress. */
@@ -93,6 +104,7 @@
         workerStartedAt: 0,
         failures: 0,
         checkpoint: "",
+        lostWorkers: [],
     }));
 }
 
@@ -136,19 +148,12 @@
     return { ...state, tasks: state.tasks.with(position, { ...state.tasks[position]!, ...change }) };
 }
 
-/** Worker that a run is assigned to. */
-export interface ClaimTarget {
-    readonly worker: string;
-    /** Unix time at which that incarnation of the worker started, in milliseconds. */
-    readonly workerStartedAt: number;
-}
-
 /** Claims the next run of a task for a worker. The members of a gang share their run number and their checkpoint. */
 export function claimTask(
     job: AcceptedJob,
     state: JobState,
     position: number,
-    { worker, workerStartedAt }: ClaimTarget,
+    { worker, workerStartedAt }: WorkerIncarnation,
 ): JobState {
     const task = state.tasks[position]!;
     const isGang = job.spec.steps[task.step]!.isGang;
@@ -171,6 +176,9 @@
     return a.step === b.step && a.occurrence === b.occurrence;
 }
 
+/** Number of workers lost under one task at which its job fails, since the task may be what ends them. */
+export const maxLostWorkers = 3;
+
 /** Limit on the failures of a task, as the queue sets it. */
 export interface FailureLimit {
     /** Number of failed runs of one task at which the job fails. */
@@ -191,13 +199,19 @@
     const task = state.tasks[position]!;
     const step = job.spec.steps[task.step]!;
     const checkpoint = end.saved === undefined || end.saved === "" ? task.checkpoint : end.saved;
-    const released = { worker: "", workerStartedAt: 0, checkpoint };
+    const lostWorkers = end.how === RunEnd.WorkerLost
+        ? [...task.lostWorkers, { worker: task.worker, workerStartedAt: task.workerStartedAt }]
+        : task.lostWorkers;
+    const released = { worker: "", workerStartedAt: 0, checkpoint, lostWorkers };
     if (task.phase === TaskPhase.Done) {
         return state;
     }
     if (isFinal(state.phase)) {
         return withTask(state, position, { ...released, phase: TaskPhase.Failed });
     }
+    if (lostWorkers.length >= maxLostWorkers) {
+        return failJob(withTask(state, position, { ...released, phase: TaskPhase.Failed }), "workers-lost");
+    }
     if (step.isService) {
         return withTask(state, position, { ...released, phase: TaskPhase.Waiting });
     }
@@ -205,7 +219,12 @@
         case RunEnd.Done:
             return completeIfDone(
                 job,
-                withTask(state, position, { ...released, phase: TaskPhase.Done, checkpoint: "" }),
+                withTask(state, position, {
+                    ...released,
+                    phase: TaskPhase.Done,
+                    checkpoint: "",
+                    lostWorkers: [],
+                }),
             );
         case RunEnd.Failed:
             return endFailedRun(state, position, released, limit);
@@ -214,6 +233,7 @@
         case RunEnd.GangBroken:
         case RunEnd.GangIncomplete:
         case RunEnd.Lost:
+        case RunEnd.WorkerLost:
             return withTask(state, position, { ...released, phase: TaskPhase.Waiting });
     }
 }
@@ -232,6 +252,17 @@
     return failJob(ended, "attempts-exhausted");
 }
 
+/** Drops the lost workers of a task that `isHarmless` selects; returns the same state when there are none. */
+export function forgetLostWorkers(
+    state: JobState,
+    position: number,
+    isHarmless: (lost: WorkerIncarnation) => boolean,
+): JobState {
+    const { lostWorkers } = state.tasks[position]!;
+    const kept = lostWorkers.filter(lost => !isHarmless(lost));
+    return kept.length === lostWorkers.length ? state : withTask(state, position, { lostWorkers: kept });
+}
+
 /** Marks the job as failed unless it is final already. The caller has to stop its remaining runs. */
 export function failJob(state: JobState, reason: string): JobState {
     return isFinal(state.phase) ? state : { ...state, phase: JobPhase.Failed, reason };
--- a/src/pool/explain.ts
+++ b/src/pool/explain.ts
@@ -1,5 +1,5 @@
 /** Explains the state of one job to an operator, from the owner's in-memory state. */
-import { TaskPhase } from "../job/index.js";
+import { TaskPhase, type TaskState } from "../job/index.js";
 import type { JobEntry } from "./job-registry.js";
 import { isSchedulable } from "./plan-starts.js";
 import { type TenureContext } from "./tenure-context.js";
@@ -39,15 +39,15 @@
             case TaskPhase.Done:
                 return [];
             case TaskPhase.Claimed:
-                return [`${name}: run ${task.run} on ${task.worker}, ${task.failures} failures`];
+                return [`${name}: run ${task.run} on ${task.worker}, ${describeEnds(task)}`];
             case TaskPhase.Waiting:
                 return [
-                    `${name}: waits for ${
-                        open.has(at) ? "a worker" : "earlier steps"
-                    }, ${task.failures} failures`,
+                    `${name}: waits for ${open.has(at) ? "a worker" : "earlier steps"}, ${
+                        describeEnds(task)
+                    }`,
                 ];
             case TaskPhase.Failed:
-                return [`${name}: out of attempts or stopped, ${task.failures} failures`];
+                return [`${name}: out of attempts or stopped, ${describeEnds(task)}`];
         }
     });
     return {
@@ -64,3 +64,7 @@
         tasks,
     };
 }
+
+function describeEnds({ failures, lostWorkers }: TaskState): string {
+    return `${failures} failures, ${lostWorkers.length} workers lost`;
+}
--- a/src/pool/job-registry.ts
+++ b/src/pool/job-registry.ts
@@ -11,6 +11,7 @@
     endRun,
     failJob,
     findTaskPosition,
+    forgetLostWorkers,
     initialState,
     isFinal,
     isSameStep,
@@ -23,6 +24,7 @@
     TaskPhase,
     type TaskState,
     withTask,
+    type WorkerIncarnation,
 } from "../job/index.js";
 import { parseTaskName, taskName } from "../job/index.js";
 import { addResources, noResources, type Resources } from "../process/resources.js";
@@ -124,6 +126,8 @@
     readonly runs = new Map<string, RunRecord>();
     private readonly dirty = new Set<JobEntry>();
     private readonly active = new Set<JobEntry>();
+    /** Unfinished jobs with a task under which a worker was lost. */
+    private readonly withLosses = new Set<JobEntry>();
     private readonly usage = new Map<string, Resources>();
 
     static create(): JobRegistry {
@@ -149,12 +153,16 @@
         const entry = this.add(job, state, false);
         for (const [position, task] of state.tasks.entries()) {
             entry.hasStarted ||= task.run > 0;
+            if (task.lostWorkers.length > 0) {
+                this.withLosses.add(entry);
+            }
             if (task.phase === TaskPhase.Claimed) {
                 this.addRun(entry, position, StartStatus.Inherited, now);
             }
         }
         if (isFinal(state.phase)) {
             entry.finalAt = now;
+            this.withLosses.delete(entry);
             this.markRunsForStop(entry);
         }
     }
@@ -189,12 +197,35 @@
             entry.failedWorkers.set(position, failedWorkers.add(worker));
         }
         this.updateState(entry, endRun(entry.job, entry.state, position, end, { maxFailures }));
+        if (end.how === RunEnd.WorkerLost) {
+            this.withLosses.add(entry);
+        }
         if (record.step.isGang && end.how === RunEnd.Done) {
             this.endGang(record);
         }
         this.finishIfFinal(entry, now);
     }
 
+    /** Drops a worker that turned out to be alive from the losses of all tasks; returns the number of those tasks. */
+    forgetLostWorker({ worker, workerStartedAt }: WorkerIncarnation): number {
+        let tasks = 0;
+        for (const entry of this.withLosses) {
+            for (const position of entry.state.tasks.keys()) {
+                const before = entry.state;
+                const isSame = (lost: WorkerIncarnation): boolean =>
+                    lost.worker === worker && lost.workerStartedAt === workerStartedAt;
+                this.updateState(entry, forgetLostWorkers(entry.state, position, isSame));
+                tasks += entry.state === before ? 0 : 1;
+            }
+        }
+        return tasks;
+    }
+
+    /** Drops all losses of the task of a run that has shown to be harmless. */
+    forgetLostWorkers({ entry, position }: RunRecord): void {
+        this.updateState(entry, forgetLostWorkers(entry.state, position, () => true));
+    }
+
     /** Cancels a job and marks its runs to be stopped. */
     cancel(entry: JobEntry, now: number): void {
         this.updateState(entry, cancelJob(entry.state));
@@ -390,6 +421,7 @@
         if (isFinal(entry.state.phase) && entry.finalAt === undefined) {
             entry.finalAt = now;
             this.active.delete(entry);
+            this.withLosses.delete(entry);
             this.markRunsForStop(entry);
         }
     }
--- a/src/pool/ports.ts
+++ b/src/pool/ports.ts
@@ -83,7 +83,7 @@
 }
 
 /** How a run ended, as reported by its worker. */
-export type ReportedEnd = Exclude<RunEnd, RunEnd.Lost>;
+export type ReportedEnd = Exclude<RunEnd, RunEnd.Lost | RunEnd.WorkerLost>;
 
 /** An entry of a worker's list of ended runs. */
 export interface EndedRun {
--- a/src/pool/reconcile.ts
+++ b/src/pool/reconcile.ts
@@ -75,7 +75,9 @@
     if (view.ended.length < maxEndsPerResponse) {
         for (const record of records.values()) {
             if (!matched.has(record) && isConfirmedAbsent(record, view)) {
-                ended.push({ record, outcome: RunEnd.Lost, saved: "" });
+                const hasWorkerEnded = record.workerIncarnation !== startedAtMs;
+                const outcome = hasWorkerEnded ? RunEnd.WorkerLost : RunEnd.Lost;
+                ended.push({ record, outcome, saved: "" });
             }
         }
     }
--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -5,7 +5,7 @@
 import { type EndedRun, type StartRequest, type StartResult, WorkerRefusal } from "./ports.js";
 import type { ConfirmedEnd } from "./reconcile.js";
 import { queueOf, suspectWorkerPauseMs, targetOf, type TenureContext } from "./tenure-context.js";
-import { updateSlowdown, type WorkerState } from "./worker-registry.js";
+import { markUnreachable, updateSlowdown, type WorkerState } from "./worker-registry.js";
 
 /** Interval of repeating a stop request that is not confirmed. */
 const stopRetryMs = 300;
@@ -55,13 +55,17 @@
 
     /** Applies the end of a run, and stops the rest of its gang unless it succeeded. */
     applyEnd(end: ConfirmedEnd): void {
-        const { record, outcome, saved } = end;
+        const { record, saved } = end;
         const { timer, log } = this.ctx.options;
         if (this.ctx.jobs.runs.get(record.name) !== record) {
             return;
         }
         const now = timer.now();
         const worker = this.ctx.workers.workerOf(record);
+        // A VM that is moved or maintained, and a worker that drains, are lost as planned.
+        const outcome = end.outcome === RunEnd.WorkerLost && worker.isExpectedToEnd
+            ? RunEnd.Lost
+            : end.outcome;
         this.updateStatistics(record, worker, outcome, now);
         const gang = outcome === RunEnd.Done ? [] : this.ctx.jobs.otherGangRuns(record);
         this.ctx.workers.removeRun(record);
@@ -76,6 +80,7 @@
             stop: record.stopReason,
             ageMs: Math.round(now - record.startedAt),
             phase: record.entry.state.phase,
+            lostWorkers: record.entry.state.tasks[record.position]!.lostWorkers.length || undefined,
         });
         gang.forEach(member => this.stop(member, StopReason.GangBroken));
         this.ctx.requestRound();
@@ -225,7 +230,7 @@
                 return;
             case WorkerRefusal.WrongIncarnation:
             case WorkerRefusal.NotSent:
-                worker.isReachable = false;
+                markUnreachable(worker);
                 worker.backoffUntil = now + backoffMs.unanswered;
                 return;
             case WorkerRefusal.Superseded:
@@ -266,6 +271,7 @@
             case RunEnd.GangBroken:
             case RunEnd.GangIncomplete:
             case RunEnd.Lost:
+            case RunEnd.WorkerLost:
                 return;
         }
     }
--- a/src/pool/run-monitor.ts
+++ b/src/pool/run-monitor.ts
@@ -17,6 +17,8 @@
  * reports another percent well within it.
  */
 const inheritedStallShare = 0.1;
+/** Time at work after which a run shows that its task does not end the workers that start it. */
+const harmlessAfterMs = 60_000;
 /** Shortest time between two log lines about runs whose workers do not answer. */
 const leaseEndLogIntervalMs = 1000;
 
@@ -69,9 +71,12 @@
             return;
         }
         if (!worker.isReachable && now >= worker.lease.latestEnd() && !mayStartLate(record, worker)) {
-            this.dispatcher.applyEnd({ record, outcome: RunEnd.Lost, saved: "" });
+            this.dispatcher.applyEnd({ record, outcome: RunEnd.WorkerLost, saved: "" });
             return;
         }
+        if (record.start === StartStatus.Confirmed && now - record.startedAt >= harmlessAfterMs) {
+            this.ctx.jobs.forgetLostWorkers(record);
+        }
         if (record.stopReason === undefined && this.isStalled(record, now)) {
             record.stopReason = StopReason.Stalled;
             worker.backoffUntil = Math.max(worker.backoffUntil, now + suspectWorkerPauseMs);
--- a/src/pool/worker-monitor.ts
+++ b/src/pool/worker-monitor.ts
@@ -8,7 +8,7 @@
 import { reconcile } from "./reconcile.js";
 import type { RunDispatcher } from "./run-dispatcher.js";
 import { retryDelayMs, targetOf, type TenureContext } from "./tenure-context.js";
-import type { WorkerState } from "./worker-registry.js";
+import { markUnreachable, type WorkerState } from "./worker-registry.js";
 
 /** Interval of reading the roster while VMs are joining a pool. */
 const fastRosterIntervalMs = 150;
@@ -235,11 +235,23 @@
         for (const { task, run } of found.orphans) {
             void this.ctx.options.calls.stop(targetOf(worker), task, run, this.ctx.fence);
         }
+        worker.isExpectedToEnd = false;
+        if (isNewlyHeld) {
+            this.forgetLoss(worker);
+        }
         if (isNewlyHeld || worker.appliedPosition > worker.storedPosition) {
             this.ctx.requestRound();
         }
     }
 
+    /** Corrects the record of tasks under which this worker was counted as lost while it was only out of reach. */
+    private forgetLoss({ id, startedAtMs }: WorkerState): void {
+        const tasks = this.ctx.jobs.forgetLostWorker({ worker: id, workerStartedAt: startedAtMs });
+        if (tasks > 0) {
+            this.ctx.options.log.write(Severity.Info, EventId.WorkerLossForgotten, { worker: id, tasks });
+        }
+    }
+
     private applyProgress(record: RunRecord, percent: number, reading: number, now: number): void {
         record.lastReading = reading;
         if (record.start !== StartStatus.Confirmed) {
@@ -260,7 +272,7 @@
         failure: Exclude<HoldResult, { kind: "held" }>,
     ): void {
         const { reason } = failure;
-        worker.isReachable = false;
+        markUnreachable(worker);
         if (failure.kind === "refused" && failure.reason === WorkerRefusal.Fenced) {
             void this.ctx.confirm();
         }
--- a/src/pool/worker-registry.ts
+++ b/src/pool/worker-registry.ts
@@ -23,6 +23,8 @@
     lastHoldAt: number;
     /** Whether the last request was answered. */
     isReachable: boolean;
+    /** Whether it was draining, or its VM being drained, when it was last reached. */
+    isExpectedToEnd: boolean;
     /** Last applied position in its list of ended runs. */
     appliedPosition: number;
     /** Last position whose end is stored. The worker may discard ends up to it. */
@@ -226,6 +228,7 @@
             hasAcceptedFence: false,
             lastHoldAt: -Infinity,
             isReachable: false,
+            isExpectedToEnd: false,
             appliedPosition: 0,
             storedPosition: 0,
             runs: new Map(),
@@ -245,6 +248,14 @@
     return `${id}@${startedAtMs}`;
 }
 
+/** Records that a worker did not answer, and whether its end was expected then. */
+export function markUnreachable(worker: WorkerState): void {
+    if (worker.isReachable) {
+        worker.isReachable = false;
+        worker.isExpectedToEnd = worker.isCordoned || worker.listed.isDraining;
+    }
+}
+
 /** Updates a worker's slowdown factor with the actual and expected duration of a run. */
 export function updateSlowdown(worker: WorkerState, ms: number, expectedMs: number): void {
     worker.slowdownFactor += (ms / Math.max(1, expectedMs) - worker.slowdownFactor) * slowdownSmoothing;
--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -63,6 +63,7 @@
     RunStalled = 2305,
     RunPaced = 2306,
     RunsAwaitLeaseEnd = 2307,
+    WorkerLossForgotten = 2308,
     WorkerListed = 2401,
     WorkerUnreachable = 2402,
     WorkerSuspected = 2403,
