Tasks under which workers were lost are kept apart, so that the one that ends them is told from those beside it

Callers saw: with the count alone, jobs that had been placed beside a task that crashes its workers twice failed with it (workers-lost), though nothing was wrong with them.

Cause: all runs on a lost worker counted it alike, and the planner packs short tasks, so the same ones met again on the next worker.

Change: of the runs on a lost worker those count it that were not yet at work for 1 s when it last answered, if there are any; for the others the loss is explained, as it is for all once a task has failed its job for it. Three unexplained losses fail the job, or five in all, so that the budget holds whatever is explained. Placement spreads tasks with losses, and never starts two beside each other of which one has its last chance, until the first has been at work for 1 s; other tasks avoid a worker with such a task if another has room.

--- a/src/job/codec.ts
+++ b/src/job/codec.ts
@@ -128,8 +128,8 @@
     z.string(),
 ]);
 
-/** Stored loss of a worker under a task: occurrence, step, index, worker, workerStartedAt. */
-const lossSchema = z.tuple([z.number(), z.number(), z.number(), z.string(), z.number()]);
+/** Stored loss of a worker under a task: occurrence, step, index, worker, workerStartedAt, isExplained. */
+const lossSchema = z.tuple([z.number(), z.number(), z.number(), z.string(), z.number(), z.boolean()]);
 
 /** Stored progress: phase (s), occurrences (o), reason (why), tasks (t), losses of workers (c). */
 const stateSchema = z.object({
@@ -154,6 +154,7 @@
             task.index,
             lost.worker,
             lost.workerStartedAt,
+            lost.isExplained,
         ])
     );
     return JSON.stringify({
@@ -199,13 +200,16 @@
         const [, , , phase, run, failures, worker, workerStartedAt, checkpoint] = row;
         tasks.set(key, { ...task, phase, run, failures, worker, workerStartedAt, checkpoint });
     }
-    for (const [occurrence, step, index, worker, workerStartedAt] of c) {
+    for (const [occurrence, step, index, worker, workerStartedAt, isExplained] of c) {
         const key = `${occurrence}.${step}.${index}`;
         const task = tasks.get(key);
         if (task === undefined) {
             return undefined;
         }
-        tasks.set(key, { ...task, lostWorkers: [...task.lostWorkers, { worker, workerStartedAt }] });
+        tasks.set(key, {
+            ...task,
+            lostWorkers: [...task.lostWorkers, { worker, workerStartedAt, isExplained }],
+        });
     }
     return {
         phase: s,
--- a/src/job/state.ts
+++ b/src/job/state.ts
@@ -50,6 +50,12 @@
     readonly workerStartedAt: number;
 }
 
+/** A worker that was lost under a task. */
+export interface WorkerLoss extends WorkerIncarnation {
+    /** Whether another task has failed its job for ending this worker, or is the likelier cause. */
+    readonly isExplained: boolean;
+}
+
 /** State of a task and its latest run. */
 export interface TaskState {
     readonly occurrence: number;
@@ -67,7 +73,7 @@
     /** Checkpoint from which the next run resumes; empty when there is none. */
     readonly checkpoint: string;
     /** Workers that were lost under runs of the task and have not been seen alive since. */
-    readonly lostWorkers: readonly WorkerIncarnation[];
+    readonly lostWorkers: readonly WorkerLoss[];
 }
 
 /** A job's progress. */
@@ -176,8 +182,20 @@
     return a.step === b.step && a.occurrence === b.occurrence;
 }
 
-/** Number of workers lost under one task at which its job fails, since the task may be what ends them. */
-export const maxLostWorkers = 3;
+/** Number of workers lost under one task, and not explained, at which its job fails: the task may be what ends them. */
+export const maxUnexplainedLosses = 3;
+/** The same with the explained losses, which are no proof that the task ends no workers. */
+const maxLosses = 5;
+
+/** Number of workers that were lost under a task and not explained by another one. */
+export function unexplainedLosses({ lostWorkers }: TaskState): number {
+    return lostWorkers.filter(({ isExplained }) => !isExplained).length;
+}
+
+/** Whether so many workers were lost under a task that it may not be started again. */
+export function exceedsLossLimit(task: TaskState): boolean {
+    return unexplainedLosses(task) >= maxUnexplainedLosses || task.lostWorkers.length >= maxLosses;
+}
 
 /** Limit on the failures of a task, as the queue sets it. */
 export interface FailureLimit {
@@ -185,6 +203,14 @@
     readonly maxFailures: number;
 }
 
+/** End of a run. */
+export interface RunResult {
+    readonly how: RunEnd;
+    readonly saved?: string;
+    /** See `WorkerLoss`; only with `RunEnd.WorkerLost`. */
+    readonly isExplained?: boolean;
+}
+
 /**
  * Applies the end of a task's latest run. Without a new checkpoint, the task keeps the one that it has. Tasks of a
  * service wait for another run however the last one ended.
@@ -193,14 +219,15 @@
     job: AcceptedJob,
     state: JobState,
     position: number,
-    end: { readonly how: RunEnd; readonly saved?: string },
+    end: RunResult,
     limit: FailureLimit,
 ): JobState {
     const task = state.tasks[position]!;
     const step = job.spec.steps[task.step]!;
     const checkpoint = end.saved === undefined || end.saved === "" ? task.checkpoint : end.saved;
+    const { worker, workerStartedAt } = task;
     const lostWorkers = end.how === RunEnd.WorkerLost
-        ? [...task.lostWorkers, { worker: task.worker, workerStartedAt: task.workerStartedAt }]
+        ? [...task.lostWorkers, { worker, workerStartedAt, isExplained: end.isExplained === true }]
         : task.lostWorkers;
     const released = { worker: "", workerStartedAt: 0, checkpoint, lostWorkers };
     if (task.phase === TaskPhase.Done) {
@@ -209,7 +236,7 @@
     if (isFinal(state.phase)) {
         return withTask(state, position, { ...released, phase: TaskPhase.Failed });
     }
-    if (lostWorkers.length >= maxLostWorkers) {
+    if (exceedsLossLimit({ ...task, lostWorkers })) {
         return failJob(withTask(state, position, { ...released, phase: TaskPhase.Failed }), "workers-lost");
     }
     if (step.isService) {
@@ -252,15 +279,20 @@
     return failJob(ended, "attempts-exhausted");
 }
 
-/** Drops the lost workers of a task that `isHarmless` selects; returns the same state when there are none. */
-export function forgetLostWorkers(
+/**
+ * Replaces each lost worker of a task by the result of `update`, or drops it if that is undefined; returns the same state
+ * when nothing changes.
+ */
+export function updateLosses(
     state: JobState,
     position: number,
-    isHarmless: (lost: WorkerIncarnation) => boolean,
+    update: (lost: WorkerLoss) => WorkerLoss | undefined,
 ): JobState {
     const { lostWorkers } = state.tasks[position]!;
-    const kept = lostWorkers.filter(lost => !isHarmless(lost));
-    return kept.length === lostWorkers.length ? state : withTask(state, position, { lostWorkers: kept });
+    const updated = lostWorkers.flatMap(lost => update(lost) ?? []);
+    const isSame = updated.length === lostWorkers.length
+        && updated.every((lost, index) => lost === lostWorkers[index]);
+    return isSame ? state : withTask(state, position, { lostWorkers: updated });
 }
 
 /** Marks the job as failed unless it is final already. The caller has to stop its remaining runs. */
--- a/src/pool/job-registry.ts
+++ b/src/pool/job-registry.ts
@@ -9,9 +9,9 @@
     claimTask,
     completeIfDone,
     endRun,
+    exceedsLossLimit,
     failJob,
     findTaskPosition,
-    forgetLostWorkers,
     initialState,
     isFinal,
     isSameStep,
@@ -20,11 +20,15 @@
     type JobState,
     readySteps,
     RunEnd,
+    type RunResult,
     type StepSpec,
     TaskPhase,
     type TaskState,
+    unexplainedLosses,
+    updateLosses,
     withTask,
     type WorkerIncarnation,
+    type WorkerLoss,
 } from "../job/index.js";
 import { parseTaskName, taskName } from "../job/index.js";
 import { addResources, noResources, type Resources } from "../process/resources.js";
@@ -92,6 +96,19 @@
     Unknown = "unknown-run",
 }
 
+/** Number of workers that were lost under a run's task and not explained by another one. */
+export function lossesOf({ entry, position }: RunRecord): number {
+    return unexplainedLosses(entry.state.tasks[position]!);
+}
+
+/** Time at work after which a run shows that its start does not end the worker. */
+const testMs = 1000;
+
+/** Whether a run had been at work for long enough at the monotonic time `at` to show that its start does not end the worker. */
+export function isTested({ start, startedAt }: RunRecord, at: number): boolean {
+    return start === StartStatus.Confirmed && at - startedAt >= testMs;
+}
+
 /** A job in the registry. */
 export interface JobEntry {
     readonly job: AcceptedJob;
@@ -126,6 +143,8 @@
     readonly runs = new Map<string, RunRecord>();
     private readonly dirty = new Set<JobEntry>();
     private readonly active = new Set<JobEntry>();
+    /** Workers ended by tasks that have failed their jobs for it; their other runs do not count them as lost. */
+    private readonly explainedLosses = new Set<string>();
     /** Unfinished jobs with a task under which a worker was lost. */
     private readonly withLosses = new Set<JobEntry>();
     private readonly usage = new Map<string, Resources>();
@@ -186,19 +205,25 @@
     /** Applies the end of a run. */
     end(
         record: RunRecord,
-        end: { readonly how: RunEnd; readonly saved?: string },
+        end: RunResult,
         maxFailures: number,
         now: number,
     ): void {
-        const { entry, position, worker } = record;
+        const { entry, position, worker, workerIncarnation } = record;
+        const isExplained = end.isExplained === true
+            || this.explainedLosses.has(incarnationKey({ worker, workerStartedAt: workerIncarnation }));
         this.dropRun(record);
         if (end.how === RunEnd.Failed) {
             const failedWorkers = entry.failedWorkers.get(position) ?? new Set();
             entry.failedWorkers.set(position, failedWorkers.add(worker));
         }
-        this.updateState(entry, endRun(entry.job, entry.state, position, end, { maxFailures }));
+        this.updateState(
+            entry,
+            endRun(entry.job, entry.state, position, { ...end, isExplained }, { maxFailures }),
+        );
         if (end.how === RunEnd.WorkerLost) {
             this.withLosses.add(entry);
+            this.explainLosses(entry, position);
         }
         if (record.step.isGang && end.how === RunEnd.Done) {
             this.endGang(record);
@@ -207,25 +232,44 @@
     }
 
     /** Drops a worker that turned out to be alive from the losses of all tasks; returns the number of those tasks. */
-    forgetLostWorker({ worker, workerStartedAt }: WorkerIncarnation): number {
+    forgetLostWorker(alive: WorkerIncarnation): number {
+        const key = incarnationKey(alive);
+        return this.updateAllLosses(lost => incarnationKey(lost) === key ? undefined : lost);
+    }
+
+    /** Drops all losses of the task of a run that has shown to be harmless. */
+    forgetLostWorkers({ entry, position }: RunRecord): void {
+        this.updateState(entry, updateLosses(entry.state, position, () => undefined));
+    }
+
+    /** When a task fails its job for the workers lost under it, marks these losses as explained for all other tasks. */
+    private explainLosses(failed: JobEntry, position: number): void {
+        const task = failed.state.tasks[position]!;
+        if (task.phase !== TaskPhase.Failed || !exceedsLossLimit(task)) {
+            return;
+        }
+        this.withLosses.delete(failed);
+        task.lostWorkers.forEach(lost => this.explainedLosses.add(incarnationKey(lost)));
+        this.updateAllLosses(lost =>
+            lost.isExplained || !this.explainedLosses.has(incarnationKey(lost))
+                ? lost
+                : { ...lost, isExplained: true }
+        );
+    }
+
+    /** Updates the losses of all tasks of unfinished jobs; returns the number of tasks that changed. */
+    private updateAllLosses(update: (lost: WorkerLoss) => WorkerLoss | undefined): number {
         let tasks = 0;
         for (const entry of this.withLosses) {
             for (const position of entry.state.tasks.keys()) {
                 const before = entry.state;
-                const isSame = (lost: WorkerIncarnation): boolean =>
-                    lost.worker === worker && lost.workerStartedAt === workerStartedAt;
-                this.updateState(entry, forgetLostWorkers(entry.state, position, isSame));
+                this.updateState(entry, updateLosses(before, position, update));
                 tasks += entry.state === before ? 0 : 1;
             }
         }
         return tasks;
     }
 
-    /** Drops all losses of the task of a run that has shown to be harmless. */
-    forgetLostWorkers({ entry, position }: RunRecord): void {
-        this.updateState(entry, forgetLostWorkers(entry.state, position, () => true));
-    }
-
     /** Cancels a job and marks its runs to be stopped. */
     cancel(entry: JobEntry, now: number): void {
         this.updateState(entry, cancelJob(entry.state));
@@ -439,6 +483,10 @@
     }
 }
 
+function incarnationKey({ worker, workerStartedAt }: WorkerIncarnation): string {
+    return `${worker}@${workerStartedAt}`;
+}
+
 function nameOf(entry: JobEntry, { occurrence, step, index }: TaskState): string {
     return taskName({ job: entry.job.id, occurrence, step, index });
 }
--- a/src/pool/placement.ts
+++ b/src/pool/placement.ts
@@ -2,12 +2,23 @@
  * Selects the worker for a task. Short tasks are packed, so that other workers become idle and their VMs can be moved
  * to another pool or maintained. Best-effort tasks avoid services with a tail latency target, which they would slow.
  */
-import type { StepSpec } from "../job/index.js";
+import { maxUnexplainedLosses, type StepSpec } from "../job/index.js";
 import { fitsInto, type Resources } from "../process/resources.js";
+import { isTested, lossesOf } from "./job-registry.js";
 import type { WorkerState } from "./worker-registry.js";
 
+/** Runs on a worker under whose tasks other workers were lost, so that one of them may end this worker as well. */
+export interface SuspectCounts {
+    /** Those that have not been at work for long enough to show that they do not. */
+    readonly untested: number;
+    /** Those under whose tasks two workers or more were lost; one more fails the job. */
+    readonly repeated: number;
+    /** Those that are both. */
+    readonly untestedRepeated: number;
+}
+
 /** A worker considered for a task, with its free resources. */
-export interface PlacementCandidate {
+export interface PlacementCandidate extends SuspectCounts {
     readonly worker: WorkerState;
     readonly free: Resources;
     /** Number of tasks of the same step and occurrence on the worker. */
@@ -21,6 +32,8 @@
     readonly failedOn: ReadonlySet<string>;
     /** Rack of the step's other tasks if the step wants one rack. */
     readonly preferredRack: string | undefined;
+    /** Number of workers that were lost under the task. */
+    readonly lostWorkers: number;
 }
 
 /** Slowdown factor above which a worker is used only if no other has room. */
@@ -29,12 +42,18 @@
 /** Placement penalties. The magnitudes differ so that a graver penalty outweighs all lesser ones. */
 enum Penalty {
     FailedBefore = 1_000_000,
+    /** For each task on the worker that may end it, as the task to be placed may, too. */
+    Suspect = 200_000,
     Slow = 100_000,
+    /** The worker runs a task whose job fails if the task to be placed ends the worker. */
+    LastChance = 50_000,
     OtherRack = 10_000,
     Interference = 20_000,
     /** The VM is due for maintenance, so a service placed there would soon have to move again. */
     MaintenanceDue = 5_000,
     WorseColocation = 1_000,
+    /** For each run that a task that may end its worker would take with it. */
+    Endangered = 10,
 }
 
 /** Worker with the lowest cost for a task; undefined if none can run it. */
@@ -53,7 +72,7 @@
     let best: T | undefined;
     let lowestCost = Infinity;
     for (const candidate of candidates) {
-        if (canPlace(request.step, candidate)) {
+        if (canPlace(request.step, candidate) && !wouldHideCause(request, candidate)) {
             const cost = placementCost(request, candidate);
             if (cost < lowestCost) {
                 lowestCost = cost;
@@ -74,15 +93,33 @@
         && (step.perWorker === 0 || sameStepTasks < step.perWorker) && fitsInto(needs, free);
 }
 
+/**
+ * Whether it could not be told which of two tasks ended the worker. A gang is exempt: its members start together or not at all,
+ * however few workers there are.
+ */
+function wouldHideCause(
+    { step, lostWorkers }: PlacementRequest,
+    { untested, untestedRepeated }: PlacementCandidate,
+): boolean {
+    const isHidden = lostWorkers >= repeatedLosses ? untested > 0 : lostWorkers > 0 && untestedRepeated > 0;
+    return isHidden && !step.isGang;
+}
+
 function placementCost(
-    { step, failedOn, preferredRack }: PlacementRequest,
-    { worker, free }: PlacementCandidate,
+    { step, failedOn, preferredRack, lostWorkers }: PlacementRequest,
+    { worker, free, untested, repeated }: PlacementCandidate,
 ): number {
     const { labels, capacity } = worker.listed;
     const wantedRack = step.dataRack ?? preferredRack;
     let cost = failedOn.has(worker.id) ? Penalty.FailedBefore : 0;
     cost += worker.slowdownFactor > slowThreshold ? Penalty.Slow : 0;
     cost += wantedRack !== undefined && !labels.includes(wantedRack) ? Penalty.OtherRack : 0;
+    if (lostWorkers > 0) {
+        cost += (untested + repeated) * Penalty.Suspect + worker.runs.size * Penalty.Endangered;
+    }
+    else if (repeated > 0) {
+        cost += Penalty.LastChance;
+    }
     if (step.isBestEffort) {
         const { services, bestEffort } = countServicesAndBestEffort(worker);
         return cost + (services > 0 ? Penalty.Interference : 0) + bestEffort * Penalty.WorseColocation;
@@ -98,6 +135,29 @@
     return cost + freeShare;
 }
 
+/** Number of lost workers from which one more fails the job of a task. */
+const repeatedLosses = maxUnexplainedLosses - 1;
+
+/** Counts the suspects among the runs of a worker at the monotonic time `now`. */
+export function countSuspects({ suspectRuns }: WorkerState, now: number): SuspectCounts {
+    let counts: SuspectCounts = { untested: 0, repeated: 0, untestedRepeated: 0 };
+    for (const record of suspectRuns) {
+        counts = addSuspect(counts, lossesOf(record), isTested(record, now));
+    }
+    return counts;
+}
+
+/** Adds a run under whose task `lostWorkers` workers were lost. */
+export function addSuspect(counts: SuspectCounts, lostWorkers: number, hasBeenTested = false): SuspectCounts {
+    const isUntested = lostWorkers > 0 && !hasBeenTested;
+    const isRepeated = lostWorkers >= repeatedLosses;
+    return {
+        untested: counts.untested + (isUntested ? 1 : 0),
+        repeated: counts.repeated + (isRepeated ? 1 : 0),
+        untestedRepeated: counts.untestedRepeated + (isUntested && isRepeated ? 1 : 0),
+    };
+}
+
 function countServicesAndBestEffort(worker: WorkerState): { services: number; bestEffort: number } {
     let services = 0;
     let bestEffort = 0;
--- a/src/pool/plan-starts.ts
+++ b/src/pool/plan-starts.ts
@@ -4,12 +4,18 @@
  * Load pattern: a burst of several times a pool's room, planned anew with every batch. Hundreds of tasks wait for which no
  * worker has room; a task that needs no less than one that found none is passed over without a look at the workers.
  */
-import { type StepSpec, TaskPhase } from "../job/index.js";
+import { type StepSpec, TaskPhase, unexplainedLosses } from "../job/index.js";
 import { addResources, fitsInto, isWithinLimit, noResources, type Resources } from "../process/resources.js";
 import type { Directory, Queue } from "../version/directory.js";
 import type { DurationEstimator } from "./duration-estimator.js";
 import type { JobEntry, JobRegistry } from "./job-registry.js";
-import { chooseCandidate, type PlacementCandidate, type PlacementRequest } from "./placement.js";
+import {
+    addSuspect,
+    chooseCandidate,
+    countSuspects,
+    type PlacementCandidate,
+    type PlacementRequest,
+} from "./placement.js";
 import { compareRankedJobs, estimateJob, type JobEstimate } from "./urgency.js";
 import { freeResources, reservedResources, type WorkerState } from "./worker-registry.js";
 
@@ -83,6 +89,9 @@
 interface Candidate extends PlacementCandidate {
     free: Resources;
     sameStepTasks: number;
+    untested: number;
+    repeated: number;
+    untestedRepeated: number;
 }
 
 /** The schedulable workers of one pool. */
@@ -102,7 +111,12 @@
             if (isSchedulable(worker, view.now)) {
                 const room = this.rooms.get(worker.listed.pool) ?? { candidates: [], exceeding: [] };
                 this.rooms.set(worker.listed.pool, room);
-                room.candidates.push({ worker, free: freeResources(worker), sameStepTasks: 0 });
+                room.candidates.push({
+                    worker,
+                    free: freeResources(worker),
+                    sameStepTasks: 0,
+                    ...countSuspects(worker, view.now),
+                });
             }
         }
     }
@@ -176,7 +190,9 @@
         if (room.exceeding.some(exceeding => fitsInto(exceeding, needs))) {
             return false;
         }
-        const { occurrence, step: stepIndex } = entry.state.tasks[taskIndex]!;
+        const task = entry.state.tasks[taskIndex]!;
+        const { occurrence, step: stepIndex } = task;
+        const lostWorkers = unexplainedLosses(task);
         if (step.perWorker > 0) {
             const sameStep = this.countTasksByWorker(entry, occurrence, stepIndex);
             for (const candidate of room.candidates) {
@@ -188,16 +204,23 @@
             step,
             failedOn: entry.failedWorkers.get(taskIndex) ?? new Set(),
             preferredRack: rack,
+            lostWorkers,
         };
         const candidate = chooseCandidate(request, room.candidates);
         if (candidate === undefined) {
-            // Room that a gang gives back when one of its tasks finds none would make this memory wrong.
-            if (step.label === undefined && step.perWorker === 0 && !step.isGang) {
+            // Room that a gang gives back when one of its tasks finds none would make this memory wrong, and a task
+            // that ended workers may find none although there is room.
+            if (
+                step.label === undefined && step.perWorker === 0 && !step.isGang && lostWorkers === 0
+            ) {
                 room.exceeding.push(needs);
             }
             return false;
         }
         candidate.free = addResources(candidate.free, needs, -1);
+        if (lostWorkers > 0) {
+            Object.assign(candidate, addSuspect(candidate, lostWorkers));
+        }
         this.usageByTeam.set(team, usage);
         const { worker } = candidate;
         const ticket = tickets?.get(worker.id);
@@ -218,17 +241,20 @@
             .map((task, memberIndex) => ({ task, memberIndex }))
             .filter(({ task }) => task.occurrence === occurrence && task.step === stepIndex);
         const allWaiting = members.every(({ task }) => task.phase === TaskPhase.Waiting);
-        const free = room.candidates.map(candidate => candidate.free);
+        const before = room.candidates.map(({ free, untested, repeated, untestedRepeated }) => ({
+            free,
+            untested,
+            repeated,
+            untestedRepeated,
+        }));
         const usage = this.usageOf(entry.job.team);
-        const before = this.placements.length;
+        const placedBefore = this.placements.length;
         const isPlaced = allWaiting
             && members.every(({ memberIndex }) => this.placeTask(entry, memberIndex, step, room, tickets));
         if (!isPlaced) {
-            room.candidates.forEach((candidate, index) => {
-                candidate.free = free[index]!;
-            });
+            room.candidates.forEach((candidate, index) => Object.assign(candidate, before[index]));
             this.usageByTeam.set(entry.job.team, usage);
-            this.placements.length = before;
+            this.placements.length = placedBefore;
         }
         return isPlaced;
     }
--- a/src/pool/reconcile.ts
+++ b/src/pool/reconcile.ts
@@ -11,6 +11,8 @@
     readonly record: RunRecord;
     readonly outcome: RunEnd;
     readonly saved: string;
+    /** Whether another run is the likelier cause of the worker's end; only with `RunEnd.WorkerLost`. */
+    readonly isExplained?: boolean;
 }
 
 /** Result of `reconcile`. */
--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -1,7 +1,7 @@
 /** Starts and stops runs on workers, and applies their ends. */
 import { RunEnd } from "../job/index.js";
 import { EventId, Severity } from "../process/events.js";
-import { type JobEntry, type RunRecord, StartStatus, StopReason } from "./job-registry.js";
+import { isTested, type JobEntry, type RunRecord, StartStatus, StopReason } from "./job-registry.js";
 import { type EndedRun, type StartRequest, type StartResult, WorkerRefusal } from "./ports.js";
 import type { ConfirmedEnd } from "./reconcile.js";
 import { queueOf, suspectWorkerPauseMs, targetOf, type TenureContext } from "./tenure-context.js";
@@ -53,9 +53,26 @@
         this.sendStop(record);
     }
 
+    /**
+     * Applies ends that one worker's response, or the lack of one, has shown. If runs were lost with the worker, those that had
+     * not been at work for long are its likelier causes, and of these the one that was started last.
+     */
+    applyEnds(ends: readonly ConfirmedEnd[]): void {
+        ends.filter(({ outcome }) => outcome !== RunEnd.WorkerLost).forEach(end => this.applyEnd(end));
+        const lost = ends.filter(({ outcome }) => outcome === RunEnd.WorkerLost)
+            .sort((a, b) => b.record.startedAt - a.record.startedAt);
+        const causes = new Set(lost.filter(({ record }) => !this.wasTested(record)));
+        lost.forEach(end => this.applyEnd({ ...end, isExplained: causes.size > 0 && !causes.has(end) }));
+    }
+
+    /** Whether a run had been at work for long enough when its worker last answered. */
+    private wasTested(record: RunRecord): boolean {
+        return isTested(record, this.ctx.workers.workerOf(record).lastHoldAt);
+    }
+
     /** Applies the end of a run, and stops the rest of its gang unless it succeeded. */
     applyEnd(end: ConfirmedEnd): void {
-        const { record, saved } = end;
+        const { record, saved, isExplained = false } = end;
         const { timer, log } = this.ctx.options;
         if (this.ctx.jobs.runs.get(record.name) !== record) {
             return;
@@ -70,7 +87,12 @@
         const gang = outcome === RunEnd.Done ? [] : this.ctx.jobs.otherGangRuns(record);
         this.ctx.workers.removeRun(record);
         this.awaitingStore.delete(record);
-        this.ctx.jobs.end(record, { how: outcome, saved }, this.maxFailuresOf(record.entry), now);
+        this.ctx.jobs.end(
+            record,
+            { how: outcome, saved, isExplained },
+            this.maxFailuresOf(record.entry),
+            now,
+        );
         log.write(Severity.Info, EventId.RunEnded, {
             task: record.name,
             run: record.run,
--- a/src/pool/run-monitor.ts
+++ b/src/pool/run-monitor.ts
@@ -35,6 +35,8 @@
         }
         const { timer } = this.ctx.options;
         const now = timer.now();
+        this.endRunsOnLostWorkers(now);
+        this.clearHarmlessRuns(now);
         for (const record of [...this.ctx.jobs.runs.values()]) {
             this.checkRun(record, now);
         }
@@ -65,18 +67,37 @@
         }
     }
 
+    /** Ends the runs of workers whose leases have ended without an answer. */
+    private endRunsOnLostWorkers(now: number): void {
+        for (const worker of this.ctx.workers.byId.values()) {
+            if (!worker.isReachable && worker.runs.size > 0 && now >= worker.lease.latestEnd()) {
+                const lost = [...worker.runs.values()].filter(record =>
+                    record.start !== StartStatus.Recorded && !mayStartLate(record, worker)
+                );
+                this.dispatcher.applyEnds(
+                    lost.map(record => ({ record, outcome: RunEnd.WorkerLost, saved: "" })),
+                );
+            }
+        }
+    }
+
+    /** Clears the losses of tasks that have been at work long enough. */
+    private clearHarmlessRuns(now: number): void {
+        for (const { suspectRuns } of this.ctx.workers.byId.values()) {
+            for (const record of suspectRuns) {
+                if (record.start === StartStatus.Confirmed && now - record.startedAt >= harmlessAfterMs) {
+                    suspectRuns.delete(record);
+                    this.ctx.jobs.forgetLostWorkers(record);
+                }
+            }
+        }
+    }
+
     private checkRun(record: RunRecord, now: number): void {
         const worker = this.ctx.workers.workerOf(record);
         if (record.start === StartStatus.Recorded) {
             return;
         }
-        if (!worker.isReachable && now >= worker.lease.latestEnd() && !mayStartLate(record, worker)) {
-            this.dispatcher.applyEnd({ record, outcome: RunEnd.WorkerLost, saved: "" });
-            return;
-        }
-        if (record.start === StartStatus.Confirmed && now - record.startedAt >= harmlessAfterMs) {
-            this.ctx.jobs.forgetLostWorkers(record);
-        }
         if (record.stopReason === undefined && this.isStalled(record, now)) {
             record.stopReason = StopReason.Stalled;
             worker.backoffUntil = Math.max(worker.backoffUntil, now + suspectWorkerPauseMs);
--- a/src/pool/worker-monitor.ts
+++ b/src/pool/worker-monitor.ts
@@ -205,7 +205,6 @@
         }
         this.ctx.workers.updateIncarnation(worker, result.startedAtMs);
         worker.lease.recordClock(result.clockMs, now);
-        worker.lastHoldAt = now;
         const isNewlyHeld = !worker.hasAcceptedFence || !worker.isReachable;
         if (!worker.hasAcceptedFence) {
             // From now on the worker rejects the orders of earlier owners, so their last lease is one granted just before.
@@ -224,7 +223,9 @@
         for (const { record, report } of found.running) {
             this.applyProgress(record, report.percent, report.reading, now);
         }
-        found.ended.forEach(end => this.dispatcher.applyEnd(end));
+        this.dispatcher.applyEnds(found.ended);
+        // After the ends, which depend on when the worker's earlier incarnation last answered.
+        worker.lastHoldAt = now;
         found.lateSuccesses.forEach(end => this.dispatcher.applyLateSuccess(worker, end));
         // Set after all ends are applied: a batch taken between two of them must not acknowledge both.
         worker.appliedPosition = Math.max(worker.appliedPosition, found.lastPosition);
--- a/src/pool/worker-registry.ts
+++ b/src/pool/worker-registry.ts
@@ -1,7 +1,7 @@
 /** Registry of a domain's workers at its owner: the platform's roster combined with the workers' own responses. */
 import type { StepSpec } from "../job/index.js";
 import { addResources, fitsInto, noResources, type Resources } from "../process/resources.js";
-import type { RunRecord } from "./job-registry.js";
+import { lossesOf, type RunRecord } from "./job-registry.js";
 import { LeaseClock } from "./lease.js";
 import type { ListedWorker } from "./ports.js";
 
@@ -31,6 +31,8 @@
     storedPosition: number;
     /** Runs that may exist on the worker, by task name. */
     readonly runs: Map<string, RunRecord>;
+    /** Those of them under whose tasks other workers had been lost when they were claimed. */
+    readonly suspectRuns: Set<RunRecord>;
     /** Resources reserved by these runs. */
     reserved: Resources;
     /** Whether its VM is being drained: no new run is placed there. */
@@ -167,12 +169,16 @@
         const worker = this.workerOf(record);
         this.updateIncarnation(worker, record.workerIncarnation);
         worker.runs.set(record.name, record);
+        if (lossesOf(record) > 0) {
+            worker.suspectRuns.add(record);
+        }
         worker.reserved = addResources(worker.reserved, reservedResources(record));
     }
 
     /** Removes a run from its worker and releases its resources. */
     removeRun(record: RunRecord): void {
         const worker = this.workerOf(record);
+        worker.suspectRuns.delete(record);
         if (worker.runs.delete(record.name)) {
             worker.reserved = worker.runs.size === 0
                 ? noResources
@@ -232,6 +238,7 @@
             appliedPosition: 0,
             storedPosition: 0,
             runs: new Map(),
+            suspectRuns: new Set(),
             reserved: noResources,
             isCordoned: false,
             isMaintenanceDue: false,
--- a/test/crashing-tasks.test.ts
+++ b/test/crashing-tasks.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, test } from "vitest";
-import type { StepSpec } from "../src/job/index.js";
+import { decodeState, encodeState, initialState, type StepSpec, withTask } from "../src/job/index.js";
+import { Random } from "../src/process/random.js";
 import { jobOf, type StandinEntry, StandinSite, type StandinSiteOptions } from "../standin/site/site.js";
 
 const deadlyTask = "deadly.0.0.0";
@@ -106,6 +107,57 @@
     });
 });
 
+describe("tasks that crash their workers, among others, on a site with changes of owner and of the store", () => {
+    const seeds = Number(process.env["CRASH_SEEDS"] ?? "8");
+    const firstSeed = Number(process.env["CRASH_FIRST_SEED"] ?? "1");
+    test.each(Array.from({ length: seeds }, (_, i) => firstSeed + i))(
+        "keep their budget, seed %i",
+        async seed => {
+            const random = Random.create(seed);
+            const site = await createSite({ seed, vmsPerPool: 5 });
+            const deadlyJobs = Array.from({ length: 1 + random.int(4) }, (_, i) => `d${i}`);
+            deadlyJobs.forEach(id => site.deadlyTasks.add(`${id}.0.0.${random.int(2)}`));
+            const others = Array.from({ length: 10 }, (_, i) => `o${i}`);
+            const disturb = Object.values(disturbances);
+            await submit(site, "service", 500, { tasks: 4, isService: true });
+            await site.timer.advance(500);
+            for (const [i, id] of others.entries()) {
+                const deadly = deadlyJobs[i];
+                if (deadly !== undefined) {
+                    await submit(site, deadly, 400 + random.int(1500), { tasks: 2 });
+                }
+                await submit(site, id, 300 + random.int(2500), { tasks: 1 + random.int(5) });
+                await site.timer.advance(random.int(2500));
+                if (random.chance(0.35)) {
+                    await disturb[random.int(disturb.length)]!(site, site.owner() ?? site.entries[0]!);
+                    await site.timer.advance(2500);
+                }
+            }
+            await site.timer.advance(60_000);
+            expect(site.checker.violations).toEqual([]);
+            for (const id of deadlyJobs) {
+                expect(await phaseOf(site, id)).toBe("failed");
+            }
+            for (const id of others) {
+                expect(await phaseOf(site, id)).toBe("succeeded");
+            }
+            expect(await phaseOf(site, "service")).toBe("running");
+        },
+    );
+});
+
+describe("the stored progress of a job", () => {
+    test("keeps the workers that were lost under its tasks", () => {
+        const job = { id: "j1", queue: "q", team: "t", acceptedAtMs: 1, spec: jobOf({ tasks: 2 }) };
+        const lost = { worker: "w-1", workerStartedAt: 5, isExplained: false };
+        const state = withTask(initialState(job), 1, {
+            run: 1,
+            lostWorkers: [lost, { ...lost, isExplained: true }],
+        });
+        expect(decodeState(job, encodeState(state))).toEqual(state);
+    });
+});
+
 describe("a task whose workers are lost for other causes", () => {
     test("succeeds after two crashes", async () => {
         const site = await createSite();
