A task that one more lost worker would fail, explained or not, counts as one on its last chance

Change: Suspicion (none, suspect, last chance) follows from both limits and replaces the number in placement. src/job/worker-loss.ts holds the limits, which were in state.ts. Explained losses are cleared after 60 s at work like the others.

--- a/src/job/index.ts
+++ b/src/job/index.ts
@@ -2,3 +2,4 @@
 export * from "./spec.js";
 export * from "./state.js";
 export * from "./task-id.js";
+export * from "./worker-loss.js";
--- a/src/job/state.ts
+++ b/src/job/state.ts
@@ -3,6 +3,7 @@
  * this module return a new one.
  */
 import { type AcceptedJob, isServiceJob, type StepSpec } from "./spec.js";
+import { exceedsLossLimit, type WorkerIncarnation, type WorkerLoss } from "./worker-loss.js";
 
 /** Phase of a job. A job never returns to an earlier phase; succeeded, failed and cancelled are final. */
 export enum JobPhase {
@@ -43,19 +44,6 @@
     WorkerLost = "worker-lost",
 }
 
-/** One incarnation of a worker. */
-export interface WorkerIncarnation {
-    readonly worker: string;
-    /** Unix time at which this incarnation started, in milliseconds. */
-    readonly workerStartedAt: number;
-}
-
-/** A worker that was lost under a task. */
-export interface WorkerLoss extends WorkerIncarnation {
-    /** Whether another task has failed its job for ending this worker, or is the likelier cause. */
-    readonly isExplained: boolean;
-}
-
 /** State of a task and its latest run. */
 export interface TaskState {
     readonly occurrence: number;
@@ -182,21 +170,6 @@
     return a.step === b.step && a.occurrence === b.occurrence;
 }
 
-/** Number of workers lost under one task, and not explained, at which its job fails: the task may be what ends them. */
-export const maxUnexplainedLosses = 3;
-/** The same with the explained losses, which are no proof that the task ends no workers. */
-const maxLosses = 5;
-
-/** Number of workers that were lost under a task and not explained by another one. */
-export function unexplainedLosses({ lostWorkers }: TaskState): number {
-    return lostWorkers.filter(({ isExplained }) => !isExplained).length;
-}
-
-/** Whether so many workers were lost under a task that it may not be started again. */
-export function exceedsLossLimit(task: TaskState): boolean {
-    return unexplainedLosses(task) >= maxUnexplainedLosses || task.lostWorkers.length >= maxLosses;
-}
-
 /** Limit on the failures of a task, as the queue sets it. */
 export interface FailureLimit {
     /** Number of failed runs of one task at which the job fails. */
@@ -236,7 +209,7 @@
     if (isFinal(state.phase)) {
         return withTask(state, position, { ...released, phase: TaskPhase.Failed });
     }
-    if (exceedsLossLimit({ ...task, lostWorkers })) {
+    if (exceedsLossLimit(lostWorkers)) {
         return failJob(withTask(state, position, { ...released, phase: TaskPhase.Failed }), "workers-lost");
     }
     if (step.isService) {
--- a/src/pool/job-registry.ts
+++ b/src/pool/job-registry.ts
@@ -14,6 +14,7 @@
     findTaskPosition,
     initialState,
     isFinal,
+    isSameIncarnation,
     isSameStep,
     isServiceJob,
     JobPhase,
@@ -24,7 +25,6 @@
     type StepSpec,
     TaskPhase,
     type TaskState,
-    unexplainedLosses,
     updateLosses,
     withTask,
     type WorkerIncarnation,
@@ -96,9 +96,9 @@
     Unknown = "unknown-run",
 }
 
-/** Number of workers that were lost under a run's task and not explained by another one. */
-export function lossesOf({ entry, position }: RunRecord): number {
-    return unexplainedLosses(entry.state.tasks[position]!);
+/** Workers that were lost under a run's task. */
+export function lossesOf({ entry, position }: RunRecord): readonly WorkerLoss[] {
+    return entry.state.tasks[position]!.lostWorkers;
 }
 
 /** Time at work after which a run shows that its start does not end the worker. */
@@ -233,8 +233,7 @@
 
     /** Drops a worker that turned out to be alive from the losses of all tasks; returns the number of those tasks. */
     forgetLostWorker(alive: WorkerIncarnation): number {
-        const key = incarnationKey(alive);
-        return this.updateAllLosses(lost => incarnationKey(lost) === key ? undefined : lost);
+        return this.updateAllLosses(lost => isSameIncarnation(lost, alive) ? undefined : lost);
     }
 
     /** Drops all losses of the task of a run that has shown to be harmless. */
@@ -245,7 +244,7 @@
     /** When a task fails its job for the workers lost under it, marks these losses as explained for all other tasks. */
     private explainLosses(failed: JobEntry, position: number): void {
         const task = failed.state.tasks[position]!;
-        if (task.phase !== TaskPhase.Failed || !exceedsLossLimit(task)) {
+        if (task.phase !== TaskPhase.Failed || !exceedsLossLimit(task.lostWorkers)) {
             return;
         }
         this.withLosses.delete(failed);
--- a/src/pool/placement.ts
+++ b/src/pool/placement.ts
@@ -2,19 +2,19 @@
  * Selects the worker for a task. Short tasks are packed, so that other workers become idle and their VMs can be moved
  * to another pool or maintained. Best-effort tasks avoid services with a tail latency target, which they would slow.
  */
-import { maxUnexplainedLosses, type StepSpec } from "../job/index.js";
+import { type StepSpec, Suspicion, suspicionOf } from "../job/index.js";
 import { fitsInto, type Resources } from "../process/resources.js";
 import { isTested, lossesOf } from "./job-registry.js";
 import type { WorkerState } from "./worker-registry.js";
 
-/** Runs on a worker under whose tasks other workers were lost, so that one of them may end this worker as well. */
+/** Runs on a worker whose tasks are under suspicion of ending it. */
 export interface SuspectCounts {
     /** Those that have not been at work for long enough to show that they do not. */
     readonly untested: number;
-    /** Those under whose tasks two workers or more were lost; one more fails the job. */
-    readonly repeated: number;
+    /** Those whose jobs fail if the worker is lost, whatever the cause. */
+    readonly lastChances: number;
     /** Those that are both. */
-    readonly untestedRepeated: number;
+    readonly untestedLastChances: number;
 }
 
 /** A worker considered for a task, with its free resources. */
@@ -32,8 +32,7 @@
     readonly failedOn: ReadonlySet<string>;
     /** Rack of the step's other tasks if the step wants one rack. */
     readonly preferredRack: string | undefined;
-    /** Number of workers that were lost under the task. */
-    readonly lostWorkers: number;
+    readonly suspicion: Suspicion;
 }
 
 /** Slowdown factor above which a worker is used only if no other has room. */
@@ -98,26 +97,32 @@
  * however few workers there are.
  */
 function wouldHideCause(
-    { step, lostWorkers }: PlacementRequest,
-    { untested, untestedRepeated }: PlacementCandidate,
+    { step, suspicion }: PlacementRequest,
+    { untested, untestedLastChances }: PlacementCandidate,
 ): boolean {
-    const isHidden = lostWorkers >= repeatedLosses ? untested > 0 : lostWorkers > 0 && untestedRepeated > 0;
-    return isHidden && !step.isGang;
+    switch (suspicion) {
+        case Suspicion.None:
+            return false;
+        case Suspicion.Suspect:
+            return untestedLastChances > 0 && !step.isGang;
+        case Suspicion.LastChance:
+            return untested > 0 && !step.isGang;
+    }
 }
 
 function placementCost(
-    { step, failedOn, preferredRack, lostWorkers }: PlacementRequest,
-    { worker, free, untested, repeated }: PlacementCandidate,
+    { step, failedOn, preferredRack, suspicion }: PlacementRequest,
+    { worker, free, untested, lastChances }: PlacementCandidate,
 ): number {
     const { labels, capacity } = worker.listed;
     const wantedRack = step.dataRack ?? preferredRack;
     let cost = failedOn.has(worker.id) ? Penalty.FailedBefore : 0;
     cost += worker.slowdownFactor > slowThreshold ? Penalty.Slow : 0;
     cost += wantedRack !== undefined && !labels.includes(wantedRack) ? Penalty.OtherRack : 0;
-    if (lostWorkers > 0) {
-        cost += (untested + repeated) * Penalty.Suspect + worker.runs.size * Penalty.Endangered;
+    if (suspicion !== Suspicion.None) {
+        cost += (untested + lastChances) * Penalty.Suspect + worker.runs.size * Penalty.Endangered;
     }
-    else if (repeated > 0) {
+    else if (lastChances > 0) {
         cost += Penalty.LastChance;
     }
     if (step.isBestEffort) {
@@ -135,26 +140,27 @@
     return cost + freeShare;
 }
 
-/** Number of lost workers from which one more fails the job of a task. */
-const repeatedLosses = maxUnexplainedLosses - 1;
-
 /** Counts the suspects among the runs of a worker at the monotonic time `now`. */
-export function countSuspects({ suspectRuns }: WorkerState, now: number): SuspectCounts {
-    let counts: SuspectCounts = { untested: 0, repeated: 0, untestedRepeated: 0 };
-    for (const record of suspectRuns) {
-        counts = addSuspect(counts, lossesOf(record), isTested(record, now));
+export function countSuspects({ runsAfterLosses }: WorkerState, now: number): SuspectCounts {
+    let counts: SuspectCounts = { untested: 0, lastChances: 0, untestedLastChances: 0 };
+    for (const record of runsAfterLosses) {
+        counts = addSuspect(counts, suspicionOf(lossesOf(record)), isTested(record, now));
     }
     return counts;
 }
 
-/** Adds a run under whose task `lostWorkers` workers were lost. */
-export function addSuspect(counts: SuspectCounts, lostWorkers: number, hasBeenTested = false): SuspectCounts {
-    const isUntested = lostWorkers > 0 && !hasBeenTested;
-    const isRepeated = lostWorkers >= repeatedLosses;
+/** Adds a run whose task is under the given suspicion. */
+export function addSuspect(
+    { untested, lastChances, untestedLastChances }: SuspectCounts,
+    suspicion: Suspicion,
+    hasBeenTested = false,
+): SuspectCounts {
+    const isUntested = suspicion !== Suspicion.None && !hasBeenTested;
+    const isLastChance = suspicion === Suspicion.LastChance;
     return {
-        untested: counts.untested + (isUntested ? 1 : 0),
-        repeated: counts.repeated + (isRepeated ? 1 : 0),
-        untestedRepeated: counts.untestedRepeated + (isUntested && isRepeated ? 1 : 0),
+        untested: untested + (isUntested ? 1 : 0),
+        lastChances: lastChances + (isLastChance ? 1 : 0),
+        untestedLastChances: untestedLastChances + (isUntested && isLastChance ? 1 : 0),
     };
 }
 
--- a/src/pool/plan-starts.ts
+++ b/src/pool/plan-starts.ts
@@ -4,7 +4,7 @@
  * Load pattern: a burst of several times a pool's room, planned anew with every batch. Hundreds of tasks wait for which no
  * worker has room; a task that needs no less than one that found none is passed over without a look at the workers.
  */
-import { type StepSpec, TaskPhase, unexplainedLosses } from "../job/index.js";
+import { type StepSpec, Suspicion, suspicionOf, TaskPhase } from "../job/index.js";
 import { addResources, fitsInto, isWithinLimit, noResources, type Resources } from "../process/resources.js";
 import type { Directory, Queue } from "../version/directory.js";
 import type { DurationEstimator } from "./duration-estimator.js";
@@ -90,8 +90,8 @@
     free: Resources;
     sameStepTasks: number;
     untested: number;
-    repeated: number;
-    untestedRepeated: number;
+    lastChances: number;
+    untestedLastChances: number;
 }
 
 /** The schedulable workers of one pool. */
@@ -192,7 +192,7 @@
         }
         const task = entry.state.tasks[taskIndex]!;
         const { occurrence, step: stepIndex } = task;
-        const lostWorkers = unexplainedLosses(task);
+        const suspicion = suspicionOf(task.lostWorkers);
         if (step.perWorker > 0) {
             const sameStep = this.countTasksByWorker(entry, occurrence, stepIndex);
             for (const candidate of room.candidates) {
@@ -204,22 +204,23 @@
             step,
             failedOn: entry.failedWorkers.get(taskIndex) ?? new Set(),
             preferredRack: rack,
-            lostWorkers,
+            suspicion,
         };
         const candidate = chooseCandidate(request, room.candidates);
         if (candidate === undefined) {
             // Room that a gang gives back when one of its tasks finds none would make this memory wrong, and a task
-            // that ended workers may find none although there is room.
+            // under suspicion may find none although there is room.
             if (
-                step.label === undefined && step.perWorker === 0 && !step.isGang && lostWorkers === 0
+                step.label === undefined && step.perWorker === 0 && !step.isGang
+                && suspicion === Suspicion.None
             ) {
                 room.exceeding.push(needs);
             }
             return false;
         }
         candidate.free = addResources(candidate.free, needs, -1);
-        if (lostWorkers > 0) {
-            Object.assign(candidate, addSuspect(candidate, lostWorkers));
+        if (suspicion !== Suspicion.None) {
+            Object.assign(candidate, addSuspect(candidate, suspicion));
         }
         this.usageByTeam.set(team, usage);
         const { worker } = candidate;
@@ -241,11 +242,11 @@
             .map((task, memberIndex) => ({ task, memberIndex }))
             .filter(({ task }) => task.occurrence === occurrence && task.step === stepIndex);
         const allWaiting = members.every(({ task }) => task.phase === TaskPhase.Waiting);
-        const before = room.candidates.map(({ free, untested, repeated, untestedRepeated }) => ({
+        const before = room.candidates.map(({ free, untested, lastChances, untestedLastChances }) => ({
             free,
             untested,
-            repeated,
-            untestedRepeated,
+            lastChances,
+            untestedLastChances,
         }));
         const usage = this.usageOf(entry.job.team);
         const placedBefore = this.placements.length;
--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -1,7 +1,14 @@
 /** Starts and stops runs on workers, and applies their ends. */
 import { RunEnd } from "../job/index.js";
 import { EventId, Severity } from "../process/events.js";
-import { isTested, type JobEntry, type RunRecord, StartStatus, StopReason } from "./job-registry.js";
+import {
+    isTested,
+    type JobEntry,
+    lossesOf,
+    type RunRecord,
+    StartStatus,
+    StopReason,
+} from "./job-registry.js";
 import { type EndedRun, type StartRequest, type StartResult, WorkerRefusal } from "./ports.js";
 import type { ConfirmedEnd } from "./reconcile.js";
 import { queueOf, suspectWorkerPauseMs, targetOf, type TenureContext } from "./tenure-context.js";
@@ -102,7 +109,7 @@
             stop: record.stopReason,
             ageMs: Math.round(now - record.startedAt),
             phase: record.entry.state.phase,
-            lostWorkers: record.entry.state.tasks[record.position]!.lostWorkers.length || undefined,
+            lostWorkers: lossesOf(record).length || undefined,
         });
         gang.forEach(member => this.stop(member, StopReason.GangBroken));
         this.ctx.requestRound();
--- a/src/pool/run-monitor.ts
+++ b/src/pool/run-monitor.ts
@@ -83,10 +83,10 @@
 
     /** Clears the losses of tasks that have been at work long enough. */
     private clearHarmlessRuns(now: number): void {
-        for (const { suspectRuns } of this.ctx.workers.byId.values()) {
-            for (const record of suspectRuns) {
+        for (const { runsAfterLosses } of this.ctx.workers.byId.values()) {
+            for (const record of runsAfterLosses) {
                 if (record.start === StartStatus.Confirmed && now - record.startedAt >= harmlessAfterMs) {
-                    suspectRuns.delete(record);
+                    runsAfterLosses.delete(record);
                     this.ctx.jobs.forgetLostWorkers(record);
                 }
             }
--- a/src/pool/worker-registry.ts
+++ b/src/pool/worker-registry.ts
@@ -32,7 +32,7 @@
     /** Runs that may exist on the worker, by task name. */
     readonly runs: Map<string, RunRecord>;
     /** Those of them under whose tasks other workers had been lost when they were claimed. */
-    readonly suspectRuns: Set<RunRecord>;
+    readonly runsAfterLosses: Set<RunRecord>;
     /** Resources reserved by these runs. */
     reserved: Resources;
     /** Whether its VM is being drained: no new run is placed there. */
@@ -169,8 +169,8 @@
         const worker = this.workerOf(record);
         this.updateIncarnation(worker, record.workerIncarnation);
         worker.runs.set(record.name, record);
-        if (lossesOf(record) > 0) {
-            worker.suspectRuns.add(record);
+        if (lossesOf(record).length > 0) {
+            worker.runsAfterLosses.add(record);
         }
         worker.reserved = addResources(worker.reserved, reservedResources(record));
     }
@@ -178,7 +178,7 @@
     /** Removes a run from its worker and releases its resources. */
     removeRun(record: RunRecord): void {
         const worker = this.workerOf(record);
-        worker.suspectRuns.delete(record);
+        worker.runsAfterLosses.delete(record);
         if (worker.runs.delete(record.name)) {
             worker.reserved = worker.runs.size === 0
                 ? noResources
@@ -238,7 +238,7 @@
             appliedPosition: 0,
             storedPosition: 0,
             runs: new Map(),
-            suspectRuns: new Set(),
+            runsAfterLosses: new Set(),
             reserved: noResources,
             isCordoned: false,
             isMaintenanceDue: false,
--- a/test/job-features.test.ts
+++ b/test/job-features.test.ts
@@ -3,7 +3,7 @@
  * encoding of stored jobs; and the rate limit of the log.
  */
 import { describe, expect, test } from "vitest";
-import { initialState, type JobSpec, type StepSpec } from "../src/job/index.js";
+import { initialState, type JobSpec, type StepSpec, Suspicion } from "../src/job/index.js";
 import { claimTask, decodeJob, decodeState, encodeJob, encodeState } from "../src/job/index.js";
 import { DurationEstimator } from "../src/pool/duration-estimator.js";
 import { JobRegistry, type RunRecord, StartStatus } from "../src/pool/job-registry.js";
@@ -131,7 +131,7 @@
         step: Partial<StepSpec>,
         workers: readonly WorkerState[],
         failedOn: readonly string[] = [],
-        lostWorkers = 0,
+        suspicion = Suspicion.None,
         suspects: Readonly<Record<string, SuspectCounts>> = {},
     ) {
         const candidates = workers.map(worker => ({
@@ -139,15 +139,15 @@
             free: freeResources(worker),
             sameStepTasks: 0,
             untested: 0,
-            repeated: 0,
-            untestedRepeated: 0,
+            lastChances: 0,
+            untestedLastChances: 0,
             ...suspects[worker.id],
         }));
         const placeable = {
             step: stepOf(step),
             failedOn: new Set(failedOn),
             preferredRack: undefined,
-            lostWorkers,
+            suspicion,
         };
         return chooseWorker(placeable, candidates)?.id;
     }
@@ -161,17 +161,18 @@
     test("keeps tasks under which workers were lost apart, and the last chance of one away from all others", () => {
         const workers = registerWorkers(listedWorker("w1"), listedWorker("w2"));
         workers[0]!.reserved = { cpu: 4000, memory: 0, accelerators: 0 };
-        const untested = { w1: { untested: 1, repeated: 0, untestedRepeated: 0 } };
-        const repeated = { w1: { untested: 0, repeated: 1, untestedRepeated: 0 } };
-        const untestedBoth = { ...untested, w2: { untested: 2, repeated: 0, untestedRepeated: 0 } };
-        expect(chooseWorkerId({}, workers, [], 0, untested)).toBe("w1");
-        expect(chooseWorkerId({}, workers, [], 0, repeated)).toBe("w2");
-        expect(chooseWorkerId({}, workers, [], 1, untested)).toBe("w2");
-        expect(chooseWorkerId({}, workers, [], 1, untestedBoth)).toBe("w1");
-        expect(chooseWorkerId({}, workers, [], 2, untestedBoth)).toBeUndefined();
-        expect(chooseWorkerId({ isGang: true }, workers, [], 2, untestedBoth)).toBe("w1");
-        const lastTest = { untested: 1, repeated: 1, untestedRepeated: 1 };
-        expect(chooseWorkerId({}, workers, [], 1, { w1: lastTest, w2: lastTest })).toBeUndefined();
+        const untested = { w1: { untested: 1, lastChances: 0, untestedLastChances: 0 } };
+        const lastChance = { w1: { untested: 0, lastChances: 1, untestedLastChances: 0 } };
+        const untestedBoth = { ...untested, w2: { untested: 2, lastChances: 0, untestedLastChances: 0 } };
+        expect(chooseWorkerId({}, workers, [], Suspicion.None, untested)).toBe("w1");
+        expect(chooseWorkerId({}, workers, [], Suspicion.None, lastChance)).toBe("w2");
+        expect(chooseWorkerId({}, workers, [], Suspicion.Suspect, untested)).toBe("w2");
+        expect(chooseWorkerId({}, workers, [], Suspicion.Suspect, untestedBoth)).toBe("w1");
+        expect(chooseWorkerId({}, workers, [], Suspicion.LastChance, untestedBoth)).toBeUndefined();
+        expect(chooseWorkerId({ isGang: true }, workers, [], Suspicion.LastChance, untestedBoth)).toBe("w1");
+        const lastTest = { untested: 1, lastChances: 1, untestedLastChances: 1 };
+        expect(chooseWorkerId({}, workers, [], Suspicion.Suspect, { w1: lastTest, w2: lastTest }))
+            .toBeUndefined();
     });
 
     test("packs short tasks, so that other workers become idle", () => {
