--- a/standin/site/checker.ts
+++ b/standin/site/checker.ts
@@ -1,7 +1,7 @@
 /** Checks the invariants of a stand-in site against the events that workers and callers observe. */
 import { type JobSpec, parseTaskName, RunEnd } from "../../src/job/index.js";
 import type { ReportedEnd, StartRequest } from "../../src/pool/ports.js";
-import type { Resources } from "../../src/process/resources.js";
+import { fitsInto, type Resources } from "../../src/process/resources.js";
 import type { Timer } from "../../src/process/timer.js";
 import type { StandinWorker, WorkerEvents } from "./worker.js";
 
@@ -19,6 +19,9 @@
     laterStarts: number;
 }
 
+/** Time for which starts may go by an earlier, larger capacity of a worker. */
+const shrinkGraceMs = 4500;
+
 /** Number of crashes under a task after which it may start only `maxLaterStarts` times more. */
 const crashBudget = 3;
 const maxLaterStarts = 2;
@@ -99,9 +102,20 @@
             this.reportViolation(`${task} starts again after its success was stored`);
         }
         this.activeRuns.set(task, { run, worker });
+        this.checkCapacity(worker, task);
         this.checkJob(task);
     }
 
+    /** Reports a start that exceeds every capacity that the worker has lately had. */
+    private checkCapacity(worker: StandinWorker, task: string): void {
+        const { used } = worker;
+        if (!worker.capacitiesWithin(shrinkGraceMs).some(capacity => fitsInto(used, capacity))) {
+            this.reportViolation(
+                `${task} brings ${worker.id} to ${used.cpu} of its ${worker.capacity.cpu} thousandths of a core`,
+            );
+        }
+    }
+
     onRunEnded(worker: StandinWorker, task: string, run: number, outcome: ReportedEnd | "gone"): void {
         const active = this.activeRuns.get(task);
         if (active?.worker === worker && active.run === run) {
--- a/standin/site/rows.ts
+++ b/standin/site/rows.ts
@@ -20,6 +20,8 @@
     isUnresponsive: boolean;
     /** Every call is refused after the latency of a read. */
     isBusy: boolean;
+    /** Tables whose reads are refused. */
+    readonly unreadableTables: Set<string>;
     /** Factor on the latency of a call. */
     latencyFactor: number;
     /** Share, from 0 to 1, of transactions that are applied but whose answer is lost. */
@@ -34,6 +36,7 @@
     return {
         isUnresponsive: false,
         isBusy: false,
+        unreadableTables: new Set(),
         latencyFactor: 1,
         lostAnswerShare: 0,
         delayedCommitShare: 0,
@@ -237,6 +240,9 @@
     private async read(range: RowRange, timer: Timer, clientFaults: RowStoreFaults): Promise<RowPage> {
         await this.simulateReadCall(timer, clientFaults, timer.now() + callTimeoutMs);
         const { table, part, from = "", to, limit = defaultPageRows } = range;
+        if ([this.faults, clientFaults].some(({ unreadableTables }) => unreadableTables.has(table))) {
+            throw new PlatformError(`row store refused the read of table "${table}"`);
+        }
         const rows = [...this.rows.values()]
             .filter(row => row.table === table && row.part === part && row.key >= from)
             .filter(row => to === undefined || row.key < to)
--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -69,6 +69,8 @@
     readonly strengths?: Readonly<Record<string, number>>;
     /** Availability zones of the entries' VMs by entry name; unknown for those that are not named. */
     readonly zones?: Readonly<Record<string, string>>;
+    /** Whether workers refuse runs that exceed their capacity. */
+    readonly guardsCapacity?: boolean;
     /** Whether the platform lists its VMs, so that entries move them between pools and service them. */
     readonly managesVms?: boolean;
 }
@@ -92,6 +94,8 @@
 /** Least time between commands of two holders for one VM; equals the default of the setting of that name. */
 const holderGapMs = 3000;
 const sparePool = "spare";
+/** Table that entries read before each list of workers. */
+export const rosterTable = "roster";
 const operatorTable = "operator";
 const listsKey = { table: operatorTable, part: "", key: "lists" };
 const waveKeyPrefix = "wave/";
@@ -164,7 +168,11 @@
         const lists = {
             version,
             queues: queues.map(queueOf),
-            pools: pools.map(name => ({ name, isSpare: name === sparePool })),
+            pools: pools.map(name => ({
+                name,
+                isSpare: name === sparePool,
+                guardsCapacity: this.options.guardsCapacity ?? true,
+            })),
             teams: [...teams].map(name => ({
                 name,
                 cap: caps[name],
@@ -341,7 +349,19 @@
         const capacity = this.options.capacity ?? defaultCapacity;
         const profileOf = (task: string): TaskProfile | undefined => this.profileOf(task);
         const { timer, checker, gangs } = this;
-        return new StandinWorker(timer, id, vm.pool, vm.vm, vm.rack, capacity, profileOf, checker, gangs);
+        const worker = new StandinWorker(
+            timer,
+            id,
+            vm.pool,
+            vm.vm,
+            vm.rack,
+            capacity,
+            profileOf,
+            checker,
+            gangs,
+        );
+        worker.guardsCapacity = this.options.guardsCapacity ?? true;
+        return worker;
     }
 
     private profileOf(task: string): TaskProfile | undefined {
@@ -377,7 +397,7 @@
         return {
             roster: {
                 list: async () => {
-                    await store.read({ table: "roster", part: "" });
+                    await store.read({ table: rosterTable, part: "" });
                     return this.workers.filter(({ isAlive }) => isAlive).map(({ listed }) => listed);
                 },
             },
--- a/standin/site/worker.ts
+++ b/standin/site/worker.ts
@@ -69,6 +69,8 @@
     failsAll: boolean;
     /** Runs make no progress. */
     isHung: boolean;
+    /** Its entry in the list of workers stays as it was. */
+    isReportStale: boolean;
 }
 
 interface Run {
@@ -96,10 +98,15 @@
         commandDelayMs: 0,
         failsAll: false,
         isHung: false,
+        isReportStale: false,
     };
     readonly startedAtMs: number;
     isAlive = true;
     isDraining = false;
+    /** Whether it refuses runs that exceed its capacity. */
+    guardsCapacity = true;
+    private readonly capacities: { readonly until: number; readonly capacity: Resources }[] = [];
+    private lastListed: ListedWorker | undefined;
     private nextReport = 1;
     private highestFence = 0;
     private leaseUntil = 0;
@@ -117,7 +124,7 @@
         readonly pool: string,
         readonly vm: string,
         readonly rack: string,
-        readonly capacity: Resources,
+        private currentCapacity: Resources,
         private readonly profileOf: (task: string) => TaskProfile | undefined,
         private readonly events: WorkerEvents,
         private readonly gangs = new GangTracker(),
@@ -127,9 +134,28 @@
         timer.every(tickMs, () => this.advanceRuns());
     }
 
+    get capacity(): Resources {
+        return this.currentCapacity;
+    }
+
+    /** Changes the capacity at once; the runs on the worker go on. */
+    setCapacity(capacity: Resources): void {
+        this.capacities.push({ until: this.timer.now(), capacity: this.currentCapacity });
+        this.currentCapacity = capacity;
+    }
+
+    /** The capacities that the worker had within the last `ms` milliseconds. */
+    capacitiesWithin(ms: number): readonly Resources[] {
+        const earlier = this.capacities.filter(({ until }) => until > this.timer.now() - ms);
+        return [this.currentCapacity, ...earlier.map(({ capacity }) => capacity)];
+    }
+
     /** Entry in the list of workers, with the next report number. */
     get listed(): ListedWorker {
-        return {
+        if (this.faults.isReportStale && this.lastListed !== undefined) {
+            return this.lastListed;
+        }
+        this.lastListed = {
             id: this.id,
             pool: this.pool,
             address: this.id,
@@ -141,6 +167,7 @@
             startedAtMs: this.startedAtMs,
             report: this.nextReport++,
         };
+        return this.lastListed;
     }
 
     get clockMs(): number {
@@ -189,7 +216,8 @@
         if (profile === undefined) {
             return refuse(WorkerRefusal.Malformed);
         }
-        if (!fitsInto(profile.needs, addResources(this.capacity, this.used, -1))) {
+        const hasRoom = fitsInto(profile.needs, addResources(this.capacity, this.used, -1));
+        if (this.guardsCapacity && !hasRoom) {
             return refuse(WorkerRefusal.NoCapacity);
         }
         const run: Run = {
