Workers that do not guard their capacity get runs only while it is known

Cause: the last capacity read was taken for the present one, however old; guardsCapacity of a pool was decoded and used nowhere. Class: a belief without an age decides.

Change: the registry keeps since when a worker has reported, as the time of the roster read before the one that first showed the report. In pools that do not guard their capacity a worker gets runs while that is at most 3.5 s ago (a shrunk capacity counts after a heartbeat and 3 s), and not while its last response lists runs that are not accounted for. Both are asked again when the start is sent.

--- a/bench/measures/owner.ts
+++ b/bench/measures/owner.ts
@@ -79,18 +79,21 @@
             jobs.accept({ id: `j${i}`, queue: "q", team: "", acceptedAtMs: i, spec });
         }
         const workers = WorkerRegistry.create({ inheritedLeasesUntil: -Infinity });
-        workers.update(Array.from({ length: workerCount }, (_, i) => ({
-            id: `w${i}`,
-            pool: "bench",
-            address: "",
-            zone: "",
-            labels: [],
-            capacity: { cpu: 32_000, memory: 128_000, accelerators: 0 },
-            isDraining: false,
-            remainingMs: 0,
-            startedAtMs: 1,
-            report: 1,
-        })));
+        workers.update(
+            Array.from({ length: workerCount }, (_, i) => ({
+                id: `w${i}`,
+                pool: "bench",
+                address: "",
+                zone: "",
+                labels: [],
+                capacity: { cpu: 32_000, memory: 128_000, accelerators: 0 },
+                isDraining: false,
+                remainingMs: 0,
+                startedAtMs: 1,
+                report: 1,
+            })),
+            0,
+        );
         for (const worker of workers.byId.values()) {
             worker.hasAcceptedFence = true;
             worker.isReachable = true;
--- a/src/pool/plan-starts.ts
+++ b/src/pool/plan-starts.ts
@@ -6,7 +6,7 @@
  */
 import { type StepSpec, Suspicion, suspicionOf, TaskPhase } from "../job/index.js";
 import { addResources, fitsInto, isWithinLimit, noResources, type Resources } from "../process/resources.js";
-import type { Directory, Queue } from "../version/directory.js";
+import type { Directory, Pool, Queue } from "../version/directory.js";
 import type { DurationEstimator } from "./duration-estimator.js";
 import type { JobEntry, JobRegistry } from "./job-registry.js";
 import {
@@ -17,7 +17,7 @@
     type PlacementRequest,
 } from "./placement.js";
 import { compareRankedJobs, estimateJob, type JobEstimate } from "./urgency.js";
-import { freeResources, reservedResources, type WorkerState } from "./worker-registry.js";
+import { freeResources, isCapacityKnown, reservedResources, type WorkerState } from "./worker-registry.js";
 
 /** Assignment of a task to a worker. */
 export interface Placement {
@@ -108,9 +108,12 @@
 
     private constructor(private readonly view: StartPlanInput) {
         for (const worker of view.workers) {
-            if (isSchedulable(worker, view.now)) {
-                const room = this.rooms.get(worker.listed.pool) ?? { candidates: [], exceeding: [] };
-                this.rooms.set(worker.listed.pool, room);
+            const { pool } = worker.listed;
+            if (
+                isSchedulable(worker, view.now) && mayFill(worker, view.directory.pools.get(pool), view.now)
+            ) {
+                const room = this.rooms.get(pool) ?? { candidates: [], exceeding: [] };
+                this.rooms.set(pool, room);
                 room.candidates.push({
                     worker,
                     free: freeResources(worker),
@@ -307,6 +310,11 @@
         && !worker.isCordoned && !worker.isLeaseBlocked && now >= worker.backoffUntil;
 }
 
+/** Whether runs may be added to a worker: its pool's workers refuse what exceeds their capacity, or the capacity is known. */
+export function mayFill(worker: WorkerState, pool: Pool | undefined, now: number): boolean {
+    return pool?.guardsCapacity !== false || isCapacityKnown(worker, now);
+}
+
 /** Whether a single task of a step, or all of them for a gang, exceed the team's resource limit. */
 export function exceedsTeamLimit(step: StepSpec, cap: Resources): boolean {
     const times = step.isGang ? step.tasks : 1;
--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -9,6 +9,7 @@
     StartStatus,
     StopReason,
 } from "./job-registry.js";
+import { mayFill } from "./plan-starts.js";
 import { type EndedRun, type StartRequest, type StartResult, WorkerRefusal } from "./ports.js";
 import type { ConfirmedEnd } from "./reconcile.js";
 import { queueOf, suspectWorkerPauseMs, targetOf, type TenureContext } from "./tenure-context.js";
@@ -170,7 +171,8 @@
         const worker = this.ctx.workers.workerOf(record);
         const isStale = record.stopReason !== undefined || worker.startedAtMs !== record.workerIncarnation
             || worker.isLeaseBlocked;
-        if (isStale || !this.ctx.mayOrder()) {
+        const pool = this.ctx.options.directory()?.pools.get(worker.listed.pool);
+        if (isStale || !this.ctx.mayOrder() || !mayFill(worker, pool, timer.now())) {
             this.applyEnd({ record, outcome: RunEnd.Lost, saved: "" });
             return;
         }
--- a/src/pool/worker-monitor.ts
+++ b/src/pool/worker-monitor.ts
@@ -78,8 +78,9 @@
         let isLost = false;
         while (this.ctx.isActive) {
             try {
+                const requestedAt = timer.now();
                 const list = await roster.list();
-                this.applyRoster(list);
+                this.applyRoster(list, requestedAt);
                 calls.retain(
                     new Set([...this.ctx.workers.byId.values()].map(({ listed }) => listed.address)),
                 );
@@ -98,13 +99,14 @@
         }
     }
 
-    private applyRoster(list: Awaited<ReturnType<Roster["list"]>>): void {
+    private applyRoster(list: Awaited<ReturnType<Roster["list"]>>, requestedAt: number): void {
         if (!this.ctx.isActive) {
             return;
         }
         const pools = this.ctx.options.directory()?.pools;
         const changed = this.ctx.workers.update(
             list.filter(worker => pools?.get(worker.pool)?.isSpare !== true),
+            requestedAt,
         );
         for (const worker of changed) {
             this.ctx.options.log.write(Severity.Info, EventId.WorkerListed, {
@@ -229,7 +231,8 @@
         found.lateSuccesses.forEach(end => this.dispatcher.applyLateSuccess(worker, end));
         // Set after all ends are applied: a batch taken between two of them must not acknowledge both.
         worker.appliedPosition = Math.max(worker.appliedPosition, found.lastPosition);
-        if (found.orphans.length > 0) {
+        worker.hasOrphans = found.orphans.length > 0;
+        if (worker.hasOrphans) {
             // Orphaned runs use resources that are not accounted for until they have stopped.
             worker.backoffUntil = Math.max(worker.backoffUntil, now + orphanBackoffMs);
         }
--- a/src/pool/worker-registry.ts
+++ b/src/pool/worker-registry.ts
@@ -12,6 +12,10 @@
     listed: ListedWorker;
     /** Whether the latest roster contains the worker. */
     isListed: boolean;
+    /** Monotonic time after which the worker wrote its latest roster entry. */
+    reportedAfter: number;
+    /** Whether its latest response listed runs that are not accounted for. */
+    hasOrphans: boolean;
     /** Unix time in milliseconds at which the latest known incarnation started. */
     startedAtMs: number;
     lease: LeaseClock;
@@ -79,6 +83,8 @@
 export class WorkerRegistry {
     readonly byId = new Map<string, WorkerState>();
     private readonly shapes = new Map<string, WorkerShape>();
+    /** Monotonic time at which the last roster was requested. */
+    private lastRosterAt = -Infinity;
     private inheritedLeasesUntil: number;
     private readonly boundWorkers: ReadonlyMap<string, InheritedWorkerBound>;
     /** Incarnations that stored bounds may name, whether the registry has them now or not. */
@@ -96,18 +102,28 @@
         return new WorkerRegistry(options);
     }
 
-    /** Applies a roster; returns the workers that are new or have a new incarnation. */
-    update(list: readonly ListedWorker[]): readonly WorkerState[] {
+    /**
+     * Applies a roster that was requested at the monotonic time `requestedAt`; returns the workers that are new or have a new
+     * incarnation.
+     */
+    update(list: readonly ListedWorker[], requestedAt: number): readonly WorkerState[] {
         this.recordShapes(list);
+        const reportedAfter = this.lastRosterAt;
+        this.lastRosterAt = requestedAt;
         const changed: WorkerState[] = [];
         const ids = new Set<string>();
         for (const listed of list) {
             ids.add(listed.id);
             const worker = this.byId.get(listed.id);
             if (worker === undefined) {
-                changed.push(this.add(listed));
+                changed.push(this.add(listed, { reportedAfter }));
             }
             else {
+                if (
+                    listed.report !== worker.listed.report || listed.startedAtMs !== worker.listed.startedAtMs
+                ) {
+                    worker.reportedAfter = reportedAfter;
+                }
                 worker.isListed = true;
                 worker.listed = listed;
                 if (this.updateIncarnation(worker, listed.startedAtMs)) {
@@ -161,7 +177,7 @@
 
     /** The worker of a run; adds a placeholder if no roster has contained it. */
     workerOf(record: RunRecord): WorkerState {
-        return this.byId.get(record.worker) ?? this.add(placeholderFor(record), false);
+        return this.byId.get(record.worker) ?? this.add(placeholderFor(record), { isListed: false });
     }
 
     /** Adds a run to its worker and reserves its resources. A run of a later incarnation shows that there is one. */
@@ -223,11 +239,16 @@
             : this.inheritedLeasesUntil;
     }
 
-    private add(listed: ListedWorker, isListed = true): WorkerState {
+    private add(
+        listed: ListedWorker,
+        { isListed = true, reportedAfter = -Infinity }: { isListed?: boolean; reportedAfter?: number },
+    ): WorkerState {
         const worker: WorkerState = {
             id: listed.id,
             listed,
             isListed,
+            reportedAfter,
+            hasOrphans: false,
             startedAtMs: listed.startedAtMs,
             lease: LeaseClock.create(this.inheritedBoundOf(listed)),
             isLeaseBlocked: this.blockedIncarnations.has(incarnationKey(listed)),
@@ -268,6 +289,14 @@
     worker.slowdownFactor += (ms / Math.max(1, expectedMs) - worker.slowdownFactor) * slowdownSmoothing;
 }
 
+/** Age of a worker's report up to which its capacity is relied on. A smaller one may count a heartbeat and 3 s after. */
+const maxReportAgeMs = 3500;
+
+/** Whether nothing but the runs on record can use a worker's capacity, and that is as last reported. */
+export function isCapacityKnown({ reportedAfter, hasOrphans }: WorkerState, now: number): boolean {
+    return !hasOrphans && now - reportedAfter <= maxReportAgeMs;
+}
+
 /** Free resources of a worker after all claimed runs. */
 export function freeResources({ listed, reserved }: WorkerState): Resources {
     return addResources(listed.capacity, reserved, -1);
--- a/test/job-features.test.ts
+++ b/test/job-features.test.ts
@@ -154,7 +154,7 @@
 
     function registerWorkers(...listedWorkers: readonly ListedWorker[]): readonly WorkerState[] {
         const workers = WorkerRegistry.create({ inheritedLeasesUntil: -Infinity });
-        workers.update(listedWorkers);
+        workers.update(listedWorkers, 0);
         return [...workers.byId.values()];
     }
 
--- a/test/owner-changes.test.ts
+++ b/test/owner-changes.test.ts
@@ -84,7 +84,7 @@
     test("blocks a worker that left the list and came back while the stored row still names it", async () => {
         const timer = VirtualTimer.create();
         const workers = WorkerRegistry.create({ inheritedLeasesUntil: -Infinity });
-        workers.update([listedWorker(10)]);
+        workers.update([listedWorker(10)], 0);
         const [record] = [...restoredRuns(10).runs.values()];
         workers.addRun(record!);
         const recorder = recorderOf(workers, timer);
@@ -94,10 +94,10 @@
         recorder.confirmStored();
         // Its leases have ended: the run is lost, the hold loop removes the unlisted worker, a later roster has it again.
         workers.removeRun(record!);
-        workers.update([]);
+        workers.update([], 0);
         workers.remove(workers.byId.get("w-1")!);
         await timer.advance(100);
-        workers.update([listedWorker(10)]);
+        workers.update([listedWorker(10)], 0);
         workers.byId.get("w-1")!.isReachable = true;
         // The row with w-1 is still the stored one unless a new one is due now.
         const isReplaced = recorder.takeRow() !== undefined;
@@ -107,7 +107,7 @@
     test("of earlier owners holds for the later incarnation of a worker with runs of two incarnations", () => {
         const workers = WorkerRegistry.create({ inheritedLeasesUntil: 3576 });
         [...restoredRuns(10, 20).runs.values()].forEach(record => workers.addRun(record));
-        workers.update([listedWorker(20)]);
+        workers.update([listedWorker(20)], 0);
         expect(workers.byId.get("w-1")!.lease.latestEnd()).toBeGreaterThanOrEqual(3576);
     });
 
--- a/test/plan-starts.test.ts
+++ b/test/plan-starts.test.ts
@@ -25,18 +25,21 @@
         jobs.accept({ id: `j${i}`, queue: "q", team: "", acceptedAtMs: i, spec });
     }
     const workers = WorkerRegistry.create({ inheritedLeasesUntil: -Infinity });
-    workers.update(Array.from({ length: workerCount }, (_, i) => ({
-        id: `w${i}`,
-        pool: "bench",
-        address: "",
-        zone: "",
-        labels: i % 5 === 0 ? ["gold"] : [],
-        capacity,
-        isDraining: false,
-        remainingMs: 0,
-        startedAtMs: 1,
-        report: 1,
-    })));
+    workers.update(
+        Array.from({ length: workerCount }, (_, i) => ({
+            id: `w${i}`,
+            pool: "bench",
+            address: "",
+            zone: "",
+            labels: i % 5 === 0 ? ["gold"] : [],
+            capacity,
+            isDraining: false,
+            remainingMs: 0,
+            startedAtMs: 1,
+            report: 1,
+        })),
+        0,
+    );
     for (const worker of workers.byId.values()) {
         worker.hasAcceptedFence = true;
         worker.isReachable = true;
