A task of a service is given up by itself, and after four lost workers instead of three

The job of a service failed with workers-lost, since three workers had been lost under one of its tasks, in a storm of 25 crashes in 20 s; its other tasks, which were at work, were stopped with it.

Cause: giving a job up stops what works; for a service that is worse than the task that is missing. A task of a service also runs on while others start beside it, so it is hit more often than its own fault would explain.

Change: in a service the task alone is not started again, and the others go on; the limit there is four losses, explained or not, which keeps the budget of five starts. 2309 TaskGivenUp says which task was given up.

--- a/src/job/state.ts
+++ b/src/job/state.ts
@@ -186,7 +186,8 @@
 
 /**
  * Applies the end of a task's latest run. Without a new checkpoint, the task keeps the one that it has. Tasks of a
- * service wait for another run however the last one ended.
+ * service wait for another run however the last one ended, and are given up by themselves when too many workers were lost under
+ * them: the others serve on.
  */
 export function endRun(
     job: AcceptedJob,
@@ -209,8 +210,9 @@
     if (isFinal(state.phase)) {
         return withTask(state, position, { ...released, phase: TaskPhase.Failed });
     }
-    if (exceedsLossLimit(lostWorkers)) {
-        return failJob(withTask(state, position, { ...released, phase: TaskPhase.Failed }), "workers-lost");
+    if (exceedsLossLimit(lostWorkers, step.isService)) {
+        const givenUp = withTask(state, position, { ...released, phase: TaskPhase.Failed });
+        return step.isService ? givenUp : failJob(givenUp, "workers-lost");
     }
     if (step.isService) {
         return withTask(state, position, { ...released, phase: TaskPhase.Waiting });
--- a/src/job/worker-loss.ts
+++ b/src/job/worker-loss.ts
@@ -17,27 +17,37 @@
 export enum Suspicion {
     None = 0,
     Suspect = 1,
-    /** One more lost worker fails the job. */
+    /** One more lost worker makes the task be given up. */
     LastChance = 2,
 }
 
-/** Number of unexplained losses at which a task fails its job. */
-const maxUnexplainedLosses = 3;
-/** The same with the explained losses, which are no proof that the task ends no workers. */
-const maxLosses = 5;
+/** Number of lost workers at which a task is given up. */
+interface LossLimit {
+    readonly unexplained: number;
+    /** Explained ones included, which are no proof that the task ends no workers. */
+    readonly total: number;
+}
+
+const jobLimit: LossLimit = { unexplained: 3, total: 5 };
+/** Higher for tasks of services, which run on after others have started beside them. */
+const serviceLimit: LossLimit = { unexplained: 4, total: 4 };
 
-/** Whether so many workers were lost under a task that it may not be started again. */
-export function exceedsLossLimit(losses: readonly WorkerLoss[]): boolean {
-    return countUnexplained(losses) >= maxUnexplainedLosses || losses.length >= maxLosses;
+/** Whether so many workers were lost under a task that it is not started again. */
+export function exceedsLossLimit(losses: readonly WorkerLoss[], isService: boolean): boolean {
+    const { unexplained, total } = isService ? serviceLimit : jobLimit;
+    return countUnexplained(losses) >= unexplained || losses.length >= total;
 }
 
 /** Suspicion that the losses of a task raise against it. */
-export function suspicionOf(losses: readonly WorkerLoss[]): Suspicion {
-    const unexplained = countUnexplained(losses);
-    if (unexplained >= maxUnexplainedLosses - 1 || losses.length >= maxLosses - 1) {
+export function suspicionOf(losses: readonly WorkerLoss[], isService: boolean): Suspicion {
+    if (losses.length === 0) {
+        return Suspicion.None;
+    }
+    const next: WorkerLoss = { worker: "", workerStartedAt: 0, isExplained: false };
+    if (exceedsLossLimit([...losses, next], isService)) {
         return Suspicion.LastChance;
     }
-    return unexplained > 0 ? Suspicion.Suspect : Suspicion.None;
+    return countUnexplained(losses) > 0 ? Suspicion.Suspect : Suspicion.None;
 }
 
 /** Whether two incarnations are the same. */
--- a/src/pool/job-registry.ts
+++ b/src/pool/job-registry.ts
@@ -96,9 +96,14 @@
     Unknown = "unknown-run",
 }
 
+/** State of a run's task. */
+export function taskOf({ entry, position }: RunRecord): TaskState {
+    return entry.state.tasks[position]!;
+}
+
 /** Workers that were lost under a run's task. */
-export function lossesOf({ entry, position }: RunRecord): readonly WorkerLoss[] {
-    return entry.state.tasks[position]!.lostWorkers;
+export function lossesOf(record: RunRecord): readonly WorkerLoss[] {
+    return taskOf(record).lostWorkers;
 }
 
 /** Time at work after which a run shows that its start does not end the worker. */
@@ -241,13 +246,13 @@
         this.updateState(entry, updateLosses(entry.state, position, () => undefined));
     }
 
-    /** When a task fails its job for the workers lost under it, marks these losses as explained for all other tasks. */
+    /** When a task is given up for the workers lost under it, marks these losses as explained for all other tasks. */
     private explainLosses(failed: JobEntry, position: number): void {
         const task = failed.state.tasks[position]!;
-        if (task.phase !== TaskPhase.Failed || !exceedsLossLimit(task.lostWorkers)) {
+        const { isService } = failed.job.spec.steps[task.step]!;
+        if (task.phase !== TaskPhase.Failed || !exceedsLossLimit(task.lostWorkers, isService)) {
             return;
         }
-        this.withLosses.delete(failed);
         task.lostWorkers.forEach(lost => this.explainedLosses.add(incarnationKey(lost)));
         this.updateAllLosses(lost =>
             lost.isExplained || !this.explainedLosses.has(incarnationKey(lost))
--- a/src/pool/placement.ts
+++ b/src/pool/placement.ts
@@ -144,7 +144,11 @@
 export function countSuspects({ runsAfterLosses }: WorkerState, now: number): SuspectCounts {
     let counts: SuspectCounts = { untested: 0, lastChances: 0, untestedLastChances: 0 };
     for (const record of runsAfterLosses) {
-        counts = addSuspect(counts, suspicionOf(lossesOf(record)), isTested(record, now));
+        counts = addSuspect(
+            counts,
+            suspicionOf(lossesOf(record), record.step.isService),
+            isTested(record, now),
+        );
     }
     return counts;
 }
--- a/src/pool/plan-starts.ts
+++ b/src/pool/plan-starts.ts
@@ -195,7 +195,7 @@
         }
         const task = entry.state.tasks[taskIndex]!;
         const { occurrence, step: stepIndex } = task;
-        const suspicion = suspicionOf(task.lostWorkers);
+        const suspicion = suspicionOf(task.lostWorkers, step.isService);
         if (step.perWorker > 0) {
             const sameStep = this.countTasksByWorker(entry, occurrence, stepIndex);
             for (const candidate of room.candidates) {
--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -1,5 +1,5 @@
 /** Starts and stops runs on workers, and applies their ends. */
-import { RunEnd } from "../job/index.js";
+import { RunEnd, TaskPhase } from "../job/index.js";
 import { EventId, Severity } from "../process/events.js";
 import {
     isTested,
@@ -8,6 +8,7 @@
     type RunRecord,
     StartStatus,
     StopReason,
+    taskOf,
 } from "./job-registry.js";
 import { mayFill } from "./plan-starts.js";
 import { type EndedRun, type StartRequest, type StartResult, WorkerRefusal } from "./ports.js";
@@ -112,6 +113,13 @@
             phase: record.entry.state.phase,
             lostWorkers: lossesOf(record).length || undefined,
         });
+        if (outcome === RunEnd.WorkerLost && taskOf(record).phase === TaskPhase.Failed) {
+            log.write(Severity.Warn, EventId.TaskGivenUp, {
+                task: record.name,
+                lostWorkers: lossesOf(record).length,
+                phase: record.entry.state.phase,
+            });
+        }
         gang.forEach(member => this.stop(member, StopReason.GangBroken));
         this.ctx.requestRound();
     }
--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -64,6 +64,7 @@
     RunPaced = 2306,
     RunsAwaitLeaseEnd = 2307,
     WorkerLossForgotten = 2308,
+    TaskGivenUp = 2309,
     WorkerListed = 2401,
     WorkerUnreachable = 2402,
     WorkerSuspected = 2403,
