A worker whose end was expected counts as an explained loss, too, so that the budget holds without exception

Its third crash was not counted, since the owner had begun to drain that worker's VM while the start was on its way; with two losses that were explained by other tasks the total of five came one start late.

Change: each run that was lost with its worker is counted, as explained if the end was expected. Five losses in all are then five starts at most. Services have the same total; four unexplained losses give their tasks up.

--- a/src/job/worker-loss.ts
+++ b/src/job/worker-loss.ts
@@ -9,7 +9,7 @@
 
 /** A worker that was lost under a task. */
 export interface WorkerLoss extends WorkerIncarnation {
-    /** Whether another task has failed its job for ending this worker, or is the likelier cause. */
+    /** Whether its end was expected, or another task was given up for it or is the likelier cause. */
     readonly isExplained: boolean;
 }
 
@@ -24,13 +24,13 @@
 /** Number of lost workers at which a task is given up. */
 interface LossLimit {
     readonly unexplained: number;
-    /** Explained ones included, which are no proof that the task ends no workers. */
+    /** Explained ones included, which are no proof that the task ends no workers. Also the most starts that may end one. */
     readonly total: number;
 }
 
 const jobLimit: LossLimit = { unexplained: 3, total: 5 };
 /** Higher for tasks of services, which run on after others have started beside them. */
-const serviceLimit: LossLimit = { unexplained: 4, total: 4 };
+const serviceLimit: LossLimit = { unexplained: 4, total: 5 };
 
 /** Whether so many workers were lost under a task that it is not started again. */
 export function exceedsLossLimit(losses: readonly WorkerLoss[], isService: boolean): boolean {
--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -81,17 +81,15 @@
 
     /** Applies the end of a run, and stops the rest of its gang unless it succeeded. */
     applyEnd(end: ConfirmedEnd): void {
-        const { record, saved, isExplained = false } = end;
+        const { record, outcome, saved } = end;
         const { timer, log } = this.ctx.options;
         if (this.ctx.jobs.runs.get(record.name) !== record) {
             return;
         }
         const now = timer.now();
         const worker = this.ctx.workers.workerOf(record);
-        // A VM that is moved or maintained, and a worker that drains, are lost as planned.
-        const outcome = end.outcome === RunEnd.WorkerLost && worker.isExpectedToEnd
-            ? RunEnd.Lost
-            : end.outcome;
+        // The end of a worker that was draining, or whose VM was being drained, needs no other explanation.
+        const isExplained = end.isExplained === true || worker.isExpectedToEnd;
         this.updateStatistics(record, worker, outcome, now);
         const gang = outcome === RunEnd.Done ? [] : this.ctx.jobs.otherGangRuns(record);
         this.ctx.workers.removeRun(record);
--- a/test/crashing-tasks.test.ts
+++ b/test/crashing-tasks.test.ts
@@ -75,6 +75,19 @@
         expect(await phaseOf(site, "deadly")).toBe("failed");
     });
 
+    test("is given up in time when the VMs of the workers that it ends are being drained", async () => {
+        const site = await createSite();
+        await submit(site, "deadly", 500, {});
+        for (let ms = 0; ms < 40_000; ms += 5) {
+            for (const worker of site.owner()?.core.domain.tenure?.workers.byId.values() ?? []) {
+                worker.isCordoned ||= worker.runs.has(deadlyTask);
+            }
+            await site.timer.advance(5);
+        }
+        expect(site.checker.violations).toEqual([]);
+        expect(await phaseOf(site, "deadly")).toBe("failed");
+    });
+
     test("is given up in time when it is part of a service, whose other tasks go on", async () => {
         const site = await createSite();
         await submit(site, "deadly", 500, { tasks: 3, isService: true });
