--- a/src/job/index.ts
+++ b/src/job/index.ts
@@ -1,4 +1,5 @@
 export * from "./codec.js";
+export * from "./open-tasks.js";
 export * from "./spec.js";
 export * from "./state.js";
 export * from "./task-id.js";
--- /dev/null
+++ b/src/job/open-tasks.ts
@@ -0,0 +1,23 @@
+/** Tasks of a job that could start now. */
+import type { AcceptedJob } from "./spec.js";
+import { isFinal, type JobState, readySteps, TaskPhase } from "./state.js";
+
+/** Positions of the waiting tasks whose preceding steps are done; none once the job is final. */
+export function findOpenTasks(job: AcceptedJob, state: JobState): readonly number[] {
+    if (isFinal(state.phase)) {
+        return [];
+    }
+    const openStepsByOccurrence = new Map<number, ReadonlySet<number>>();
+    const found: number[] = [];
+    for (const [position, task] of state.tasks.entries()) {
+        if (task.phase === TaskPhase.Waiting) {
+            const open = openStepsByOccurrence.get(task.occurrence)
+                ?? readySteps(job, state, task.occurrence);
+            openStepsByOccurrence.set(task.occurrence, open);
+            if (open.has(task.step)) {
+                found.push(position);
+            }
+        }
+    }
+    return found;
+}
--- a/src/pool/advice-cache.ts
+++ b/src/pool/advice-cache.ts
@@ -4,8 +4,8 @@
 import { EventId, Severity } from "../process/events.js";
 import type { Log } from "../process/log.js";
 import type { Timer } from "../process/timer.js";
-import type { JobEntry, RunRecord } from "./job-registry.js";
 import type { Adviser } from "./ports.js";
+import type { JobEntry, RunRecord } from "./records.js";
 
 /** Options of `AdviceCache.create`. */
 export interface AdviceCacheOptions {
--- a/src/pool/demand.ts
+++ b/src/pool/demand.ts
@@ -7,7 +7,8 @@
 import { addResources, noResources, type Resources } from "../process/resources.js";
 import type { Directory } from "../version/directory.js";
 import type { DurationEstimator } from "./duration-estimator.js";
-import type { JobEntry, JobRegistry } from "./job-registry.js";
+import type { JobRegistry } from "./job-registry.js";
+import type { JobEntry } from "./records.js";
 import { estimateJob, Urgency } from "./urgency.js";
 
 /** Window over which the peak of demand is taken. */
--- a/src/pool/eviction.ts
+++ b/src/pool/eviction.ts
@@ -3,7 +3,8 @@
  * tasks are moved so that no more tasks of a step are down at once than its disruption budget allows.
  */
 import { TaskPhase } from "../job/index.js";
-import { type JobEntry, type JobRegistry, type RunRecord } from "./job-registry.js";
+import { type JobRegistry } from "./job-registry.js";
+import { type JobEntry, type RunRecord } from "./records.js";
 import type { WorkerRegistry, WorkerState } from "./worker-registry.js";
 
 /** Input of `evictableRuns`. */
--- a/src/pool/explain.ts
+++ b/src/pool/explain.ts
@@ -1,7 +1,7 @@
 /** Explains the state of one job to an operator, from the owner's in-memory state. */
 import { TaskPhase, type TaskState } from "../job/index.js";
-import type { JobEntry } from "./job-registry.js";
 import { isSchedulable } from "./plan-starts.js";
+import type { JobEntry } from "./records.js";
 import { type TenureContext } from "./tenure-context.js";
 import { estimateJob, Urgency } from "./urgency.js";
 
--- a/src/pool/job-registry.ts
+++ b/src/pool/job-registry.ts
@@ -9,133 +9,25 @@
     claimTask,
     completeIfDone,
     endRun,
-    exceedsLossLimit,
     failJob,
+    findOpenTasks,
     findTaskPosition,
     initialState,
     isFinal,
-    isSameIncarnation,
     isSameStep,
     isServiceJob,
-    JobPhase,
     type JobState,
-    readySteps,
     RunEnd,
     type RunResult,
     type StepSpec,
     TaskPhase,
     type TaskState,
-    updateLosses,
     withTask,
-    type WorkerIncarnation,
-    type WorkerLoss,
 } from "../job/index.js";
 import { parseTaskName, taskName } from "../job/index.js";
 import { addResources, noResources, type Resources } from "../process/resources.js";
-
-/** State of a run's start, as far as the owner knows it. */
-export enum StartStatus {
-    /** Claimed; the claim may not be stored yet, and no start order was sent. */
-    Recorded = "recorded",
-    /** The start order was sent and has not been answered. */
-    Sent = "sent",
-    /** The worker confirmed the start or has reported the run. */
-    Confirmed = "confirmed",
-    /** The order was not answered: the run may have started or may still start. */
-    Uncertain = "uncertain",
-    /** Claimed by an earlier owner. */
-    Inherited = "inherited",
-}
-
-/** A run that may exist on a worker. */
-export interface RunRecord {
-    readonly name: string;
-    readonly entry: JobEntry;
-    /** Position of the task in the job's state. */
-    readonly position: number;
-    readonly run: number;
-    readonly worker: string;
-    /** Incarnation of the worker that the run was claimed for. */
-    readonly workerIncarnation: number;
-    readonly step: StepSpec;
-    /** Whether an earlier owner claimed the run, so that its start is known only to be after the job's acceptance. */
-    readonly isInherited: boolean;
-    start: StartStatus;
-    /** Monotonic time of the claim, in milliseconds. */
-    readonly claimedAt: number;
-    startedAt: number;
-    /** Why the run is to be stopped; undefined while it may go on. */
-    stopReason?: StopReason;
-    /** Monotonic time at which the worker confirmed the stop, in milliseconds. */
-    stopConfirmedAt?: number;
-    /** Monotonic time of the last stop order, in milliseconds. */
-    stopSentAt: number;
-    progressPercent: number;
-    /** Monotonic time at which the progress last increased, in milliseconds. */
-    progressedAt: number;
-    /** Last reading from the worker: tail latency in milliseconds for a service with a tail target, else CPU use. */
-    lastReading: number;
-    /** Speed that was last ordered for the run, in percent of full speed. */
-    pacePercent: number;
-}
-
-/** Why a run is stopped. */
-export enum StopReason {
-    JobEnded = "job-ended",
-    /** The start order was not answered; the stop prevents a late start. */
-    StartUncertain = "start-uncertain",
-    /** Its worker is draining. */
-    WorkerDraining = "worker-draining",
-    /** Its VM is to be moved or serviced. */
-    VmLeaving = "vm-leaving",
-    /** The run makes no progress. */
-    Stalled = "stalled",
-    /** Another member of its gang ended or could not start. */
-    GangBroken = "gang-broken",
-    /** The owner has no record of the run. */
-    Unknown = "unknown-run",
-}
-
-/** State of a run's task. */
-export function taskOf({ entry, position }: RunRecord): TaskState {
-    return entry.state.tasks[position]!;
-}
-
-/** Workers that were lost under a run's task. */
-export function lossesOf(record: RunRecord): readonly WorkerLoss[] {
-    return taskOf(record).lostWorkers;
-}
-
-/** Time at work after which a run shows that its start does not end the worker. */
-const testMs = 1000;
-
-/** Whether a run had been at work for long enough at the monotonic time `at` to show that its start does not end the worker. */
-export function isTested({ start, startedAt }: RunRecord, at: number): boolean {
-    return start === StartStatus.Confirmed && at - startedAt >= testMs;
-}
-
-/** A job in the registry. */
-export interface JobEntry {
-    readonly job: AcceptedJob;
-    readonly isService: boolean;
-    state: JobState;
-    /** Phase as last stored, which is the one reported to callers. */
-    storedPhase: JobPhase;
-    /** Whether the state has changed since it was last taken for storing. */
-    isDirty: boolean;
-    /** Whether a run of the job has ever been claimed. */
-    hasStarted: boolean;
-    /** Workers on which runs of a task failed, by the task's position. */
-    readonly failedWorkers: Map<number, Set<string>>;
-    /** Number of runs that may exist on workers. */
-    runCount: number;
-    /** Cache of the positions of waiting tasks whose preceding steps are done; undefined after a change of state. */
-    openTasks: readonly number[] | undefined;
-    /** Whether the job exceeded the number of jobs per second that its team is guaranteed. */
-    readonly exceedsTeamShare: boolean;
-    /** Monotonic time at which the job became final, in milliseconds. */
-    finalAt?: number;
-}
+import { type JobEntry, type RunRecord, StartStatus, StopReason } from "./records.js";
+import { WorkerLosses } from "./worker-losses.js";
 
 /** Options of `JobRegistry.accept`. */
 export interface AcceptOptions {
@@ -148,11 +40,9 @@
     readonly runs = new Map<string, RunRecord>();
     private readonly dirty = new Set<JobEntry>();
     private readonly active = new Set<JobEntry>();
-    /** Workers ended by tasks that have failed their jobs for it; their other runs do not count them as lost. */
-    private readonly explainedLosses = new Set<string>();
-    /** Unfinished jobs with a task under which a worker was lost. */
-    private readonly withLosses = new Set<JobEntry>();
     private readonly usage = new Map<string, Resources>();
+    /** Workers lost under the tasks of unfinished jobs. */
+    readonly losses = WorkerLosses.create((entry, state) => this.updateState(entry, state));
 
     static create(): JobRegistry {
         return new JobRegistry();
@@ -178,7 +68,7 @@
         for (const [position, task] of state.tasks.entries()) {
             entry.hasStarted ||= task.run > 0;
             if (task.lostWorkers.length > 0) {
-                this.withLosses.add(entry);
+                this.losses.add(entry);
             }
             if (task.phase === TaskPhase.Claimed) {
                 this.addRun(entry, position, StartStatus.Inherited, now);
@@ -186,7 +76,7 @@
         }
         if (isFinal(state.phase)) {
             entry.finalAt = now;
-            this.withLosses.delete(entry);
+            this.losses.remove(entry);
             this.markRunsForStop(entry);
         }
     }
@@ -215,8 +105,8 @@
         now: number,
     ): void {
         const { entry, position, worker, workerIncarnation } = record;
-        const isExplained = end.isExplained === true
-            || this.explainedLosses.has(incarnationKey({ worker, workerStartedAt: workerIncarnation }));
+        const lost = { worker, workerStartedAt: workerIncarnation };
+        const isExplained = end.isExplained === true || this.losses.isExplained(lost);
         this.dropRun(record);
         if (end.how === RunEnd.Failed) {
             const failedWorkers = entry.failedWorkers.get(position) ?? new Set();
@@ -227,8 +117,8 @@
             endRun(entry.job, entry.state, position, { ...end, isExplained }, { maxFailures }),
         );
         if (end.how === RunEnd.WorkerLost) {
-            this.withLosses.add(entry);
-            this.explainLosses(entry, position);
+            this.losses.add(entry);
+            this.losses.explainBy(entry, position);
         }
         if (record.step.isGang && end.how === RunEnd.Done) {
             this.endGang(record);
@@ -236,44 +126,6 @@
         this.finishIfFinal(entry, now);
     }
 
-    /** Drops a worker that turned out to be alive from the losses of all tasks; returns the number of those tasks. */
-    forgetLostWorker(alive: WorkerIncarnation): number {
-        return this.updateAllLosses(lost => isSameIncarnation(lost, alive) ? undefined : lost);
-    }
-
-    /** Drops all losses of the task of a run that has shown to be harmless. */
-    forgetLostWorkers({ entry, position }: RunRecord): void {
-        this.updateState(entry, updateLosses(entry.state, position, () => undefined));
-    }
-
-    /** When a task is given up for the workers lost under it, marks these losses as explained for all other tasks. */
-    private explainLosses(failed: JobEntry, position: number): void {
-        const task = failed.state.tasks[position]!;
-        const { isService } = failed.job.spec.steps[task.step]!;
-        if (task.phase !== TaskPhase.Failed || !exceedsLossLimit(task.lostWorkers, isService)) {
-            return;
-        }
-        task.lostWorkers.forEach(lost => this.explainedLosses.add(incarnationKey(lost)));
-        this.updateAllLosses(lost =>
-            lost.isExplained || !this.explainedLosses.has(incarnationKey(lost))
-                ? lost
-                : { ...lost, isExplained: true }
-        );
-    }
-
-    /** Updates the losses of all tasks of unfinished jobs; returns the number of tasks that changed. */
-    private updateAllLosses(update: (lost: WorkerLoss) => WorkerLoss | undefined): number {
-        let tasks = 0;
-        for (const entry of this.withLosses) {
-            for (const position of entry.state.tasks.keys()) {
-                const before = entry.state;
-                this.updateState(entry, updateLosses(before, position, update));
-                tasks += entry.state === before ? 0 : 1;
-            }
-        }
-        return tasks;
-    }
-
     /** Cancels a job and marks its runs to be stopped. */
     cancel(entry: JobEntry, now: number): void {
         this.updateState(entry, cancelJob(entry.state));
@@ -327,7 +179,7 @@
 
     /** Positions of a job's waiting tasks whose preceding steps are done. */
     openTasks(entry: JobEntry): readonly number[] {
-        entry.openTasks ??= findOpenTasks(entry);
+        entry.openTasks ??= findOpenTasks(entry.job, entry.state);
         return entry.openTasks;
     }
 
@@ -469,7 +321,7 @@
         if (isFinal(entry.state.phase) && entry.finalAt === undefined) {
             entry.finalAt = now;
             this.active.delete(entry);
-            this.withLosses.delete(entry);
+            this.losses.remove(entry);
             this.markRunsForStop(entry);
         }
     }
@@ -487,30 +339,6 @@
     }
 }
 
-function incarnationKey({ worker, workerStartedAt }: WorkerIncarnation): string {
-    return `${worker}@${workerStartedAt}`;
-}
-
 function nameOf(entry: JobEntry, { occurrence, step, index }: TaskState): string {
     return taskName({ job: entry.job.id, occurrence, step, index });
 }
-
-function findOpenTasks(entry: JobEntry): readonly number[] {
-    const { job, state } = entry;
-    if (isFinal(state.phase)) {
-        return [];
-    }
-    const openStepsByOccurrence = new Map<number, ReadonlySet<number>>();
-    const found: number[] = [];
-    for (const [position, task] of state.tasks.entries()) {
-        if (task.phase === TaskPhase.Waiting) {
-            const open = openStepsByOccurrence.get(task.occurrence)
-                ?? readySteps(job, state, task.occurrence);
-            openStepsByOccurrence.set(task.occurrence, open);
-            if (open.has(task.step)) {
-                found.push(position);
-            }
-        }
-    }
-    return found;
-}
--- a/src/pool/pacing.ts
+++ b/src/pool/pacing.ts
@@ -3,7 +3,7 @@
  * raises the service's tail latency within a second, so the runs beside it are throttled at once and sped up
  * gradually.
  */
-import { type RunRecord, StartStatus } from "./job-registry.js";
+import { type RunRecord, StartStatus } from "./records.js";
 
 /** A change of a run's speed limit. */
 export interface PaceChange {
--- a/src/pool/placement.ts
+++ b/src/pool/placement.ts
@@ -4,7 +4,7 @@
  */
 import { type StepSpec, Suspicion, suspicionOf } from "../job/index.js";
 import { fitsInto, type Resources } from "../process/resources.js";
-import { isTested, lossesOf } from "./job-registry.js";
+import { isTested, lossesOf } from "./records.js";
 import type { WorkerState } from "./worker-registry.js";
 
 /** Runs on a worker whose tasks are under suspicion of ending it. */
--- a/src/pool/plan-starts.ts
+++ b/src/pool/plan-starts.ts
@@ -8,7 +8,7 @@
 import { addResources, fitsInto, isWithinLimit, noResources, type Resources } from "../process/resources.js";
 import type { Directory, Pool, Queue } from "../version/directory.js";
 import type { DurationEstimator } from "./duration-estimator.js";
-import type { JobEntry, JobRegistry } from "./job-registry.js";
+import type { JobRegistry } from "./job-registry.js";
 import {
     addSuspect,
     chooseCandidate,
@@ -16,6 +16,7 @@
     type PlacementCandidate,
     type PlacementRequest,
 } from "./placement.js";
+import type { JobEntry } from "./records.js";
 import { compareRankedJobs, estimateJob, type JobEstimate } from "./urgency.js";
 import { freeResources, isCapacityKnown, reservedResources, type WorkerState } from "./worker-registry.js";
 
--- a/src/pool/reconcile.ts
+++ b/src/pool/reconcile.ts
@@ -3,8 +3,8 @@
  * the result, in order.
  */
 import { RunEnd } from "../job/index.js";
-import { type RunRecord, StartStatus } from "./job-registry.js";
 import type { EndedRun, RunningRun } from "./ports.js";
+import { type RunRecord, StartStatus } from "./records.js";
 
 /** A recorded run that has certainly ended. */
 export interface ConfirmedEnd {
--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -1,6 +1,9 @@
 /** Starts and stops runs on workers, and applies their ends. */
 import { RunEnd, TaskPhase } from "../job/index.js";
 import { EventId, Severity } from "../process/events.js";
+import { mayFill } from "./plan-starts.js";
+import { type EndedRun, type StartRequest, type StartResult, WorkerRefusal } from "./ports.js";
+import type { ConfirmedEnd } from "./reconcile.js";
 import {
     isTested,
     type JobEntry,
@@ -9,10 +12,7 @@
     StartStatus,
     StopReason,
     taskOf,
-} from "./job-registry.js";
-import { mayFill } from "./plan-starts.js";
-import { type EndedRun, type StartRequest, type StartResult, WorkerRefusal } from "./ports.js";
-import type { ConfirmedEnd } from "./reconcile.js";
+} from "./records.js";
 import { queueOf, suspectWorkerPauseMs, targetOf, type TenureContext } from "./tenure-context.js";
 import { markUnreachable, updateSlowdown, type WorkerState } from "./worker-registry.js";
 
--- a/src/pool/run-monitor.ts
+++ b/src/pool/run-monitor.ts
@@ -1,9 +1,9 @@
 /** Periodic checks of runs and jobs: expired leases, stalled runs, pacing of best-effort runs, due occurrences. */
 import { RunEnd } from "../job/index.js";
 import { EventId, Severity } from "../process/events.js";
-import { type JobEntry, type RunRecord, StartStatus, StopReason } from "./job-registry.js";
 import { planPaceChanges } from "./pacing.js";
 import { exceedsTeamLimit } from "./plan-starts.js";
+import { type JobEntry, type RunRecord, StartStatus, StopReason } from "./records.js";
 import type { RunDispatcher } from "./run-dispatcher.js";
 import { suspectWorkerPauseMs, targetOf, type TenureContext } from "./tenure-context.js";
 import type { WorkerState } from "./worker-registry.js";
@@ -87,7 +87,7 @@
             for (const record of runsAfterLosses) {
                 if (record.start === StartStatus.Confirmed && now - record.startedAt >= harmlessAfterMs) {
                     runsAfterLosses.delete(record);
-                    this.ctx.jobs.forgetLostWorkers(record);
+                    this.ctx.jobs.losses.forgetAllOf(record);
                 }
             }
         }
--- a/src/pool/tenure-context.ts
+++ b/src/pool/tenure-context.ts
@@ -6,10 +6,11 @@
 import type { Directory, Queue } from "../version/directory.js";
 import type { AdviceCache } from "./advice-cache.js";
 import type { DurationEstimator } from "./duration-estimator.js";
-import type { JobEntry, JobRegistry, RunRecord } from "./job-registry.js";
+import type { JobRegistry } from "./job-registry.js";
 import type { LeaseBounds } from "./lease-bounds.js";
 import type { LedgerHead } from "./ledger.js";
 import type { Adviser, Roster, WorkerClient, WorkerTarget } from "./ports.js";
+import type { JobEntry, RunRecord } from "./records.js";
 import type { TenureClock } from "./tenure-clock.js";
 import type { WorkerRegistry, WorkerState } from "./worker-registry.js";
 
--- a/src/pool/tenure.ts
+++ b/src/pool/tenure.ts
@@ -17,7 +17,7 @@
 import { type Cancel, sleep } from "../process/timer.js";
 import { AdviceCache } from "./advice-cache.js";
 import { DurationEstimator } from "./duration-estimator.js";
-import { type JobEntry, JobRegistry, type RunRecord, StartStatus } from "./job-registry.js";
+import { JobRegistry } from "./job-registry.js";
 import { jobPart, removeTransaction } from "./job-rows.js";
 import { JobSource } from "./job-source.js";
 import { LeaseBoundsRecorder } from "./lease-bounds-recorder.js";
@@ -25,6 +25,7 @@
 import { commitBatch, type LedgerEffect, type LedgerHead, maxBatchRows, progressKey } from "./ledger.js";
 import { ownerKey } from "./ownership.js";
 import { planStarts } from "./plan-starts.js";
+import { type JobEntry, type RunRecord, StartStatus } from "./records.js";
 import { RunDispatcher } from "./run-dispatcher.js";
 import { RunMonitor } from "./run-monitor.js";
 import { TeamShareLimiter } from "./team-share-limiter.js";
--- a/src/pool/urgency.ts
+++ b/src/pool/urgency.ts
@@ -6,7 +6,7 @@
 import { criticalPathMs, type StepSpec, TaskPhase } from "../job/index.js";
 import type { Queue } from "../version/directory.js";
 import type { DurationEstimator } from "./duration-estimator.js";
-import type { JobEntry } from "./job-registry.js";
+import type { JobEntry } from "./records.js";
 
 /** Urgency classes, the most urgent first. */
 export enum Urgency {
--- a/src/pool/worker-monitor.ts
+++ b/src/pool/worker-monitor.ts
@@ -2,10 +2,10 @@
 import { messageOf } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
 import { sleep } from "../process/timer.js";
-import { type RunRecord, StartStatus, StopReason } from "./job-registry.js";
 import { maxLeaseDurationMs } from "./lease.js";
 import { type HoldResult, type Roster, WorkerRefusal } from "./ports.js";
 import { reconcile } from "./reconcile.js";
+import { type RunRecord, StartStatus, StopReason } from "./records.js";
 import type { RunDispatcher } from "./run-dispatcher.js";
 import { retryDelayMs, targetOf, type TenureContext } from "./tenure-context.js";
 import { markUnreachable, type WorkerState } from "./worker-registry.js";
@@ -250,7 +250,7 @@
 
     /** Corrects the record of tasks under which this worker was counted as lost while it was only out of reach. */
     private forgetLoss({ id, startedAtMs }: WorkerState): void {
-        const tasks = this.ctx.jobs.forgetLostWorker({ worker: id, workerStartedAt: startedAtMs });
+        const tasks = this.ctx.jobs.losses.forgetWorker({ worker: id, workerStartedAt: startedAtMs });
         if (tasks > 0) {
             this.ctx.options.log.write(Severity.Info, EventId.WorkerLossForgotten, { worker: id, tasks });
         }
--- a/src/pool/worker-registry.ts
+++ b/src/pool/worker-registry.ts
@@ -1,9 +1,9 @@
 /** Registry of a domain's workers at its owner: the platform's roster combined with the workers' own responses. */
 import type { StepSpec } from "../job/index.js";
 import { addResources, fitsInto, noResources, type Resources } from "../process/resources.js";
-import { lossesOf, type RunRecord } from "./job-registry.js";
 import { LeaseClock } from "./lease.js";
 import type { ListedWorker } from "./ports.js";
+import { lossesOf, type RunRecord } from "./records.js";
 
 /** The owner's state of a worker. */
 export interface WorkerState {
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -5,7 +5,7 @@
 import { PlatformWorkerClient } from "../platform/workers.js";
 import { JsonHttpClient } from "../src/connection/json-http-client.js";
 import { RunEnd } from "../src/job/index.js";
-import { StartStatus } from "../src/pool/job-registry.js";
+import { StartStatus } from "../src/pool/records.js";
 import { EventId } from "../src/process/events.js";
 import { type Log, type LogFields, silentLog } from "../src/process/log.js";
 import { Metrics } from "../src/process/metrics.js";
