--- a/src/process/grant-manager.ts
+++ b/src/process/grant-manager.ts
@@ -1,5 +1,6 @@
 /** Task that manages this entry's grants: it polls the grant rows, and raises and lowers its grants with the demand. */
 import { EventId, Severity } from "./events.js";
+import { FailureLog } from "./failure-log.js";
 import type { Fleet } from "./fleet.js";
 import { runFlow } from "./flow.js";
 import {
@@ -87,7 +88,10 @@
     private hasRaisedPeerGrants = false;
     readonly handlers: Handlers = { [Topic.VersionAdopted]: () => this.requestTick() };
 
+    private readonly failureLog: FailureLog;
+
     private constructor(private readonly options: GrantManagerOptions) {
+        this.failureLog = FailureLog.create({ log: options.log, source: this.name });
         options.peers.on(grantsChangedTopic, () => this.requestTick());
     }
 
@@ -130,8 +134,10 @@
                 await this.updateTeam(team);
             }
             this.notifyPeers();
+            this.failureLog.recordSuccess();
         }
-        catch {
+        catch (err) {
+            this.failureLog.recordFailure(err);
             this.options.metrics.count("celerywind_grant_ticks_failed_total");
         }
         finally {
--- a/src/process/maintenance-manager.ts
+++ b/src/process/maintenance-manager.ts
@@ -1,5 +1,6 @@
 /** Task that drains, reboots, lends and moves the VMs of the pools that this entry is responsible for. */
 import { EventId, Severity } from "./events.js";
+import { FailureLog } from "./failure-log.js";
 import type { Fleet } from "./fleet.js";
 import { runFlow } from "./flow.js";
 import type { Task } from "./hub.js";
@@ -70,7 +71,10 @@
     private readonly dueSince = new Map<string, number>();
     private isTicking = false;
 
+    private readonly failureLog: FailureLog;
+
     private constructor(private readonly options: MaintenanceManagerOptions) {
+        this.failureLog = FailureLog.create({ log: options.log, source: this.name });
         options.peers.on(
             drainCheckTopic,
             (_, body) => this.isDrainedLocally(body as { vm: string; permit: string; pool: string }),
@@ -104,8 +108,10 @@
             for (const pool of this.responsiblePools()) {
                 await this.runRound(pool);
             }
+            this.failureLog.recordSuccess();
         }
-        catch {
+        catch (err) {
+            this.failureLog.recordFailure(err);
             metrics.count("celerywind_service_rounds_failed_total");
         }
         finally {
--- a/src/request/jobs.ts
+++ b/src/request/jobs.ts
@@ -1,5 +1,6 @@
 /** Task that accepts jobs, claims waiting ones of its shards, runs them, and recovers those whose holder is gone. */
 import { EventId, Severity } from "../process/events.js";
+import { FailureLog } from "../process/failure-log.js";
 import type { Fleet } from "../process/fleet.js";
 import { runFlow } from "../process/flow.js";
 import { type Publish, type Task, Topic } from "../process/hub.js";
@@ -92,8 +93,11 @@
     private isPolling = false;
     private polls = 0;
 
+    private readonly failureLog: FailureLog;
+
     private constructor(private readonly options: JobsOptions) {
-        const { peers } = options;
+        const { peers, log } = options;
+        this.failureLog = FailureLog.create({ log, source: this.name });
         peers.on(readyTopic, (_, body) => this.markReady((body as { shard: number }).shard));
         peers.on(offerTopic, (_, body) => this.receiveOffer((body as { id: string }).id));
         peers.on(cancelTopic, (_, body) => this.receiveCancel((body as { id: string }).id));
@@ -191,8 +195,10 @@
             if (this.polls++ % pollsPerRecovery === 0) {
                 await this.recover();
             }
+            this.failureLog.recordSuccess();
         }
-        catch {
+        catch (err) {
+            this.failureLog.recordFailure(err);
             metrics.count("celerywind_job_polls_failed_total");
         }
         finally {
--- a/src/version/configuration-replica.ts
+++ b/src/version/configuration-replica.ts
@@ -5,6 +5,7 @@
  */
 import { OperatorError, RevisionConflictError } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
+import { FailureLog } from "../process/failure-log.js";
 import { runFlow } from "../process/flow.js";
 import { type Publish, type Task, Topic } from "../process/hub.js";
 import type { Log } from "../process/log.js";
@@ -75,9 +76,11 @@
     private isStoringWithdrawals = false;
     private snapshotRevision = 0;
     private lastConfirmedAt = -Infinity;
+    private readonly failureLog: FailureLog;
 
     private constructor(private readonly options: ConfigurationReplicaOptions) {
-        const { peers } = options;
+        const { peers, log } = options;
+        this.failureLog = FailureLog.create({ log, source: this.name });
         peers.on(pushTopic, (_, body) => this.receivePush(body as RevisionPush));
         peers.on(
             stateTopic,
@@ -133,8 +136,10 @@
             this.lastConfirmedAt = startedAt;
             await this.storeWithdrawals();
             await this.saveSnapshot();
+            this.failureLog.recordSuccess();
         }
-        catch {
+        catch (err) {
+            this.failureLog.recordFailure(err);
             await this.fetchStateFromPeers();
         }
         finally {
