The log tells how large lists are, how long they take to decode, and how much of a read has arrived

Three causes were possible (reads and pulls that end before the whole text has arrived, pulls that load the links of few entries, decoding on weak VMs), and no log or metric told them apart. Change: 1501, 1502 and 2502 have the bytes that had arrived (readBytes, firstByteMs) and the reads that were open; 2501 the size of the lists and the time to decode them; 2503 the time of the pull. A read of the feed reports its progress (FeedReadOptions.onData). No logic is changed.

--- a/src/connection/instrumented-row-store.ts
+++ b/src/connection/instrumented-row-store.ts
@@ -1,6 +1,7 @@
 /** Table service client that counts and times its calls, and records when the service last answered. */
 import type { Metrics } from "../process/metrics.js";
 import type {
+    FeedReadOptions,
     FeedResult,
     RowPage,
     RowRange,
@@ -58,8 +59,8 @@
         return this.instrumentedRead("read", () => this.options.store.read(range));
     }
 
-    feed(table: string, sinceVersion: number, waitMs: number): Promise<FeedResult> {
-        return this.instrumentedRead("feed", () => this.options.store.feed(table, sinceVersion, waitMs));
+    feed(table: string, sinceVersion: number, options: FeedReadOptions): Promise<FeedResult> {
+        return this.instrumentedRead("feed", () => this.options.store.feed(table, sinceVersion, options));
     }
 
     private async instrumentedRead<T>(call: string, perform: () => Promise<T>): Promise<T> {
--- a/src/connection/json-http-client.ts
+++ b/src/connection/json-http-client.ts
@@ -14,6 +14,8 @@
     /** Sent as JSON. */
     readonly body?: unknown;
     readonly timeoutMs: number;
+    /** Called whenever a part of the answer's body has arrived, with the number of bytes received so far. */
+    readonly onData?: ((receivedBytes: number) => void) | undefined;
 }
 
 /** Result of a call. */
@@ -55,7 +57,7 @@
             return Promise.resolve({ kind: "not-sent", reason: `no address: "${address}"` });
         }
         return new Promise(resolve => {
-            const exchange = new Exchange(this.options.timer, call.timeoutMs, resolve);
+            const exchange = new Exchange(this.options.timer, call, resolve);
             const hasBody = call.body !== undefined;
             this.poolOf(address).dispatch(
                 {
@@ -115,15 +117,16 @@
     private controller: Dispatcher.DispatchController | undefined;
     private status = 0;
     private readonly chunks: Buffer[] = [];
+    private receivedBytes = 0;
     private isSettled = false;
     private readonly cancel: Cancel;
 
     constructor(
         timer: Timer,
-        timeoutMs: number,
+        private readonly call: Pick<HttpCall, "timeoutMs" | "onData">,
         private readonly resolve: (result: HttpResult) => void,
     ) {
-        this.cancel = timer.after(timeoutMs, () => this.handleTimeout());
+        this.cancel = timer.after(call.timeoutMs, () => this.handleTimeout());
     }
 
     onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -140,6 +143,10 @@
 
     onResponseData(_: Dispatcher.DispatchController, chunk: Buffer): void {
         this.chunks.push(chunk);
+        this.receivedBytes += chunk.length;
+        if (!this.isSettled) {
+            this.call.onData?.(this.receivedBytes);
+        }
     }
 
     onResponseEnd(): void {
--- a/src/process/feed-reader.ts
+++ b/src/process/feed-reader.ts
@@ -15,6 +15,13 @@
     readonly waitMs?: number;
 }
 
+/** What has arrived of the answer to a read of the feed. */
+export interface ReadProgress {
+    readonly receivedBytes: number;
+    /** Time from the sending of the read to the first bytes of the answer, in milliseconds; undefined before they arrive. */
+    readonly firstByteMs: number | undefined;
+}
+
 const defaultWaitMs = 1500;
 /** Time after the end of its wait at which the answer to a read is overdue. */
 const overdueMs = 500;
@@ -24,6 +31,7 @@
     private readonly openReads = new Set<Promise<FeedResult>>();
     private sinceVersion = -1;
     private isStoreSilent = false;
+    private latestProgress: ReadProgress = { receivedBytes: 0, firstByteMs: undefined };
 
     private constructor(private readonly options: FeedReaderOptions) {}
 
@@ -31,6 +39,16 @@
         return new FeedReader(options);
     }
 
+    /** Progress of the read that was sent last. */
+    get progress(): ReadProgress {
+        return this.latestProgress;
+    }
+
+    /** Number of reads that the store may still answer. */
+    get openReadCount(): number {
+        return this.openReads.size;
+    }
+
     /**
      * Resolves with the changes since a version, or with none after the wait. Rejects with a `PlatformError` when the store
      * refuses the read or its answer is overdue; a later call may then be resolved by the late answer.
@@ -60,8 +78,16 @@
 
     /** Sends a read and settles like it, or resolves with the answer to an earlier one that arrives first. */
     private read(waitMs: number): Promise<FeedResult> {
-        const { store, table } = this.options;
-        const read = store.feed(table, this.sinceVersion, waitMs);
+        const { store, table, timer } = this.options;
+        const sentAt = timer.now();
+        this.latestProgress = { receivedBytes: 0, firstByteMs: undefined };
+        const read = store.feed(table, this.sinceVersion, {
+            waitMs,
+            onData: receivedBytes => {
+                const { firstByteMs = timer.now() - sentAt } = this.latestProgress;
+                this.latestProgress = { receivedBytes, firstByteMs };
+            },
+        });
         // The caller has been told of each earlier read that it is overdue; its failure is no news.
         const earlierReads = [...this.openReads].map(earlier =>
             new Promise<FeedResult>(resolve => {
--- a/src/process/rows.ts
+++ b/src/process/rows.ts
@@ -82,12 +82,20 @@
     /** The store no longer retains the requested history; the table has to be read again in full. */
     | { readonly kind: "history-lost" };
 
+/** Options of a read of the change feed. */
+export interface FeedReadOptions {
+    /** Longest wait of the store for a change before it answers, in milliseconds. */
+    readonly waitMs: number;
+    /** Called whenever a part of the answer has arrived, with the number of bytes received so far. */
+    readonly onData?: (receivedBytes: number) => void;
+}
+
 /** Client of the table service. Reads reject with a `PlatformError` when no valid answer arrives. */
 export interface RowStore {
     transact(tx: RowTransaction): Promise<TransactionOutcome>;
     read(range: RowRange): Promise<RowPage>;
-    /** Resolves once the table has changed since `sinceVersion`, or after `waitMs` milliseconds without a change. */
-    feed(table: string, sinceVersion: number, waitMs: number): Promise<FeedResult>;
+    /** Resolves once the table has changed since `sinceVersion`, or after the wait without a change. */
+    feed(table: string, sinceVersion: number, options: FeedReadOptions): Promise<FeedResult>;
 }
 
 /** Reads one row; undefined when it does not exist. */
--- a/src/version/list-follower.ts
+++ b/src/version/list-follower.ts
@@ -36,6 +36,8 @@
 
 const versionTopic = "lists.version";
 const pullTopic = "lists.pull";
+/** Source of lists that were read from the store; others are named by the peer. */
+const feedSource = "feed";
 const feedRetryDelayMs = 200;
 const announceIntervalMs = 500;
 const pullTimeoutMs = 600;
@@ -130,7 +132,7 @@
                     this.options.zones.apply(update.zones);
                 }
                 if (update.lists !== undefined) {
-                    this.adopt(update.lists, "feed");
+                    this.adopt(update.lists, feedSource);
                 }
             }
             catch (err) {
@@ -164,18 +166,30 @@
     }
 
     private recordFeedFailure(sentAt: number, reason: string): void {
-        const { timer, log } = this.options;
+        const { timer, log, metrics } = this.options;
         this.failedReadCount++;
+        metrics.count("celerywind_lists_failed_reads_total");
         if (this.feedLostAt === undefined) {
             this.feedLostAt = sentAt;
             log.write(Severity.Warn, EventId.StoreUnavailable, {
                 source: "lists",
                 err: reason,
                 readMs: Math.round(timer.now() - sentAt),
+                ...this.readFields(),
             });
         }
     }
 
+    /** Log fields of the read of the feed that was sent last. */
+    private readFields() {
+        const { firstByteMs, receivedBytes } = this.reader.progress;
+        return {
+            openReads: this.reader.openReadCount,
+            readBytes: receivedBytes,
+            ...(firstByteMs !== undefined && { firstByteMs: Math.round(firstByteMs) }),
+        };
+    }
+
     private recordFeedAnswer(sentAt: number): void {
         const { timer, log } = this.options;
         if (this.feedLostAt !== undefined) {
@@ -184,6 +198,7 @@
                 failedReads: this.failedReadCount,
                 lostMs: Math.round(timer.now() - this.feedLostAt),
                 readMs: Math.round(timer.now() - sentAt),
+                ...this.readFields(),
             });
             this.feedLostAt = undefined;
             this.failedReadCount = 0;
@@ -204,8 +219,10 @@
     }
 
     private adopt(text: string, source: string): void {
-        const { decode, log, timer, onChange } = this.options;
+        const { decode, log, timer, metrics, onChange } = this.options;
+        const decodedFrom = timer.now();
         const directory = decode(text);
+        const decodeMs = timer.now() - decodedFrom;
         if (directory === undefined) {
             log.write(Severity.Error, EventId.DirectoryRejected, { source });
             return;
@@ -223,7 +240,11 @@
             source,
             queues: directory.queues.length,
             keys: directory.keys.size,
+            textBytes: text.length,
+            decodeMs: Math.round(decodeMs),
+            ...(source === feedSource && this.readFields()),
         });
+        metrics.observe("celerywind_lists_decode_ms", decodeMs);
         this.options.peers.broadcast(versionTopic, { version: directory.version });
         onChange();
     }
@@ -236,19 +257,30 @@
     }
 
     private async pull(peer: string, version: number): Promise<void> {
-        const { peers, timer, log } = this.options;
+        const { peers, timer, log, metrics } = this.options;
+        let requestedAt: number | undefined;
         try {
             await sleep(timer, this.currentDirectory === undefined ? 0 : pullDelayMs);
             if (version > (this.currentDirectory?.version ?? -1)) {
+                requestedAt = timer.now();
                 const text = await peers.request(peer, pullTopic, {}, pullTimeoutMs);
-                log.write(Severity.Info, EventId.DirectoryPulled, { peer, version });
+                const pullMs = Math.round(timer.now() - requestedAt);
+                log.write(Severity.Info, EventId.DirectoryPulled, { peer, version, pullMs });
+                metrics.count("celerywind_lists_pulls_total", { result: "answered" });
                 if (typeof text === "string") {
                     this.adopt(text, peer);
                 }
             }
         }
         catch (err) {
-            log.write(Severity.Warn, EventId.DirectoryRejected, { peer, version, err: messageOf(err) });
+            log.write(Severity.Warn, EventId.DirectoryRejected, {
+                peer,
+                version,
+                err: messageOf(err),
+                ...(requestedAt !== undefined && { pullMs: Math.round(timer.now() - requestedAt) }),
+                ...this.readFields(),
+            });
+            metrics.count("celerywind_lists_pulls_total", { result: "failed" });
         }
         finally {
             this.isPulling = false;
--- a/standin/site/rows.ts
+++ b/standin/site/rows.ts
@@ -102,7 +102,7 @@
         return {
             transact: tx => this.transact(tx, timer, clientFaults),
             read: range => this.read(range, timer, clientFaults),
-            feed: (table, since, waitMs) => this.feed(table, since, waitMs, timer, clientFaults),
+            feed: (table, since, { waitMs }) => this.feed(table, since, waitMs, timer, clientFaults),
         };
     }
 
--- a/standin/wire/platform.ts
+++ b/standin/wire/platform.ts
@@ -287,7 +287,7 @@
     const result = await store.feed(
         url.searchParams.get("table") ?? "",
         number("after"),
-        number("wait-ms"),
+        { waitMs: number("wait-ms") },
     );
     return result.kind === "history-lost"
         ? [410, {}]
--- a/test/feed-reader.test.ts
+++ b/test/feed-reader.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, test } from "vitest";
 import { PlatformError } from "../src/process/errors.js";
 import { FeedReader } from "../src/process/feed-reader.js";
-import type { FeedResult } from "../src/process/rows.js";
+import type { FeedReadOptions, FeedResult } from "../src/process/rows.js";
 import { VirtualTimer } from "../src/process/virtual-timer.js";
 
 interface Read {
@@ -21,7 +21,7 @@
 function createReader() {
     const timer = VirtualTimer.create();
     const reads: Read[] = [];
-    const feed = (_: string, __: number, readWaitMs: number): Promise<FeedResult> =>
+    const feed = (_: string, __: number, { waitMs: readWaitMs }: FeedReadOptions): Promise<FeedResult> =>
         new Promise((resolve, reject) =>
             reads.push({ at: timer.now(), waitMs: readWaitMs, resolve, reject })
         );
