An answer of the store is waited for as long as it arrives, and nothing else is fetched beside it

Cause: the limits of reads (0.5 s after the wait, 2 s more at the client) count until the last byte. The lists are 411 KB in an answer of the feed, which a link of 7 Mbit/s carries in 0.47 s if it carries nothing else. Reads that came to their limit were sent again, 0.7 s apart and beside the earlier ones, and peers that had the lists announced them, so that each waiting entry pulled 308 KB beside its own read. Class: a timeout that is shorter than the transfer, and retries that add load.

Decoding took 10 to 156 ms and does not bind.

Change: a call's time limit counts until its answer begins; a body may arrive for longer, and is given up once nothing has arrived for as long, 2 s at most. A peer's lists are not pulled while the feed delivers a change, for 2 s at most.

--- a/src/connection/json-http-client.ts
+++ b/src/connection/json-http-client.ts
@@ -13,8 +13,11 @@
     readonly headers?: Readonly<Record<string, string>>;
     /** Sent as JSON. */
     readonly body?: unknown;
+    /** Longest time until the answer begins, in milliseconds. A body that keeps arriving may take longer. */
     readonly timeoutMs: number;
-    /** Called whenever a part of the answer's body has arrived, with the number of bytes received so far. */
+    /** Ends the call, which is then lost. */
+    readonly signal?: AbortSignal | undefined;
+    /** Called whenever a part of the body of a successful answer has arrived, with the number of bytes received so far. */
     readonly onData?: ((receivedBytes: number) => void) | undefined;
 }
 
@@ -38,6 +41,8 @@
     readonly onConnect?: () => void;
 }
 
+/** Longest time without further bytes after which an answer that has begun is given up; less for calls with less time. */
+const maxStallTimeoutMs = 2000;
 const defaultIdleTimeoutMs = 4000;
 const defaultConnectTimeoutMs = 1000;
 
@@ -58,6 +63,7 @@
         }
         return new Promise(resolve => {
             const exchange = new Exchange(this.options.timer, call, resolve);
+            call.signal?.addEventListener("abort", () => exchange.giveUp("cancelled"), { once: true });
             const hasBody = call.body !== undefined;
             this.poolOf(address).dispatch(
                 {
@@ -118,12 +124,13 @@
     private status = 0;
     private readonly chunks: Buffer[] = [];
     private receivedBytes = 0;
+    private receivedAt = -Infinity;
     private isSettled = false;
-    private readonly cancel: Cancel;
+    private cancel: Cancel;
 
     constructor(
-        timer: Timer,
-        private readonly call: Pick<HttpCall, "timeoutMs" | "onData">,
+        private readonly timer: Timer,
+        private readonly call: Pick<HttpCall, "timeoutMs" | "onData" | "signal">,
         private readonly resolve: (result: HttpResult) => void,
     ) {
         this.cancel = timer.after(call.timeoutMs, () => this.handleTimeout());
@@ -144,7 +151,8 @@
     onResponseData(_: Dispatcher.DispatchController, chunk: Buffer): void {
         this.chunks.push(chunk);
         this.receivedBytes += chunk.length;
-        if (!this.isSettled) {
+        this.receivedAt = this.timer.now();
+        if (!this.isSettled && this.status < 300) {
             this.call.onData?.(this.receivedBytes);
         }
     }
@@ -162,8 +170,20 @@
     }
 
     private handleTimeout(): void {
-        this.fail("timeout");
-        this.controller?.abort(new Error("call timed out"));
+        const maxStallMs = Math.min(this.call.timeoutMs, maxStallTimeoutMs);
+        const leftMs = this.receivedAt + maxStallMs - this.timer.now();
+        if (leftMs > 0) {
+            this.cancel = this.timer.after(leftMs, () => this.handleTimeout());
+        }
+        else {
+            this.giveUp("timeout");
+        }
+    }
+
+    /** Ends the call, which is then lost if it was sent. */
+    giveUp(reason: string): void {
+        this.fail(reason);
+        this.controller?.abort(new Error(`call given up: ${reason}`));
     }
 
     private fail(reason: string): void {
--- a/src/process/rows.ts
+++ b/src/process/rows.ts
@@ -88,6 +88,8 @@
     readonly waitMs: number;
     /** Called whenever a part of the answer has arrived, with the number of bytes received so far. */
     readonly onData?: (receivedBytes: number) => void;
+    /** Gives the read up; its answer is not transferred any further. */
+    readonly signal?: AbortSignal;
 }
 
 /** Client of the table service. Reads reject with a `PlatformError` when no valid answer arrives. */
--- a/src/version/list-follower.ts
+++ b/src/version/list-follower.ts
@@ -41,6 +41,8 @@
 const feedRetryDelayMs = 200;
 const announceIntervalMs = 500;
 const pullTimeoutMs = 600;
+/** Time for which the answer of the feed may go on arriving before newer lists are pulled all the same. */
+const feedPreferenceMs = 2000;
 /** Time for which the feed may still deliver an announced version before it is pulled from the peer. */
 const pullDelayMs = 150;
 
@@ -256,12 +258,18 @@
         }
     }
 
+    /** Whether the feed is delivering a change, with which a pull would only share this VM's link. */
+    private isFeedDelivering(): boolean {
+        const { arrivingMs } = this.reader;
+        return arrivingMs !== undefined && arrivingMs < feedPreferenceMs;
+    }
+
     private async pull(peer: string, version: number): Promise<void> {
         const { peers, timer, log, metrics } = this.options;
         let requestedAt: number | undefined;
         try {
             await sleep(timer, this.currentDirectory === undefined ? 0 : pullDelayMs);
-            if (version > (this.currentDirectory?.version ?? -1)) {
+            if (version > (this.currentDirectory?.version ?? -1) && !this.isFeedDelivering()) {
                 requestedAt = timer.now();
                 const text = await peers.request(peer, pullTopic, {}, pullTimeoutMs);
                 const pullMs = Math.round(timer.now() - requestedAt);
--- a/standin/simulation/network.ts
+++ b/standin/simulation/network.ts
@@ -2,12 +2,15 @@
 import { noticeBytes } from "../../src/connection/peer/index.js";
 import { PeerError } from "../../src/process/errors.js";
 import type { Peer, PeerHandler, Peers } from "../../src/process/peers.js";
-import type { Timer } from "../../src/process/timer.js";
+import type { Cancel, Timer } from "../../src/process/timer.js";
+import type { SharedLink } from "./shared-link.js";
 
 /** An entry as a node of the network. */
 export interface NetworkNode {
     readonly vm: string;
     readonly timer: Timer;
+    /** Link that carries its traffic; undefined if it is never full. */
+    readonly link?: SharedLink | undefined;
     isAlive: boolean;
 }
 
@@ -155,17 +158,30 @@
                 const err: Error = new PeerError(message, { props: { wasSent: true } });
                 reject(err);
             };
-            const cancel = this.node.timer.after(
-                timeoutMs,
-                () => fail(`no reply from peer ${vm} within ${timeoutMs} ms`),
-            );
+            const startTimeout = (): Cancel =>
+                this.node.timer.after(
+                    timeoutMs,
+                    () => fail(`no reply from peer ${vm} within ${timeoutMs} ms`),
+                );
+            let cancel = startTimeout();
+            // Like on the real links, a request does not time out while its response is arriving.
+            const onData = (): void => {
+                cancel();
+                cancel = startTimeout();
+            };
             this.network.transmit(this.node.vm, vm, target => {
                 target.handleRequest(this.node.vm, topic, copy).then(
-                    value =>
+                    async value => {
+                        const bytes = noticeBytes(topic, value);
+                        await Promise.all([
+                            target.node.link?.transfer(bytes),
+                            this.node.link?.transfer(bytes, { onData }),
+                        ]);
                         this.network.transmit(vm, this.node.vm, () => {
                             cancel();
                             resolve(value);
-                        }),
+                        });
+                    },
                     (err: unknown) => this.network.transmit(vm, this.node.vm, () => fail(String(err))),
                 );
             });
--- a/standin/site/rows.ts
+++ b/standin/site/rows.ts
@@ -2,6 +2,7 @@
 import { PlatformError } from "../../src/process/errors.js";
 import type { Random } from "../../src/process/random.js";
 import {
+    type FeedReadOptions,
     type FeedResult,
     type RowKey,
     type RowPage,
@@ -13,6 +14,7 @@
     TransactionStatus,
 } from "../../src/process/rows.js";
 import { sleep, type Timer } from "../../src/process/timer.js";
+import type { SharedLink } from "../simulation/shared-link.js";
 
 /** Faults of the row store, for all entries or for the clients of one. */
 export interface RowStoreFaults {
@@ -24,6 +26,8 @@
     readonly unreadableTables: Set<string>;
     /** Tables of which reads of the feed receive no answer. */
     readonly unansweredFeeds: Set<string>;
+    /** Link over which answers of the feed are transferred; undefined if it is never full. */
+    link: SharedLink | undefined;
     /** Factor on the latency of a call. */
     latencyFactor: number;
     /** Share, from 0 to 1, of transactions that are applied but whose answer is lost. */
@@ -40,6 +44,7 @@
         isBusy: false,
         unreadableTables: new Set(),
         unansweredFeeds: new Set(),
+        link: undefined,
         latencyFactor: 1,
         lostAnswerShare: 0,
         delayedCommitShare: 0,
@@ -102,7 +107,7 @@
         return {
             transact: tx => this.transact(tx, timer, clientFaults),
             read: range => this.read(range, timer, clientFaults),
-            feed: (table, since, { waitMs }) => this.feed(table, since, waitMs, timer, clientFaults),
+            feed: (table, since, options) => this.feed(table, since, options, timer, clientFaults),
         };
     }
 
@@ -256,7 +261,7 @@
     private async feed(
         table: string,
         since: number,
-        waitMs: number,
+        { waitMs, onData, signal }: FeedReadOptions,
         timer: Timer,
         clientFaults: RowStoreFaults,
     ): Promise<FeedResult> {
@@ -275,7 +280,10 @@
             await this.waitForChange(table, waitMs, timer);
         }
         await this.failIfUnresponsive(timer, [this.faults, clientFaults], deadline);
-        return { kind: "changes", rows: changed(), version: this.version };
+        const rows = changed();
+        const { version } = this;
+        await clientFaults.link?.transfer(encodedBytes(rows), { onData, signal });
+        return { kind: "changes", rows, version };
     }
 
     private waitForChange(table: string, waitMs: number, timer: Timer): Promise<void> {
@@ -323,6 +331,11 @@
     return Math.max(...faults.map(({ latencyFactor }) => latencyFactor));
 }
 
+/** Size of rows in an answer, where their values are encoded in Base64. */
+function encodedBytes(rows: readonly StoredRow[]): number {
+    return rows.reduce((bytes, { value }) => bytes + Math.ceil(value.length * 4 / 3), 0);
+}
+
 function rowId(table: string, part: string, key: string): string {
     return `${table}\n${part}\n${key}`;
 }
--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -26,6 +26,7 @@
 import { type ZoneChange, ZoneOrder } from "../../src/version/zone-evacuations.js";
 import { VirtualNetwork, type VirtualPeers } from "../simulation/network.js";
 import { PausableTimer } from "../simulation/pausable-timer.js";
+import { SharedLink } from "../simulation/shared-link.js";
 import { InvariantChecker } from "./checker.js";
 import { noRowStoreFaults, type RowStoreFaults, StandinRowStore } from "./rows.js";
 import { GangTracker, StandinWorker, type TaskProfile } from "./worker.js";
@@ -77,6 +78,8 @@
     readonly scheduling?: Partial<SchedulingSettings>;
     /** Number of parts of the store that hold the accepted jobs. */
     readonly jobParts?: number;
+    /** Bandwidths of the entries' links by entry name, in bytes a millisecond; not limited for those that are not named. */
+    readonly linkBytesPerMs?: Readonly<Record<string, number>>;
     /** Whether workers refuse runs that exceed their capacity. */
     readonly guardsCapacity?: boolean;
     /** Whether the platform lists its VMs, so that entries move them between pools and service them. */
@@ -228,7 +231,10 @@
         const timer = PausableTimer.create(this.timer);
         const storeFaults = noRowStoreFaults();
         const log: LoggedEvent[] = [];
-        const node = { vm: name, timer, isAlive: true };
+        const linkBytesPerMs = this.options.linkBytesPerMs?.[name];
+        const link = linkBytesPerMs === undefined ? undefined : SharedLink.create(timer, linkBytesPerMs);
+        storeFaults.link = link;
+        const node = { vm: name, timer, link, isAlive: true };
         const peers = this.net.addNode(node);
         const core = SiteCore.create({
             settings: siteSettingsSchema.parse({
