A new owner reads the parts that hold the jobs in turns, so that no read waits for a connection until its time limit

Callers would see: no owner for as long as the jobs of a site take longer over the new owner's link than 2 s.

Cause: all parts (48 on the users' platform) are read at once over 16 connections, and the time limit of a read counts from when it is asked for. A read that comes to its limit in the queue fails all of them, and all are read again from the start.

Change: readRanges keeps at most 12 reads in progress, the connections less those of the long polls. A takeover with little to read costs one round of reads more.

--- a/src/pool/job-source.ts
+++ b/src/pool/job-source.ts
@@ -3,7 +3,7 @@
 import { messageOf } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
 import { FeedReader } from "../process/feed-reader.js";
-import { readAll, type StoredRow } from "../process/rows.js";
+import { readAll, readRanges, type StoredRow } from "../process/rows.js";
 import { sleep } from "../process/timer.js";
 import { decodeJobRow, jobRanges, JobRowKind } from "./job-rows.js";
 import { tables } from "./ownership.js";
@@ -82,10 +82,8 @@
 
     /** Reads all job rows; the version returned is the lowest of those at which the parts were read. */
     private async readJobs(): Promise<{ readonly rows: readonly StoredRow[]; readonly version: number }> {
-        const { store } = this.ctx.options;
-        const pages = await Promise.all(
-            jobRanges(this.ctx.options.jobParts).map(range => readAll(store, range)),
-        );
+        const { store, jobParts } = this.ctx.options;
+        const pages = await readRanges(store, jobRanges(jobParts));
         return {
             rows: pages.flatMap(({ rows }) => rows),
             version: Math.min(...pages.map(({ version }) => version)),
--- a/src/pool/owner-state.ts
+++ b/src/pool/owner-state.ts
@@ -47,7 +47,7 @@
     async load(): Promise<void> {
         const { store, domain, parts } = this.options;
         if (parts.length > 0) {
-            const { rows } = await readAll(store as RowStore, { table: tables.ownerState, part: domain });
+            const { rows } = await readAll(store, { table: tables.ownerState, part: domain });
             rows.forEach(row => this.restore(row));
         }
     }
--- a/src/process/rows.ts
+++ b/src/process/rows.ts
@@ -110,7 +110,7 @@
  * Reads all rows of a range, page by page. The returned version is that of the first page, so a feed read from it
  * includes the changes made while the other pages were read.
  */
-export async function readAll(store: RowStore, range: RowRange): Promise<RowPage> {
+export async function readAll(store: Pick<RowStore, "read">, range: RowRange): Promise<RowPage> {
     const rows: StoredRow[] = [];
     let from = range.from ?? "";
     let version: number | undefined;
@@ -126,6 +126,25 @@
     }
 }
 
+/** Reads that are sent at once. More would wait for a connection of the client and could come to their time limit there. */
+const maxConcurrentReads = 12;
+
+/** Reads all rows of several ranges; the pages are in the order of the ranges. */
+export async function readRanges(
+    store: Pick<RowStore, "read">,
+    ranges: readonly RowRange[],
+): Promise<readonly RowPage[]> {
+    const pages: RowPage[] = [];
+    const pending = ranges.entries();
+    const readPending = async (): Promise<void> => {
+        for (const [index, range] of pending) {
+            pages[index] = await readAll(store, range);
+        }
+    };
+    await Promise.all(Array.from({ length: maxConcurrentReads }, readPending));
+    return pages;
+}
+
 /** Whether two keys identify the same row. */
 export function isSameRow(a: RowKey, b: RowKey): boolean {
     return a.key === b.key && a.part === b.part && a.table === b.table;
