A read of the feed that is given up in favour of another does not count as a failure of the store

Callers would see: jobs refused with 503 or late at an entry that the store refuses, since the peer that it asks to store them refuses as well (StoreRelay, isFailing) after a read of its feed was given up. Cause: the client reports a cancelled call as lost, and InstrumentedRowStore took each loss as a failure that is later than the last success. Change: a read whose signal was aborted says nothing about the store and is not counted. Test: in test/feed-reader.test.ts; failed before (one read failure counted, the store failing).

--- a/src/connection/instrumented-row-store.ts
+++ b/src/connection/instrumented-row-store.ts
@@ -60,10 +60,19 @@
     }
 
     feed(table: string, sinceVersion: number, options: FeedReadOptions): Promise<FeedResult> {
-        return this.instrumentedRead("feed", () => this.options.store.feed(table, sinceVersion, options));
+        return this.instrumentedRead(
+            "feed",
+            () => this.options.store.feed(table, sinceVersion, options),
+            options.signal,
+        );
     }
 
-    private async instrumentedRead<T>(call: string, perform: () => Promise<T>): Promise<T> {
+    /** A read that was given up through `signal` says nothing about the store and does not count as a failure. */
+    private async instrumentedRead<T>(
+        call: string,
+        perform: () => Promise<T>,
+        signal?: AbortSignal,
+    ): Promise<T> {
         const { metrics } = this.options;
         metrics.count("celerywind_store_reads_total", { call });
         try {
@@ -72,8 +81,10 @@
             return answer;
         }
         catch (err) {
-            metrics.count("celerywind_store_read_failures_total", { call });
-            this.lastFailureAt = this.options.timer.now();
+            if (signal?.aborted !== true) {
+                metrics.count("celerywind_store_read_failures_total", { call });
+                this.lastFailureAt = this.options.timer.now();
+            }
             throw err;
         }
     }
--- a/test/feed-reader.test.ts
+++ b/test/feed-reader.test.ts
@@ -1,7 +1,9 @@
 import { describe, expect, test } from "vitest";
+import { InstrumentedRowStore } from "../src/connection/instrumented-row-store.js";
 import { PlatformError } from "../src/process/errors.js";
 import { FeedReader } from "../src/process/feed-reader.js";
-import type { FeedReadOptions, FeedResult } from "../src/process/rows.js";
+import { Metrics } from "../src/process/metrics.js";
+import type { FeedReadOptions, FeedResult, RowStore } from "../src/process/rows.js";
 import { VirtualTimer } from "../src/process/virtual-timer.js";
 
 interface Read {
@@ -12,6 +14,11 @@
 }
 
 const waitMs = 1000;
+const unusedStore: RowStore = {
+    transact: () => Promise.reject(new Error("not used")),
+    read: () => Promise.reject(new Error("not used")),
+    feed: () => Promise.reject(new Error("not used")),
+};
 
 function changesAt(version: number): FeedResult {
     return { kind: "changes", rows: [], version };
@@ -74,4 +81,30 @@
         await expect(second).rejects.toThrow("refused");
         expect(timer.now()).toBe(reads[1]!.at);
     });
+
+    test("that gives up other reads once one is answered does not take the store as failing", async () => {
+        const timer = VirtualTimer.create();
+        const reads: FeedReadOptions[] = [];
+        const answers: ((result: FeedResult) => void)[] = [];
+        const feed = (_: string, __: number, options: FeedReadOptions): Promise<FeedResult> =>
+            new Promise((resolve, reject) => {
+                reads.push(options);
+                answers.push(resolve);
+                const err: Error = new PlatformError("given up");
+                options.signal?.addEventListener("abort", () => reject(err));
+            });
+        const metrics = Metrics.create();
+        const store = InstrumentedRowStore.create({ store: { ...unusedStore, feed }, timer, metrics });
+        const reader = FeedReader.create({ store, timer, table: "op", waitMs });
+        const first = reader.next(1).catch((err: unknown) => err);
+        await timer.advance(waitMs + 600);
+        await first;
+        const second = reader.next(1);
+        answers[1]!(changesAt(2));
+        expect(await second).toEqual(changesAt(2));
+        await timer.advance(0);
+        expect(reads[0]!.signal!.aborted).toBe(true);
+        expect(store.isFailing).toBe(false);
+        expect(metrics.read("celerywind_store_read_failures_total", { call: "feed" })).toBe(0);
+    });
 });
