--- a/src/process/rows.ts
+++ b/src/process/rows.ts
@@ -127,7 +127,7 @@
 }
 
 /** Reads that are sent at once. More would wait for a connection of the client and could come to their time limit there. */
-const maxConcurrentReads = 12;
+const maxConcurrentReads = 16;
 
 /** Reads all rows of several ranges; the pages are in the order of the ranges. */
 export async function readRanges(
