The order by shares adds up a pool's waiting tasks only until the pool is known to be short

Change: shortPools stops at the first job with which a pool is short. The result is the same. The test counts the jobs looked at (506 of 1,000, where one of two pools is short).

--- a/src/pool/scheduling/fair-order.ts
+++ b/src/pool/scheduling/fair-order.ts
@@ -5,7 +5,7 @@
  * urgency class are served in the order of their accounts' excess; accounts within their share compete as without shares, by
  * priority and least remaining work, so that at equal load the order and its value hardly change.
  */
-import { addResources, noResources, type Resources } from "../../process/resources.js";
+import { addResources, fitsInto, noResources, type Resources } from "../../process/resources.js";
 import type { Queue } from "../../version/directory.js";
 import type { JobEntry } from "../records.js";
 import { compareRankedJobs, type JobEstimate, Urgency } from "../urgency.js";
@@ -152,13 +152,23 @@
     return candidates.reduce((sum, { free }) => addResources(sum, free), noResources);
 }
 
-/** Resources that the waiting tasks of each pool need, given the positions of a job's open tasks. */
-export function waitingNeedsByPool(
+/**
+ * Pools whose waiting tasks need more than their free resources, given the positions of a job's open tasks. The jobs of a pool
+ * are looked at only until it is known to be short.
+ */
+export function shortPools(
     ranked: readonly OrderedJob[],
     openTasks: (entry: JobEntry) => readonly number[],
-): ReadonlyMap<string, Resources> {
+    freeOf: (pool: string) => Resources,
+): ReadonlySet<string> {
+    const short = new Set<string>();
     const needs = new Map<string, Resources>();
+    const free = new Map<string, Resources>();
     for (const { entry, queue } of ranked) {
+        const pool = queue?.pool ?? "";
+        if (short.has(pool)) {
+            continue;
+        }
         const countByStep = new Map<number, number>();
         for (const at of openTasks(entry)) {
             const { step } = entry.state.tasks[at]!;
@@ -166,9 +176,13 @@
         }
         for (const [index, count] of countByStep) {
             const step = entry.job.spec.steps[index]!;
-            const pool = queue?.pool ?? "";
             needs.set(pool, addResources(needs.get(pool) ?? noResources, reservedResources({ step }), count));
         }
+        const freeResources = free.get(pool) ?? freeOf(pool);
+        free.set(pool, freeResources);
+        if (!fitsInto(needs.get(pool) ?? noResources, freeResources)) {
+            short.add(pool);
+        }
     }
-    return needs;
+    return short;
 }
--- a/src/pool/scheduling/fair-shares.ts
+++ b/src/pool/scheduling/fair-shares.ts
@@ -5,7 +5,7 @@
 import { EventId, Severity } from "../../process/events.js";
 import { parseJson } from "../../process/json.js";
 import type { Log } from "../../process/log.js";
-import { fitsInto, noResources, type Resources } from "../../process/resources.js";
+import { noResources, type Resources } from "../../process/resources.js";
 import type { Timer } from "../../process/timer.js";
 import type { Directory } from "../../version/directory.js";
 import { maxPartBytes, type StatePart } from "../owner-state.js";
@@ -13,7 +13,7 @@
 import { TeamShareLimiter } from "../team-share-limiter.js";
 import type { WorkerState } from "../worker-registry.js";
 import { type AccountAmounts, AccountUsage, dominantShare } from "./account-usage.js";
-import { type OrderedJob, orderFairly, waitingNeedsByPool } from "./fair-order.js";
+import { type OrderedJob, orderFairly, shortPools } from "./fair-order.js";
 
 /**
  * Ratio of an account's usage to its share up to which it competes as without shares. Accounts with few jobs differ by as much
@@ -67,10 +67,7 @@
 
     /** Yields the jobs in the order in which they may take capacity. */
     order<T extends OrderedJob>({ ranked, openTasks, freeOf, placedOf }: FairPlanInput<T>): Iterable<T> {
-        const waiting = waitingNeedsByPool(ranked, openTasks);
-        const isShort = new Map(
-            [...waiting].map(([pool, needs]) => [pool, !fitsInto(needs, freeOf(pool))]),
-        );
+        const short = shortPools(ranked, openTasks, freeOf);
         const teams = this.options.directory()?.teams;
         const weightOf = (account: string): number => teams?.get(account)?.weight ?? 0;
         const fairUsage = this.usagePerWeight(ranked, weightOf);
@@ -79,7 +76,7 @@
             const placed = dominantShare(placedOf(account), this.capacity);
             return weight <= 0 ? 0 : excess(this.usage.usageOf(account, placed) / weight / fairUsage);
         };
-        return orderFairly({ ranked, isShort: pool => isShort.get(pool) === true, excessOf });
+        return orderFairly({ ranked, isShort: pool => short.has(pool), excessOf });
     }
 
     /**
--- a/test/fair-shares.test.ts
+++ b/test/fair-shares.test.ts
@@ -3,7 +3,7 @@
 import { maxPartBytes } from "../src/pool/owner-state.js";
 import { planStarts, rankJobs, type StartPlanInput } from "../src/pool/plan-starts.js";
 import type { JobEntry } from "../src/pool/records.js";
-import { type OrderedJob, orderFairly } from "../src/pool/scheduling/fair-order.js";
+import { type OrderedJob, orderFairly, shortPools } from "../src/pool/scheduling/fair-order.js";
 import { FairShares } from "../src/pool/scheduling/fair-shares.js";
 import { TeamShareLimiter } from "../src/pool/team-share-limiter.js";
 import { Urgency } from "../src/pool/urgency.js";
@@ -425,4 +425,23 @@
         expect(keyReadsPerJob(4000, 31) / keyReadsPerJob(1000, 31)).toBeLessThan(1.3);
         expect(keyReadsPerJob(4000, 248) / keyReadsPerJob(4000, 31)).toBeLessThan(2);
     });
+
+    test("looks no further into a pool's backlog once the pool is known to be short", () => {
+        const step = { needs: { cpu: 1000, memory: 0, accelerators: 0 } };
+        const jobs = Array.from({ length: 1000 }, (_, i) => ({
+            entry: {
+                job: { spec: { steps: [step] } },
+                state: { tasks: [{ step: 0 }] },
+            } as unknown as JobEntry,
+            queue: { pool: i % 2 === 0 ? "full" : "roomy" } as Queue,
+        })) as unknown as OrderedJob[];
+        let reads = 0;
+        const openTasks = (): readonly number[] => {
+            reads++;
+            return [0];
+        };
+        const freeOf = (pool: string) => ({ cpu: pool === "full" ? 5500 : 1e9, memory: 1, accelerators: 0 });
+        expect([...shortPools(jobs, openTasks, freeOf)]).toEqual(["full"]);
+        expect(reads).toBe(500 + 6);
+    });
 });
