--- a/test/docs.test.ts
+++ b/test/docs.test.ts
@@ -19,6 +19,15 @@
         expect(documented.sort()).toEqual(declared.sort());
     });
 
+    test("names the scheduling parts that the deployment's settings switch on", async () => {
+        const settings = await readRepositoryFile("deploy/settings.jsonc");
+        const [, flags = ""] = /^\s*"scheduling": \{([^}]*)\}/m.exec(settings) ?? [];
+        const switchedOn = [...flags.matchAll(/"(\w+)": true/g)].map(([, flag]) => flag);
+        const page = await readRepositoryFile("docs/OPERATIONS.md");
+        const [, documented] = /^On in `deploy\/settings\.jsonc`: (.*)\.$/m.exec(page) ?? [];
+        expect(documented).toBe(switchedOn.join(", ") || "none");
+    });
+
     test("lists every metric, and no other", async () => {
         const page = await readRepositoryFile("docs/METRICS.md");
         const listed = [...page.matchAll(/^\| (celerywind_\w+) \|/gm)].map(([, name]) => name);
