Pulls of lists that are skipped since the feed delivers them are counted

Without it an operator cannot tell an entry that pulls nothing because its feed works from one that hears of no newer lists.

--- a/src/version/list-follower.ts
+++ b/src/version/list-follower.ts
@@ -272,7 +272,13 @@
         let requestedAt: number | undefined;
         try {
             await sleep(timer, this.currentDirectory === undefined ? 0 : pullDelayMs);
-            if (version > (this.currentDirectory?.version ?? -1) && !this.isFeedDelivering()) {
+            if (version <= (this.currentDirectory?.version ?? -1)) {
+                return;
+            }
+            if (this.isFeedDelivering()) {
+                metrics.count("celerywind_lists_pulls_total", { result: "skipped" });
+            }
+            else {
                 requestedAt = timer.now();
                 const request: ListsRequest = { acceptsGzip: true };
                 const response = await peers.request(peer, pullTopic, request, pullTimeoutMs);
