What the ends of runs tell about workers and durations is a module of its own

run-dispatcher.ts sends starts and stops, and held the statistics of workers and queues, too. The function moves unchanged to run-statistics.ts; no behaviour changes.

--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -13,16 +13,15 @@
     StopReason,
     taskOf,
 } from "./records.js";
+import { updateStatistics } from "./run-statistics.js";
 import { TakeoverPhase } from "./takeover-phases.js";
-import { queueOf, suspectWorkerPauseMs, targetOf, type TenureContext } from "./tenure-context.js";
-import { markUnreachable, updateSlowdown, type WorkerState } from "./worker-registry.js";
+import { queueOf, targetOf, type TenureContext } from "./tenure-context.js";
+import { markUnreachable, type WorkerState } from "./worker-registry.js";
 
 /** Interval of repeating a stop request that is not confirmed. */
 const stopRetryMs = 300;
 /** Time for which nothing is placed on a worker after it refused or did not answer, by cause. */
 const backoffMs = { noRoom: 200, unhealthy: 1000, unanswered: 500 } as const;
-/** Consecutive failures, of different tasks, from which a worker is suspected of failing every run. */
-const suspectAfterFailures = 3;
 const defaultMaxFailures = 3;
 
 /** Sends the owner's start and stop requests for runs. */
@@ -91,7 +90,7 @@
         const worker = this.ctx.workers.workerOf(record);
         // The end of a worker that was draining, or whose VM was being drained, needs no other explanation.
         const isExplained = end.isExplained === true || worker.isExpectedToEnd;
-        this.updateStatistics(record, worker, outcome, now);
+        updateStatistics(this.ctx, record, outcome, now);
         const gang = outcome === RunEnd.Done ? [] : this.ctx.jobs.otherGangRuns(record);
         this.ctx.workers.removeRun(record);
         this.awaitingStore.delete(record);
@@ -289,44 +288,6 @@
         }
     }
 
-    private updateStatistics(record: RunRecord, worker: WorkerState, outcome: RunEnd, now: number): void {
-        const { entry, step, startedAt } = record;
-        this.ctx.outliers?.recordEnd(record, worker, outcome, now);
-        switch (outcome) {
-            case RunEnd.Done: {
-                if (!record.isInherited) {
-                    const ms = now - startedAt;
-                    updateSlowdown(worker, ms, this.ctx.durations.estimate(entry.job.queue, step.estimateMs));
-                    this.ctx.durations.record(entry.job.queue, ms, step.estimateMs);
-                }
-                worker.consecutiveFailures = 0;
-                return;
-            }
-            case RunEnd.Failed:
-                worker.consecutiveFailures += entry.failedWorkers.has(record.position) || step.isService
-                    ? 0
-                    : 1;
-                if (
-                    this.ctx.outliers === undefined && worker.consecutiveFailures >= suspectAfterFailures
-                ) {
-                    worker.backoffUntil = Math.max(worker.backoffUntil, now + suspectWorkerPauseMs);
-                    worker.consecutiveFailures = suspectAfterFailures - 1;
-                    this.ctx.options.log.write(Severity.Warn, EventId.WorkerSuspected, {
-                        worker: worker.id,
-                        cause: "fails-everything",
-                    });
-                }
-                return;
-            case RunEnd.Stopped:
-            case RunEnd.Lapsed:
-            case RunEnd.GangBroken:
-            case RunEnd.GangIncomplete:
-            case RunEnd.Lost:
-            case RunEnd.WorkerLost:
-                return;
-        }
-    }
-
     private maxFailuresOf(entry: JobEntry): number {
         return queueOf(this.ctx, entry)?.maxAttempts ?? defaultMaxFailures;
     }
