An owner has no more starts in flight than it can have answered in time

Cause: the owner sent all starts of a batch at once when the batch was stored. Each start needs the owner twice, to be sent and to have its answer read, within a time limit of 200 ms that runs at the owner. An owner that is short of processor time has long batches, and a batch may hold the more starts the longer batches take. Starts then come to their limit at the owner: before they are sent (the worker counts as unreachable), or before their answers are read (the run works, is stopped and started again). The owner does the same work several times, lags, and is replaced, which does it all anew. Change: StartWindow, a congestion window for starts. It shrinks while the median start takes longer than a quarter of its limit and grows while it is full and starts are answered at once; StartQueue holds stored runs until there is room, and a batch claims no more than the queue leaves. The size of batches still follows the store, so that a slow store with an owner that has time is served as before. Permission is asked when a start is sent, as before.

--- a/src/pool/progress-writer.ts
+++ b/src/pool/progress-writer.ts
@@ -48,7 +48,7 @@
     /** Whether changes are not stored yet, or a batch is in flight. */
     get hasPendingWork(): boolean {
         return this.isRoundRunning || this.ctx.jobs.dirtyCount > 0
-            || this.parts.dispatcher.awaitingStoreCount > 0;
+            || this.parts.dispatcher.queuedStartCount > 0;
     }
 
     /** Stores a row with the next batch, which is only committed if this entry is still the owner. */
@@ -104,7 +104,7 @@
                 return;
             }
         }
-        placer.placeTasks(this.batchSize.maxStarts);
+        placer.placeTasks(Math.max(0, this.batchSize.maxStarts - dispatcher.queuedStartCount));
         this.ctx.phases.observe(jobs, this.ctx.workers);
         const leaseBounds = recorder.takeRow();
         const extra = [...this.extraPuts.values(), ...leaseBounds === undefined ? [] : [leaseBounds]];
--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -14,6 +14,7 @@
     taskOf,
 } from "./records.js";
 import { updateStatistics } from "./run-statistics.js";
+import { StartQueue } from "./start-queue.js";
 import { TakeoverPhase } from "./takeover-phases.js";
 import { queueOf, targetOf, type TenureContext } from "./tenure-context.js";
 import { markUnreachable, type WorkerState } from "./worker-registry.js";
@@ -26,33 +27,36 @@
 
 /** Sends the owner's start and stop requests for runs. */
 export class RunDispatcher {
-    /** Claimed runs whose record is not stored yet. */
-    private readonly awaitingStore = new Set<RunRecord>();
+    private readonly queue: StartQueue;
 
     constructor(
         private readonly ctx: TenureContext,
         /** Requests a worker's runs at once, since its next response shows whether a run exists. */
         private readonly probeWorker: (worker: WorkerState) => void,
-    ) {}
+    ) {
+        this.queue = StartQueue.create(ctx.options);
+    }
 
-    /** Number of claimed runs whose record is not stored yet. */
-    get awaitingStoreCount(): number {
-        return this.awaitingStore.size;
+    /** Number of claimed runs that are not started yet. */
+    get queuedStartCount(): number {
+        return this.queue.length;
     }
 
     /** Adds a claimed run, to be started once its record is stored. */
     enqueueStart(record: RunRecord): void {
         this.ctx.workers.addRun(record);
-        this.awaitingStore.add(record);
+        this.queue.add(record);
     }
 
-    /** Starts the claimed runs of jobs whose progress has been stored. */
+    /** Starts the claimed runs of jobs whose progress has been stored, as fast as starts are answered. */
     startStoredRuns(stored: ReadonlySet<JobEntry>): void {
-        for (const record of this.awaitingStore) {
-            if (stored.has(record.entry)) {
-                this.awaitingStore.delete(record);
-                void this.startRun(record);
-            }
+        this.queue.recordStored(stored);
+        this.sendStarts();
+    }
+
+    private sendStarts(): void {
+        for (const record of this.queue.takeStartable()) {
+            void this.startRun(record);
         }
     }
 
@@ -93,7 +97,7 @@
         updateStatistics(this.ctx, record, outcome, now);
         const gang = outcome === RunEnd.Done ? [] : this.ctx.jobs.otherGangRuns(record);
         this.ctx.workers.removeRun(record);
-        this.awaitingStore.delete(record);
+        this.queue.delete(record);
         this.ctx.jobs.end(
             record,
             { how: outcome, saved, isExplained },
@@ -173,7 +177,7 @@
     }
 
     private async startRun(record: RunRecord): Promise<void> {
-        const { timer, times, calls, metrics } = this.ctx.options;
+        const { timer, times, calls } = this.ctx.options;
         const worker = this.ctx.workers.workerOf(record);
         const isStale = record.stopReason !== undefined || worker.startedAtMs !== record.workerIncarnation
             || worker.isLeaseBlocked || this.isZoneEvacuated(worker);
@@ -195,13 +199,25 @@
         };
         record.start = StartStatus.Sent;
         const sentAt = timer.now();
+        this.queue.recordSent();
         const result = await calls.start(targetOf(worker), order);
-        metrics.observe("celerywind_start_ms", timer.now() - sentAt);
+        this.queue.recordEnded(timer.now() - sentAt);
+        this.sendQueuedStarts();
         if (this.ctx.isActive && this.ctx.jobs.runs.get(record.name) === record) {
             this.applyStartResult(record, worker, result);
         }
     }
 
+    /** Sends the starts that the last answer has made room for; once none is queued, more may be placed. */
+    private sendQueuedStarts(): void {
+        if (this.queue.storedCount > 0) {
+            this.sendStarts();
+            if (this.queue.storedCount === 0) {
+                this.ctx.requestRound();
+            }
+        }
+    }
+
     /** Whether the worker's zone was evacuated since the run was claimed. */
     private isZoneEvacuated({ listed: { zone } }: WorkerState): boolean {
         const isEvacuated = this.ctx.options.zones.isEvacuated(zone);
--- /dev/null
+++ b/src/pool/scheduling/start-window.ts
@@ -0,0 +1,80 @@
+/**
+ * How many start requests an owner has in flight at once.
+ *
+ * Load pattern: a burst at an owner that is short of processor time, as after the loss of an owner or of all entries. Each request
+ * needs the owner twice, to be sent and to have its answer read. If more are sent at once than the owner can handle within their
+ * time limit, they end without an answer though the workers have started the runs, which then have to be stopped and started again.
+ */
+
+/** Requests in flight at first, at least and at most. */
+const initialSize = 64;
+const minSize = 16;
+const maxSize = 256;
+/** Median duration of a request above which fewer are sent at once: a quarter of the time limit, as the slowest take far longer. */
+const targetMs = 50;
+/** Least share of the window that is left after one change, and the factor by which it grows. */
+const maxShrinkFactor = 0.5;
+const growthFactor = 2;
+/** Requests after which the window may change. */
+const sampleCount = 16;
+
+/** A change of the window. */
+export interface WindowChange {
+    readonly size: number;
+    readonly previousSize: number;
+    /** Median duration of the last requests, in milliseconds. */
+    readonly medianMs: number;
+}
+
+/** Congestion window for start requests. The median is not moved by the few workers that do not answer. */
+export class StartWindow {
+    private size = initialSize;
+    private inFlight = 0;
+    /** Whether the window was full since its last change; without that, its size has shown nothing. */
+    private wasFull = false;
+    private readonly durations: number[] = [];
+
+    static create(): StartWindow {
+        return new StartWindow();
+    }
+
+    /** Whether another request may be sent now. */
+    get hasRoom(): boolean {
+        return this.inFlight < this.size;
+    }
+
+    /** Records that a request is being sent. */
+    recordSent(): void {
+        this.inFlight += 1;
+        this.wasFull ||= !this.hasRoom;
+    }
+
+    /** Records the end of a request, answered or not, and its duration in milliseconds. Returns the change that follows from it. */
+    recordEnded(ms: number): WindowChange | undefined {
+        this.inFlight -= 1;
+        this.durations.push(ms);
+        if (this.durations.length < sampleCount) {
+            return undefined;
+        }
+        const medianMs = this.durations.sort((a, b) => a - b)[sampleCount / 2]!;
+        const size = this.sizeFor(medianMs);
+        this.durations.length = 0;
+        this.wasFull = !this.hasRoom;
+        if (size === this.size) {
+            return undefined;
+        }
+        const previousSize = this.size;
+        this.size = size;
+        return { size, previousSize, medianMs };
+    }
+
+    private sizeFor(medianMs: number): number {
+        if (medianMs > targetMs) {
+            const factor = Math.max(maxShrinkFactor, targetMs / medianMs);
+            return Math.max(minSize, Math.round(this.size * factor));
+        }
+        return this.wasFull && medianMs <= targetMs / growthFactor
+            ? Math.min(maxSize, this.size * growthFactor)
+            : this.size;
+    }
+}
--- a/src/pool/task-placer.ts
+++ b/src/pool/task-placer.ts
@@ -51,7 +51,7 @@
         const { options, jobs, workers, durations, advice, clock, fairShares, outliers, reservations } =
             this.ctx;
         const directory = options.directory();
-        if (directory === undefined || this.isStopped) {
+        if (directory === undefined || this.isStopped || limit <= 0) {
             return;
         }
         const { timer, log } = options;
