A call to a malformed address has an outcome, instead of ending as an unhandled error

What operators saw: one entry among those of the workers had the address 127.0.0.1:99999. The owner logged TaskFailed (1999) "Invalid URL", and that worker got no work any more, also after its entry was corrected, until another entry became the owner.

Cause: `JsonHttpClient.call` says that it never rejects. The connection pool and the body are made inside the promise's executor, so what they throw became a rejection: a port out of range, `:-1`, `::::`, `a b:3`, `:1e3`, `:0`, an address with a path or a query, and a body that cannot be encoded. `WorkerMonitor.holdWorker` took the worker out of the set of polled workers only on its regular way out, so it stayed there and was never polled again.

Change: whatever fails before a call is sent gives "not-sent". `holdWorker` removes the worker from the set in a `finally`, so that after any error the next reading of the roster polls it again, and the error is logged with the worker's id.

The other callers of `call` (store, inventory, adviser) pass addresses of the settings, which are checked when they are read; each handles "not-sent".

--- a/src/connection/json-http-client.ts
+++ b/src/connection/json-http-client.ts
@@ -3,6 +3,7 @@
  * whether the server may have received a call that was not answered.
  */
 import { type Dispatcher, Pool } from "undici";
+import { messageOf } from "../process/errors.js";
 import { parseJson } from "../process/json.js";
 import type { Cancel, Timer } from "../process/timer.js";
 
@@ -56,7 +57,10 @@
         return new JsonHttpClient(options);
     }
 
-    /** Sends a call; never rejects. Without an address, as of a worker that no list has shown, nothing is sent. */
+    /**
+     * Sends a call; never rejects. Nothing is sent without an address, as of a worker that no list has shown, to an address
+     * that is not `host:port`, or if the call cannot be encoded.
+     */
     call(address: string, call: HttpCall): Promise<HttpResult> {
         if (!address.includes(":")) {
             return Promise.resolve({ kind: "not-sent", reason: `no address: "${address}"` });
@@ -64,17 +68,12 @@
         return new Promise(resolve => {
             const exchange = new Exchange(this.options.timer, call, resolve);
             call.signal?.addEventListener("abort", () => exchange.giveUp("cancelled"), { once: true });
-            const hasBody = call.body !== undefined;
-            this.poolOf(address).dispatch(
-                {
-                    method: call.method,
-                    path: call.path,
-                    headers: { ...call.headers, ...(hasBody && { "content-type": "application/json" }) },
-                    body: hasBody ? JSON.stringify(call.body) : undefined,
-                    idempotent: false,
-                } as Dispatcher.DispatchOptions,
-                exchange,
-            );
+            try {
+                this.poolOf(address).dispatch(encodeCall(call), exchange);
+            }
+            catch (err) {
+                exchange.fail(messageOf(err));
+            }
         });
     }
 
@@ -118,6 +117,18 @@
     }
 }
 
+/** Encodes a call for the HTTP client; throws if its body cannot be encoded as JSON. */
+function encodeCall({ method, path, headers, body }: HttpCall): Dispatcher.DispatchOptions {
+    const hasBody = body !== undefined;
+    return {
+        method,
+        path,
+        headers: { ...headers, ...(hasBody && { "content-type": "application/json" }) },
+        ...(hasBody && { body: JSON.stringify(body) }),
+        idempotent: false,
+    };
+}
+
 /** Collects the answer to one call, or the reason of its failure. */
 class Exchange implements Dispatcher.DispatchHandler {
     private controller: Dispatcher.DispatchController | undefined;
@@ -186,7 +197,8 @@
         this.controller?.abort(new Error(`call given up: ${reason}`));
     }
 
-    private fail(reason: string): void {
+    /** Settles the call without an answer: as lost if it was sent, else as not sent. */
+    fail(reason: string): void {
         this.settle({ kind: this.controller === undefined ? "not-sent" : "lost", reason });
     }
 
--- a/src/pool/worker-monitor.ts
+++ b/src/pool/worker-monitor.ts
@@ -118,7 +118,6 @@
         }
         for (const worker of this.inQueryOrder()) {
             if (!this.polledWorkers.has(worker.id) && worker.listed.address !== "") {
-                this.polledWorkers.add(worker.id);
                 void this.holdWorker(worker);
             }
             if (worker.listed.isDraining) {
@@ -156,7 +155,25 @@
         }
     }
 
+    /** Polls a worker until it is no longer listed; after an error the next reading of the roster polls it again. */
     private async holdWorker(worker: WorkerState): Promise<void> {
+        this.polledWorkers.add(worker.id);
+        try {
+            await this.sendHolds(worker);
+        }
+        catch (err) {
+            const fields = { task: "hold", worker: worker.id, err: messageOf(err) };
+            this.ctx.options.log.write(Severity.Error, EventId.TaskFailed, fields);
+        }
+        finally {
+            this.polledWorkers.delete(worker.id);
+            if (worker.runs.size === 0 && !worker.isListed) {
+                this.ctx.workers.remove(worker);
+            }
+        }
+    }
+
+    private async sendHolds(worker: WorkerState): Promise<void> {
         const { timer } = this.ctx.options;
         while (this.ctx.isActive && (worker.isListed || worker.runs.size > 0)) {
             if (!this.ctx.mayOrder()) {
@@ -178,10 +195,6 @@
             }
             await this.waitForStore(worker);
         }
-        this.polledWorkers.delete(worker.id);
-        if (worker.runs.size === 0 && !worker.isListed) {
-            this.ctx.workers.remove(worker);
-        }
     }
 
     /** Waits until a worker's ends are stored; an earlier hold request would return the same ends at once. */
--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -471,6 +471,9 @@
         ): Promise<T> => {
             await sleep(timer, callLatencyMs);
             const worker = this.workers.find(({ id, isAlive }) => id === target.worker && isAlive);
+            if (worker?.faults.rejectsCalls === true) {
+                throw new Error("Invalid URL");
+            }
             if (
                 worker === undefined || worker.faults.isUnreachable || isCutOff(worker)
             ) {
--- a/standin/site/worker.ts
+++ b/standin/site/worker.ts
@@ -63,6 +63,8 @@
 export interface WorkerFaults {
     /** Calls receive no answer and are not carried out. */
     isUnreachable: boolean;
+    /** Calls of the entries end with an error instead of a result. */
+    rejectsCalls: boolean;
     /** Start and stop commands receive no answer and are carried out after this delay; 0 turns the fault off. */
     commandDelayMs: number;
     /** Every run fails at its next tick. */
@@ -98,6 +100,7 @@
 export class StandinWorker {
     readonly faults: WorkerFaults = {
         isUnreachable: false,
+        rejectsCalls: false,
         commandDelayMs: 0,
         failsAll: false,
         failureShare: 0,
--- a/standin/wire/platform.ts
+++ b/standin/wire/platform.ts
@@ -150,7 +150,8 @@
         return worker;
     }
 
-    private sendHeartbeat(worker: WireWorker): void {
+    /** Writes the row of a worker that is alive to the list of workers. */
+    sendHeartbeat(worker: WireWorker): void {
         if (worker.incarnation.isAlive) {
             this.rows.write(
                 { table: "servers", part: "", key: worker.id },
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -1,20 +1,18 @@
 import { connect } from "node:net";
 import { afterAll, beforeAll, describe, expect, test } from "vitest";
-import { createPlatformEntry } from "../platform/entry.js";
 import { decodeManifest } from "../platform/lists.js";
 import { PlatformWorkerClient } from "../platform/workers.js";
 import { JsonHttpClient } from "../src/connection/json-http-client.js";
 import { RunEnd } from "../src/job/index.js";
 import { StartStatus } from "../src/pool/records.js";
 import { EventId } from "../src/process/events.js";
-import { type Log, type LogFields, silentLog } from "../src/process/log.js";
-import { Metrics } from "../src/process/metrics.js";
+import { type LogFields } from "../src/process/log.js";
 import { parseSiteSettings } from "../src/process/site-settings.js";
 import { SystemTimer } from "../src/process/timer.js";
 import type { SiteEntry } from "../src/site-entry.js";
-import { freePorts } from "../standin/free-ports.js";
 import { jobOf } from "../standin/site/site.js";
 import { WirePlatform } from "../standin/wire/platform.js";
+import { createEntry, waitUntil } from "./platform-entry.js";
 
 const manifest = {
     version: 3,
@@ -82,45 +80,6 @@
         || (event === EventId.RunEnded && (start === StartStatus.Recorded || how === RunEnd.Lapsed));
 }
 
-async function createEntry(
-    platform: WirePlatform,
-    name: string,
-    changes: Record<string, unknown> = {},
-    log: Log = silentLog,
-) {
-    const ports = await freePorts(4);
-    const [callers, readiness, metrics, listen] = ports.map(port => `127.0.0.1:${port}`);
-    const settings = parseSiteSettings(
-        "test",
-        JSON.stringify({
-            entry: name,
-            callers,
-            readiness,
-            metrics,
-            peers: { listen, secret: "0123456789abcdef", seeds: [] },
-            store: platform.address,
-            inventory: platform.address,
-            times: { balancerDelayMs: 10 },
-            ...changes,
-        }),
-    );
-    const entry = createPlatformEntry({
-        settings,
-        incarnation: `${name}#1`,
-        timer: SystemTimer.create(),
-        metrics: Metrics.create(),
-        log,
-    });
-    return { entry, callerUrl: `http://${callers}`, metricsAddress: metrics!, peerPort: ports[3]! };
-}
-
-/** Polls a condition every 25 ms, at most 400 times; returns without an error when it never holds. */
-async function waitUntil(condition: () => Promise<boolean>): Promise<void> {
-    for (let i = 0; i < 400 && !await condition(); i++) {
-        await new Promise(resolve => setTimeout(resolve, 25));
-    }
-}
-
 describe("an entry with the platform adapter", () => {
     const platform = WirePlatform.create({ pool: "bench", workers: 2 });
     const entries: SiteEntry[] = [];
