A header that cannot be sent does not block the later calls to its address

What operators would see: another writer copies the entry of a worker under a key that is not Latin-1, such as "w☃". The key goes into a header of each call, and after four calls the worker that has the same address gets none any more: all end as "not-sent: timeout".

Cause: undici refuses the header when it has already chosen a connection of its pool. The pool then counts that connection as busy, and no event ever frees it. Each such call takes one of the four connections of the address.

Change: headers are checked with `validateHeaderValue` of node:http before the pool sees the call, which is "not-sent" with the reason.

Evidence: test/malformed-addresses.test.ts, "for a header that cannot be sent ...": with one connection the call after three refused ones was "not-sent" (timeout) before, and is answered now.

--- a/src/connection/json-http-client.ts
+++ b/src/connection/json-http-client.ts
@@ -2,6 +2,7 @@
  * HTTP client for calls with JSON bodies over reused HTTP/1.1 connections, each with its own timeout. The result shows
  * whether the server may have received a call that was not answered.
  */
+import { validateHeaderValue } from "node:http";
 import { type Dispatcher, Pool } from "undici";
 import { messageOf } from "../process/errors.js";
 import { parseJson } from "../process/json.js";
@@ -59,7 +60,7 @@
 
     /**
      * Sends a call; never rejects. Nothing is sent without an address, as of a worker that no list has shown, to an address
-     * that is not `host:port`, or if the call cannot be encoded.
+     * that is not `host:port`, or if the call cannot be encoded, see `encodeCall`.
      */
     call(address: string, call: HttpCall): Promise<HttpResult> {
         if (!address.includes(":")) {
@@ -117,8 +118,12 @@
     }
 }
 
-/** Encodes a call for the HTTP client; throws if its body cannot be encoded as JSON. */
-function encodeCall({ method, path, headers, body }: HttpCall): Dispatcher.DispatchOptions {
+/**
+ * Encodes a call for the HTTP client; throws if its body cannot be encoded as JSON or a header holds other characters than
+ * those of Latin-1. The HTTP client refuses such a header too, but its pool then counts the connection as busy for ever.
+ */
+function encodeCall({ method, path, headers = {}, body }: HttpCall): Dispatcher.DispatchOptions {
+    Object.entries(headers).forEach(([name, value]) => validateHeaderValue(name, value));
     const hasBody = body !== undefined;
     return {
         method,
--- a/test/malformed-addresses.test.ts
+++ b/test/malformed-addresses.test.ts
@@ -1,3 +1,5 @@
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import { afterAll, beforeAll, describe, expect, test } from "vitest";
 import { JsonHttpClient } from "../src/connection/json-http-client.js";
 import { EventId } from "../src/process/events.js";
@@ -34,6 +36,20 @@
         body["self"] = body;
         expect((await client.call("127.0.0.1:1", { ...call, body })).kind).toBe("not-sent");
     });
+
+    test("for a header that cannot be sent does not block the later calls to the address", async () => {
+        const server = createServer((_, res) => res.end("{}"));
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+        for (const id of ["w\u2603", "w\n1", "w\u0000"]) {
+            expect((await client.call(address, { ...call, headers: { instance: id } })).kind).toBe(
+                "not-sent",
+            );
+        }
+        expect((await client.call(address, call)).kind).toBe("answer");
+        client.close();
+        server.close();
+    });
 });
 
 describe("a worker whose address has a port out of range", () => {
