A member whose URL cannot be dialed does not keep an entry from its other peers

What operators would see: a row among the members has a URL with a port out of range, or none at all. Every 250 ms each entry that needs a link to that member logs TaskFailed (1999) "Invalid URL: ...", dials no peer that comes after it, and releases no unneeded link. Once the store failed at the same time, an entry stopped following the table of members for good.

Cause: `new WebSocket` throws for a URL that it cannot parse. `PeerMesh.dialMissing` runs in a timer, whose remaining work was skipped; also for the empty URL of an owner that is known from its heartbeat only. `ClusterFollower.follow` calls `setPeers` from its `catch`, too, and its promise is awaited by nobody.

Change: a URL that cannot be dialed is skipped and logged once (1205 PeerUrlMalformed); an empty one waits for the member's row. The follower logs an error while it reads from a peer and follows on.

Evidence: test/malformed-addresses.test.ts, four URLs: before, `setPeers` threw and the other peer was not dialed; now it is connected, with one line in 600 ms.

--- a/src/connection/peer/peer-mesh.ts
+++ b/src/connection/peer/peer-mesh.ts
@@ -44,6 +44,9 @@
 const lingerMs = 5000;
 /** Silence after which a link no longer takes precedence over a new one to the same process. */
 const staleAfterMs = 750;
+const handshakeTimeoutMs = 1000;
+/** Longest part of an error message that quotes a URL. */
+const maxLoggedChars = 200;
 
 /** Task that runs the peer listener and all peer links. */
 export class PeerMesh implements Task, Peers {
@@ -57,6 +60,8 @@
     private readonly openLinks = new Map<string, Link>();
     /** URLs of the links that this entry has dialed, open or not. */
     private readonly dialedUrls = new Map<Link, string>();
+    /** URLs of needed peers that cannot be dialed, by VM. */
+    private readonly malformedUrls = new Map<string, string>();
     /** Monotonic time since which a dialed link is unneeded. */
     private readonly unneededSince = new Map<Link, number>();
     private readonly allLinks = new Set<Link>();
@@ -120,6 +125,9 @@
                 return [vm, { url, dialFrom: Math.min(before?.dialFrom ?? Infinity, dialFrom) }];
             }),
         );
+        [...this.malformedUrls.keys()].filter(vm => !this.neededPeers.has(vm)).forEach(vm => {
+            this.malformedUrls.delete(vm);
+        });
         this.dialMissing();
     }
 
@@ -171,12 +179,29 @@
         const dialedUrls = new Set(this.dialedUrls.values());
         for (const [vm, { url, dialFrom }] of this.neededPeers) {
             if (now >= dialFrom && !this.openLinks.has(vm) && !dialedUrls.has(url)) {
-                const link = this.createLink(new WebSocket(url, { handshakeTimeout: 1000 }), LinkRole.Dialer);
-                this.dialedUrls.set(link, url);
+                this.dial(vm, url);
             }
         }
     }
 
+    /** Dials a peer; does nothing while its URL is not known, and logs a malformed one once. */
+    private dial(vm: string, url: string): void {
+        if (url === "" || this.malformedUrls.get(vm) === url) {
+            return;
+        }
+        try {
+            const socket = new WebSocket(url, { handshakeTimeout: handshakeTimeoutMs });
+            this.dialedUrls.set(this.createLink(socket, LinkRole.Dialer), url);
+        }
+        catch (err) {
+            this.malformedUrls.set(vm, url);
+            this.options.log.write(Severity.Error, EventId.PeerUrlMalformed, {
+                peer: vm,
+                err: messageOf(err).slice(0, maxLoggedChars),
+            });
+        }
+    }
+
     private releaseUnneeded(): void {
         const now = this.options.timer.now();
         const neededUrls = new Set([...this.neededPeers.values()].map(({ url }) => url));
--- a/src/pool/cluster-follower.ts
+++ b/src/pool/cluster-follower.ts
@@ -45,7 +45,7 @@
 
     /** Follows the table until `isRunning` returns false. While the store is down, the members are read from a peer. */
     async follow(): Promise<void> {
-        const { timer, log, members, isRunning, onMembers } = this.options;
+        const { timer, log, isRunning } = this.options;
         let version: number | undefined;
         let isStoreDown = false;
         while (isRunning()) {
@@ -59,13 +59,24 @@
                     log.write(Severity.Warn, EventId.StoreUnavailable, fields);
                 }
                 isStoreDown = true;
-                await members.loadFromPeer();
-                onMembers({ fromStore: false });
+                await this.readFromPeer();
                 await sleep(timer, retryDelayMs);
             }
         }
     }
 
+    /** Reads the members from a peer; an error is logged, so that the table is followed on. */
+    private async readFromPeer(): Promise<void> {
+        const { members, log, onMembers } = this.options;
+        try {
+            await members.loadFromPeer();
+            onMembers({ fromStore: false });
+        }
+        catch (err) {
+            log.write(Severity.Error, EventId.TaskFailed, { task: "members", err: messageOf(err) });
+        }
+    }
+
     private async readAll(): Promise<number> {
         const { store, name, members, onOwnerRow, onMembers } = this.options;
         onOwnerRow(await readRow(store, ownerKey(name)));
--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -15,6 +15,7 @@
     PeerLost = 1202,
     PeerRejected = 1203,
     PeerFrameInvalid = 1204,
+    PeerUrlMalformed = 1205,
     ListsAdopted = 1301,
     ListsApplied = 1302,
     ListsConflict = 1303,
--- a/test/malformed-addresses.test.ts
+++ b/test/malformed-addresses.test.ts
@@ -2,9 +2,12 @@
 import type { AddressInfo } from "node:net";
 import { afterAll, beforeAll, describe, expect, test } from "vitest";
 import { JsonHttpClient } from "../src/connection/json-http-client.js";
+import { Mesh } from "../src/connection/peer/index.js";
 import { EventId } from "../src/process/events.js";
 import type { LogFields } from "../src/process/log.js";
+import { Metrics } from "../src/process/metrics.js";
 import { SystemTimer } from "../src/process/timer.js";
+import { freePorts } from "../standin/free-ports.js";
 import { jobOf, StandinSite } from "../standin/site/site.js";
 import { WirePlatform } from "../standin/wire/platform.js";
 import { createEntry, waitUntil } from "./platform-entry.js";
@@ -113,3 +116,45 @@
     expect(await site.runUntilSettled(site.phaseOf(entry!, "j1"))).toBe("succeeded");
     expect(entry!.log.filter(({ event }) => event === EventId.TaskFailed).length).toBeGreaterThan(0);
 });
+
+describe("a member whose URL cannot be dialed", () => {
+    const lines: { readonly event: EventId; readonly fields: LogFields }[] = [];
+    const meshes: Mesh[] = [];
+
+    async function createMesh(vm: string): Promise<{ readonly mesh: Mesh; readonly url: string }> {
+        const [port] = await freePorts(1);
+        const mesh = Mesh.create({
+            host: "127.0.0.1",
+            port: port!,
+            secret: "the same secret",
+            timer: SystemTimer.create(),
+            metrics: Metrics.create(),
+            log: { write: (_, event, fields = {}) => void lines.push({ event, fields }) },
+        });
+        mesh.setIdentity({ vm, incarnation: `${vm}#1` });
+        await mesh.start();
+        meshes.push(mesh);
+        return { mesh, url: `ws://127.0.0.1:${port}` };
+    }
+
+    afterAll(() => Promise.all(meshes.map(mesh => mesh.stop())));
+
+    test.each(["ws://127.0.0.1:99999", "ws://a b", "", "x"])(
+        "(%j) does not keep the entry from dialing the others",
+        async url => {
+            lines.length = 0;
+            const { mesh } = await createMesh(`z-${url}`);
+            const other = await createMesh(`y-${url}`);
+            mesh.setPeers([{ vm: "odd", url, isMutual: false }, {
+                vm: `y-${url}`,
+                url: other.url,
+                isMutual: false,
+            }]);
+            await waitUntil(() => Promise.resolve(mesh.connected().length === 1));
+            expect(mesh.connected().map(({ vm }) => vm)).toEqual([`y-${url}`]);
+            await new Promise(resolve => setTimeout(resolve, 600));
+            const reports = lines.filter(({ event }) => event === EventId.PeerUrlMalformed);
+            expect(reports.map(({ fields }) => fields["peer"])).toEqual(url === "" ? [] : ["odd"]);
+        },
+    );
+});
