A delay of more than 24.8 days is that long, instead of none

What operators would see: a number that is too large in a row, the lists or the settings becomes a delay, whose timer fires at once; a period fires without a pause.

Cause: Node's timers hold 2^31-1 ms at most and call back after 1 ms if they are given more.

Change: `SystemTimer` puts longer delays together from parts; an infinite one never ends. Each part can be cancelled.

--- a/src/process/timer.ts
+++ b/src/process/timer.ts
@@ -9,12 +9,15 @@
     now(): number;
     /** Unix time by the wall clock. */
     wall(): number;
-    /** Calls `fn` once after `ms` milliseconds. */
+    /** Calls `fn` once after `ms` milliseconds, however long that is; never if it is infinite. */
     after(ms: number, fn: () => void): Cancel;
     /** Calls `fn` every `ms` milliseconds, for the first time after one period. */
     every(ms: number, fn: () => void): Cancel;
 }
 
+/** Longest delay of a timer of Node, in milliseconds; it calls back at once after a longer one. */
+const maxDelayMs = 2 ** 31 - 1;
+
 /** Timer on the clocks and timers of the operating system. */
 export class SystemTimer implements Timer {
     static create(): SystemTimer {
@@ -30,11 +33,20 @@
     }
 
     after(ms: number, fn: () => void): Cancel {
+        if (ms > maxDelayMs) {
+            let cancel = this.after(maxDelayMs, () => {
+                cancel = this.after(ms - maxDelayMs, fn);
+            });
+            return () => cancel();
+        }
         const handle = setTimeout(fn, ms);
         return () => clearTimeout(handle);
     }
 
     every(ms: number, fn: () => void): Cancel {
+        if (ms > maxDelayMs) {
+            return repeat((delayMs, call) => this.after(delayMs, call), ms, fn);
+        }
         const handle = setInterval(fn, ms);
         return () => clearInterval(handle);
     }
