An odd row among those of the workers costs only itself, is reported, and is decoded once

What operators saw: another writer left one odd entry among those of the workers. Nothing said so: a row that was refused was dropped without a line, and rows that are no worker's were taken for one.

Cause and evidence (on the stand-in site, entries that read 29 odd rows and 2 sound ones, before): 13 of the odd ones were listed as workers: ports out of range, no host, a capacity of 1e308, 1e21 or -5, a start in the year 287,396, zones and texts of any length. The two tasks of a job went to such rows. A job that needs 1,000 cores was kept ("running") for a worker with a capacity of 1e308 instead of failing. A worker whose row once had a start in the far future is ignored after the correction, since its true start is earlier. A row of 2,000,000 levels takes 1.2 to 2 s to parse here, at each reading of the list, which is read every second or less.

--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -52,6 +52,7 @@
     TakeoverObserved = 2010,
     StoreHistoryLost = 2101,
     RowMalformed = 2102,
+    RowRefused = 2103,
     JobStored = 2201,
     JobRefused = 2202,
     JobUnknown = 2203,
--- a/src/process/site-settings.ts
+++ b/src/process/site-settings.ts
@@ -4,6 +4,7 @@
 
 /** Highest port number. */
 const maxPort = 65_535;
+const maxEndpointChars = 300;
 
 const endpointError = {
     error: `give host and port, such as 10.0.0.5:7100, with a port from 0 to ${maxPort}`,
@@ -16,6 +17,11 @@
 /** Orders per second. Accepts a string, since a template may render the number as text. */
 const perSecond = z.coerce.number({ error: "give a number of orders per second" }).min(1);
 
+/** Host and port of a server, with a port from 1 to 65535; the host is a name, an IPv4 or a bracketed IPv6 address. */
+export const hostPort = z.string().max(maxEndpointChars)
+    .regex(/^([a-z0-9._-]+|\[[0-9a-f:.]+\]):\d{1,5}$/i, { error: "no host and port", abort: true })
+    .refine(text => isPort(splitEndpoint(text).port), { error: "no port from 1 to 65535" });
+
 /** Schema of the settings, which are written as JSON with comments. */
 export const siteSettingsSchema = z.object({
     /** Id of this VM. */
@@ -110,6 +116,10 @@
     return parseJsonc(file, text, siteSettingsSchema);
 }
 
+function isPort(port: number): boolean {
+    return port >= 1 && port <= maxPort;
+}
+
 /** Splits an endpoint, such as `10.0.0.5:7100`, into host and port. */
 export function splitEndpoint(text: string): { readonly host: string; readonly port: number } {
     const at = text.lastIndexOf(":");
--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -3,6 +3,7 @@
 import { parseTaskName } from "../../src/job/index.js";
 import {
     type InventoryVm,
+    type Roster,
     type StartResult,
     type VmClient,
     VmOrderResult,
@@ -15,7 +16,7 @@
 import { Metrics } from "../../src/process/metrics.js";
 import { Random } from "../../src/process/random.js";
 import { type Resources } from "../../src/process/resources.js";
-import type { RowKey, StoredRow } from "../../src/process/rows.js";
+import type { RowKey, RowStore, StoredRow } from "../../src/process/rows.js";
 import { type SchedulingSettings, siteSettingsSchema } from "../../src/process/site-settings.js";
 import { sleep, type Timer } from "../../src/process/timer.js";
 import { VirtualTimer } from "../../src/process/virtual-timer.js";
@@ -84,6 +85,15 @@
     readonly guardsCapacity?: boolean;
     /** Whether the platform lists its VMs, so that entries move them between pools and service them. */
     readonly managesVms?: boolean;
+    /** Creates an entry's view of the list of workers; it shows the workers that are alive by default. */
+    readonly createRoster?: (source: RosterSource) => Roster;
+}
+
+/** What an entry's view of the list of workers is created from. */
+export interface RosterSource {
+    readonly store: RowStore;
+    readonly log: Log;
+    readonly metrics: Metrics;
 }
 
 /** Lists that the simulated operator writes. */
@@ -236,6 +246,8 @@
         storeFaults.link = link;
         const node = { vm: name, timer, link, isAlive: true };
         const peers = this.net.addNode(node);
+        const entryLog = this.logTo(log, timer);
+        const metrics = Metrics.create();
         const core = SiteCore.create({
             settings: siteSettingsSchema.parse({
                 entry: name,
@@ -253,10 +265,10 @@
             strength: this.options.strengths?.[name] ?? 1,
             peers,
             store: this.rows.clientFor(timer, storeFaults),
-            platform: store => this.platformFor(name, timer, store),
+            platform: store => this.platformFor(name, timer, { store, log: entryLog, metrics }),
             timer,
-            log: this.logTo(log, timer),
-            metrics: Metrics.create(),
+            log: entryLog,
+            metrics,
             connectPeers: addresses =>
                 addresses.length > 0 && peers.setNeededPeers(addresses.map(({ vm }) => vm)),
         });
@@ -427,12 +439,12 @@
     private platformFor(
         entry: string,
         timer: Timer,
-        store: Parameters<typeof SiteCore.create>[0]["store"],
+        source: RosterSource,
     ): SitePlatform {
         return {
-            roster: {
+            roster: this.options.createRoster?.(source) ?? {
                 list: async () => {
-                    await store.read({ table: rosterTable, part: "" });
+                    await source.store.read({ table: rosterTable, part: "" });
                     return this.workers.filter(({ isAlive }) => isAlive).map(({ listed }) => listed);
                 },
             },
