The stand-in checks VM orders as strictly as the platform's rules

StandinSite excused a holder that was stopping or had been replaced, looked only at orders that were carried out, and never compared fencing tokens. The platform's rule knows no such excuse: any two processes that order one VM within the lease time break it, and so do a lower token after a higher one and two processes with one token. No test could therefore see an owner that orders a VM right after one that was killed, restarted or stopped.

The check is a class of its own that sees each order as it arrives at the platform.

--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -29,6 +29,7 @@
 import { SharedLink } from "../simulation/shared-link.js";
 import { InvariantChecker } from "./checker.js";
 import { noRowStoreFaults, type RowStoreFaults, StandinRowStore } from "./rows.js";
+import { VmHolderChecker } from "./vm-holders.js";
 import { GangTracker, StandinWorker, type TaskProfile } from "./worker.js";
 
 /** One entry process of the site. */
@@ -103,8 +104,6 @@
 const crashDownMs = 3000;
 const vmMoveMs = 1500;
 const vmMaintenanceMs = 2000;
-/** Least time between commands of two holders for one VM; equals the default of the setting of that name. */
-const holderGapMs = 3000;
 const sparePool = "spare";
 const defaultZone = "z";
 /** Table that entries read before each list of workers. */
@@ -127,8 +126,8 @@
     /** Largest number of VMs in maintenance at the same time. */
     maxVmsInMaintenance = 0;
     private readonly waves = new Map<number, MaintenanceWave>();
-    /** Timer of the process that last sent a command for a VM, and the time of that command, by VM. */
-    private readonly lastHolders = new Map<string, { readonly sender: Timer; readonly at: number }>();
+    /** Checks who orders the VMs. */
+    readonly vmHolders: VmHolderChecker;
     /** Steps for which entries requested advice. */
     readonly adviceRequests: string[] = [];
     /** Whether the adviser allows a worker for a step; a test may replace it. */
@@ -149,6 +148,7 @@
         this.random = Random.create(options.seed ?? 1);
         this.rows = StandinRowStore.create(this.timer, this.random);
         this.checker = new InvariantChecker(this.timer);
+        this.vmHolders = new VmHolderChecker(violation => this.checker.reportViolation(violation));
         this.net = VirtualNetwork.create(this.timer, 1);
     }
 
@@ -530,13 +530,15 @@
                 await sleep(timer, callLatencyMs);
                 return this.options.managesVms === true ? this.vms.map(vm => this.inventoryOf(vm)) : [];
             },
-            move: async (vm, pool) => {
+            move: async (vm, pool, _, fence) => {
                 await sleep(timer, callLatencyMs);
-                return this.takeOutOfService(vm, VmPhase.Moving, vmMoveMs, pool, timer);
+                this.vmHolders.record({ vm, sender: timer, fence, at: this.timer.now() });
+                return this.takeOutOfService(vm, VmPhase.Moving, vmMoveMs, pool);
             },
-            startMaintenance: async (vm, wave) => {
+            startMaintenance: async (vm, wave, _, fence) => {
                 await sleep(timer, callLatencyMs);
-                return this.maintainVm(vm, wave, timer);
+                this.vmHolders.record({ vm, sender: timer, fence, at: this.timer.now() });
+                return this.maintainVm(vm, wave);
             },
         };
     }
@@ -553,7 +555,7 @@
         };
     }
 
-    private maintainVm(vm: string, wave: number, sender: Timer): VmOrderResult {
+    private maintainVm(vm: string, wave: number): VmOrderResult {
         const done = this.maintainedVms.get(wave) ?? new Set();
         if (this.waves.get(wave)?.vms.includes(vm) !== true) {
             return VmOrderResult.NotInWave;
@@ -561,7 +563,7 @@
         if (done.has(vm)) {
             return VmOrderResult.Done;
         }
-        const result = this.takeOutOfService(vm, VmPhase.InMaintenance, vmMaintenanceMs, undefined, sender);
+        const result = this.takeOutOfService(vm, VmPhase.InMaintenance, vmMaintenanceMs, undefined);
         if (result === VmOrderResult.Done) {
             this.maintainedVms.set(wave, done.add(vm));
             this.maxVmsInMaintenance = Math.max(
@@ -572,32 +574,16 @@
         return result;
     }
 
-    /** Reports a violation if two processes that are not stopping send commands for one VM within `holderGapMs`. */
-    private checkHolder(vm: string, sender: Timer): void {
-        const last = this.lastHolders.get(vm);
-        const now = this.timer.now();
-        const other = this.entries.find(({ timer }) => timer === last?.sender && timer !== sender);
-        const isOtherRunning = other !== undefined && other.core.notReadyReason() !== "stopping";
-        if (last !== undefined && isOtherRunning && now < last.at + holderGapMs) {
-            this.checker.reportViolation(
-                `${vm} received commands of two processes within ${Math.round(now - last.at)} ms`,
-            );
-        }
-        this.lastHolders.set(vm, { sender, at: now });
-    }
-
     private takeOutOfService(
         name: string,
         phase: VmPhase,
         ms: number,
         pool: string | undefined,
-        sender: Timer,
     ): VmOrderResult {
         const vm = this.vms.find(candidate => candidate.vm === name);
         if (vm === undefined) {
             return VmOrderResult.Impossible;
         }
-        this.checkHolder(name, sender);
         if (vm.phase !== VmPhase.Up) {
             return VmOrderResult.Busy;
         }
