VM orders ask for permission after the store has recorded them, not before

Cause: VmOrderDispatcher.sendOrders waited for the store to record the VMs and then sent the orders. Whether this entry may order was asked only at the start of the tick, before the waits for wave rows, the inventory and the record. An end of the tenure in between cancelled the timer of the controller but nothing that was under way. If the store's answer came late, the first owner ordered although it knew that it had been replaced.

Change: the guard tells why an order is barred (ownership ended, or not confirmed within a given time), and the dispatcher asks right after the last wait, without a wait before the send. A request that confirms the ownership must have been sent within the last second. An ended ownership and a planned release set the dispatcher to stopped, and an abort signal drops orders that still wait for a connection: at once if another entry has taken over, after the wait for answers on a release. Withheld orders are logged (2610) and counted (celerywind_vm_orders_withheld_total); the owner plans them anew.

This is sound since the record is conditional on the owner row: the tenure has not ended when it commits, and an order goes out a second after that at the latest.

--- a/src/pool/domain-options.ts
+++ b/src/pool/domain-options.ts
@@ -45,7 +45,10 @@
 /** Manages the VMs during a tenure. */
 export interface VmManager {
     start(): void;
+    /** Stops before a release of the domain. */
     stop(): Promise<void>;
+    /** Stops at once, since the ownership has ended. */
+    abort(): void;
     /** Whether no order of an earlier owner can fall within the holder gap any more. */
     readonly isHolderGapOver: boolean;
 }
--- a/src/pool/domain.ts
+++ b/src/pool/domain.ts
@@ -282,7 +282,7 @@
 
     private handleSuperseded(tenure: Tenure): void {
         if (this.currentTenure === tenure) {
-            void this.vmManager?.stop();
+            this.vmManager?.abort();
             this.currentTenure = undefined;
             this.view.markSeen();
             this.view.lastHeartbeat = undefined;
--- a/src/pool/fleet-controller.ts
+++ b/src/pool/fleet-controller.ts
@@ -101,14 +101,25 @@
         this.cancel = this.options.timer.every(tickIntervalMs, () => void this.tick());
     }
 
-    /** Stops sending orders; resolves when those in flight are answered, or after `maxStopWaitMs`. */
+    /**
+     * Stops sending orders; resolves when those in flight are answered, or after `maxStopWaitMs`, when those are dropped that
+     * still wait for a connection.
+     */
     async stop(): Promise<void> {
         this.cancel();
+        this.orderDispatcher.stop({ isAbort: false });
         const { timer } = this.options;
         const deadline = timer.now() + maxStopWaitMs;
         while (this.isTicking && timer.now() < deadline) {
             await sleep(timer, stopPollMs);
         }
+        this.orderDispatcher.stop({ isAbort: true });
+    }
+
+    /** Stops sending orders at once, since this entry is no longer the owner. */
+    abort(): void {
+        this.cancel();
+        this.orderDispatcher.stop({ isAbort: true });
     }
 
     private async tick(): Promise<void> {
@@ -122,7 +133,7 @@
             await this.orderDispatcher.restore();
             this.continuation.restore();
             await this.refreshInventory();
-            if (this.inventory.length > 0) {
+            if (this.inventory.length > 0 && tenure.mayOrder()) {
                 this.drainCordonedVms();
                 await this.execute(this.planActions(timer.now()));
                 await this.waves.reportFinished();
--- a/src/pool/ownership-guard.ts
+++ b/src/pool/ownership-guard.ts
@@ -29,6 +29,14 @@
     readonly onSuperseded: () => void;
 }
 
+/** Why an order may not be sent now. */
+export enum OrderBar {
+    /** The tenure has ended. */
+    OwnershipEnded = "ownership-ended",
+    /** The ownership was not confirmed recently enough. */
+    Unconfirmed = "unconfirmed",
+}
+
 /** Jump of the wall clock against the monotonic clock from which the process is assumed to have been suspended. */
 const suspendThresholdMs = 400;
 
@@ -68,15 +76,28 @@
 
     /** Whether orders may be sent: ownership was confirmed within `trustMs`, and the process not suspended since. */
     mayOrder(): boolean {
-        const { timer, times } = this.options;
+        return this.orderBar(this.options.times.trustMs) === undefined;
+    }
+
+    /**
+     * Why an order may not be sent now; undefined if it may. A request that has confirmed the ownership must have been sent
+     * within the last `maxConfirmationAgeMs` milliseconds. Valid until the next wait: ask again after each.
+     */
+    orderBar(maxConfirmationAgeMs: number): OrderBar | undefined {
+        const { timer } = this.options;
         const now = timer.now();
         const jumpMs = timer.wall() - now - this.wallClockOffsetMs;
         if (Math.abs(jumpMs) > suspendThresholdMs) {
             this.wallClockOffsetMs += jumpMs;
             this.confirmedAt = -Infinity;
-            void this.confirm();
+            if (this.isActive) {
+                void this.confirm();
+            }
+        }
+        if (!this.isActive) {
+            return OrderBar.OwnershipEnded;
         }
-        return this.isActive && now - this.confirmedAt < times.trustMs;
+        return now - this.confirmedAt < maxConfirmationAgeMs ? undefined : OrderBar.Unconfirmed;
     }
 
     /** Checks with the store whether this entry is still the owner; false also when the store cannot be read. */
--- a/src/pool/ports.ts
+++ b/src/pool/ports.ts
@@ -204,10 +204,18 @@
     load(): Promise<void>;
 }
 
+/** Who orders a VM. */
+export interface VmOrderIssuer {
+    readonly holder: string;
+    readonly fence: number;
+    /** Aborted when the ownership ends: an order that still waits for a connection is then not sent. */
+    readonly signal: AbortSignal;
+}
+
 /** Client of the platform's VM API. */
 export interface VmClient {
     /** Reads the whole inventory; rejects if it cannot be read. */
     list(): Promise<readonly InventoryVm[]>;
-    move(vm: string, pool: string, holder: string, fence: number): Promise<VmOrderResult>;
-    startMaintenance(vm: string, wave: number, holder: string, fence: number): Promise<VmOrderResult>;
+    move(vm: string, pool: string, issuer: VmOrderIssuer): Promise<VmOrderResult>;
+    startMaintenance(vm: string, wave: number, issuer: VmOrderIssuer): Promise<VmOrderResult>;
 }
--- a/src/pool/tenure.ts
+++ b/src/pool/tenure.ts
@@ -18,7 +18,7 @@
 import { type EarlierOwner, longestRemainingMs } from "./lease-bounds.js";
 import type { LedgerHead } from "./ledger.js";
 import { OwnerState } from "./owner-state.js";
-import { OwnershipGuard } from "./ownership-guard.js";
+import { type OrderBar, OwnershipGuard } from "./ownership-guard.js";
 import { ProgressWriter } from "./progress-writer.js";
 import { type RunRecord, StartStatus } from "./records.js";
 import { RunDispatcher } from "./run-dispatcher.js";
@@ -162,6 +162,11 @@
         return this.guard.mayOrder();
     }
 
+    /** Why an order may not be sent now, see `OwnershipGuard.orderBar`; undefined if it may. */
+    orderBar(maxConfirmationAgeMs: number): OrderBar | undefined {
+        return this.guard.orderBar(maxConfirmationAgeMs);
+    }
+
     /** Loads the stored jobs and then starts to send orders. */
     async start(): Promise<void> {
         this.schedulePeriodic(runCheckPeriodMs, () => this.runMonitor.check());
--- a/src/pool/vm-order-dispatcher.ts
+++ b/src/pool/vm-order-dispatcher.ts
@@ -7,7 +7,8 @@
 import type { Directory } from "../version/directory.js";
 import type { OrderInProgress } from "./fleet-handover.js";
 import type { VmOrder } from "./fleet-plan.js";
-import { type InventoryVm, type VmClient, VmOrderResult, VmPhase } from "./ports.js";
+import type { OrderBar } from "./ownership-guard.js";
+import { type InventoryVm, type VmClient, type VmOrderIssuer, VmOrderResult, VmPhase } from "./ports.js";
 import type { Tenure } from "./tenure.js";
 import { VmOrderLog, type VmOrderLogOptions } from "./vm-order-log.js";
 import type { WaveTracker } from "./wave-tracker.js";
@@ -43,11 +44,21 @@
 /** Share of the platform's rate limit to use, since an earlier owner may have sent orders within the same second. */
 const orderRateShare = 0.9;
 
+/**
+ * Age of the last confirmation of ownership, in milliseconds, up to which a VM may be ordered. Other entries replace an owner
+ * whose store has not answered for `ownerStoreStaleMs`, so a longer time would hardly allow more orders; and the next owner
+ * waits for it.
+ */
+const maxOrderConfirmationAgeMs = 1000;
+
 /** Sends VM orders. */
 export class VmOrderDispatcher {
     private readonly assumedStates = new Map<string, AssumedVmState>();
     private readonly orderLog: VmOrderLog;
     private readonly orderRate: RateWindow;
+    /** Aborts the orders under way. */
+    private abortion = new AbortController();
+    private isStopped = false;
 
     private constructor(private readonly options: VmOrderDispatcherOptions) {
         this.orderLog = VmOrderLog.create(options);
@@ -121,17 +132,52 @@
         inventory: readonly InventoryVm[],
         listedAt: number,
     ): Promise<void> {
-        const { timer } = this.options;
+        const { timer, tenure } = this.options;
         const batch = orders.slice(0, this.orderRate.remaining(timer.now()));
-        if (batch.length > 0 && await this.orderLog.record(batch.map(({ vm }) => vm))) {
-            this.orderRate.record(timer.now(), batch.length);
-            await Promise.all(batch.map(async order => {
-                const entry = inventory.find(({ vm }) => vm === order.vm);
-                this.recordResult(order, await this.sendOrder(order, entry?.pool ?? ""), listedAt);
-            }));
+        if (batch.length === 0 || this.isStopped || !tenure.mayOrder()) {
+            return;
+        }
+        const recordedFrom = timer.now();
+        if (!await this.orderLog.record(batch.map(({ vm }) => vm))) {
+            return;
+        }
+        const bar = this.bar();
+        if (bar !== undefined) {
+            this.reportWithheld(bar, batch.length, timer.now() - recordedFrom);
+            return;
+        }
+        this.abortion = new AbortController();
+        this.orderRate.record(timer.now(), batch.length);
+        await Promise.all(batch.map(async order => {
+            const entry = inventory.find(({ vm }) => vm === order.vm);
+            this.recordResult(order, await this.sendOrder(order, entry?.pool ?? ""), listedAt);
+        }));
+    }
+
+    /** Sends no further order, and none that still waits for a connection if `isAbort`. */
+    stop({ isAbort }: { readonly isAbort: boolean }): void {
+        this.isStopped = true;
+        if (isAbort) {
+            this.abortion.abort();
         }
     }
 
+    /** Why no order may be sent now; undefined if it may. */
+    private bar(): OrderBar | "stopping" | undefined {
+        return this.isStopped ? "stopping" : this.options.tenure.orderBar(maxOrderConfirmationAgeMs);
+    }
+
+    private reportWithheld(reason: OrderBar | "stopping", vms: number, recordMs: number): void {
+        const { log, metrics, tenure } = this.options;
+        metrics.count("celerywind_vm_orders_withheld_total", { reason }, vms);
+        log.write(Severity.Warn, EventId.VmOrdersWithheld, {
+            reason,
+            vms,
+            fence: tenure.fence,
+            recordMs: Math.round(recordMs),
+        });
+    }
+
     private sendOrder(order: VmOrder, pool: string): Promise<VmOrderResult> {
         switch (order.kind) {
             case "move":
@@ -141,11 +187,16 @@
         }
     }
 
+    private issuer(): VmOrderIssuer {
+        const { entry, tenure } = this.options;
+        return { holder: entry, fence: tenure.fence, signal: this.abortion.signal };
+    }
+
     private async moveVm(vm: string, pool: string): Promise<VmOrderResult> {
-        const { vms, timer, moveMs, entry, tenure, onOrderAccepted } = this.options;
+        const { vms, timer, moveMs, tenure, onOrderAccepted } = this.options;
         const expiresAt = timer.now() + moveMs + inventoryLagMs;
         this.assumedStates.set(vm, { pool, phase: VmPhase.Moving, expiresAt });
-        const result = await vms.move(vm, pool, entry, tenure.fence);
+        const result = await vms.move(vm, pool, this.issuer());
         if (result === VmOrderResult.Done) {
             onOrderAccepted(vm);
             if (!this.isSpare(pool)) {
@@ -163,7 +214,6 @@
             vms,
             timer,
             maintenanceMs,
-            entry,
             tenure,
             waveTracker,
             onOrderAccepted,
@@ -175,7 +225,7 @@
             phase: VmPhase.InMaintenance,
             expiresAt: now + maintenanceMs + inventoryLagMs,
         });
-        const result = await vms.startMaintenance(vm, wave, entry, tenure.fence);
+        const result = await vms.startMaintenance(vm, wave, this.issuer());
         switch (result) {
             case VmOrderResult.Done:
                 onOrderAccepted(vm);
--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -89,6 +89,7 @@
     ZoneRowMalformed = 2607,
     PoolWithoutRoom = 2608,
     StartsPrevented = 2609,
+    VmOrdersWithheld = 2610,
     RunStoppedForWave = 2620,
     LinesDropped = 2701,
 }
--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -530,12 +530,12 @@
                 await sleep(timer, callLatencyMs);
                 return this.options.managesVms === true ? this.vms.map(vm => this.inventoryOf(vm)) : [];
             },
-            move: async (vm, pool, _, fence) => {
+            move: async (vm, pool, { fence }) => {
                 await sleep(timer, callLatencyMs);
                 this.vmHolders.record({ vm, sender: timer, fence, at: this.timer.now() });
                 return this.takeOutOfService(vm, VmPhase.Moving, vmMoveMs, pool);
             },
-            startMaintenance: async (vm, wave, _, fence) => {
+            startMaintenance: async (vm, wave, { fence }) => {
                 await sleep(timer, callLatencyMs);
                 this.vmHolders.record({ vm, sender: timer, fence, at: this.timer.now() });
                 return this.maintainVm(vm, wave);
