Estimates of jobs: each step's duration once, unfinished tasks counted once a change of state

Cause: every round, after every batch, estimates each waiting job anew: it copied the job, counted all its tasks, and computed the duration of each step three times.

Now a step's duration is estimated once, the counts of unfinished tasks are kept until the job's state changes, and the critical path makes no arrays. The values are the same to the last bit: sums and products are taken in the same order.

--- a/src/job/spec.ts
+++ b/src/job/spec.ts
@@ -84,9 +84,16 @@
     durationOf: (step: StepSpec, index: number) => number,
 ): number {
     const ends: number[] = [];
-    for (const [index, step] of spec.steps.entries()) {
-        const start = Math.max(0, ...step.after.map(dependency => ends[dependency] ?? 0));
-        ends.push(start + durationOf(step, index));
+    let lastEnd = 0;
+    for (let index = 0; index < spec.steps.length; index++) {
+        const step = spec.steps[index]!;
+        let start = 0;
+        for (const dependency of step.after) {
+            start = Math.max(start, ends[dependency] ?? 0);
+        }
+        const end = start + durationOf(step, index);
+        ends.push(end);
+        lastEnd = Math.max(lastEnd, end);
     }
-    return Math.max(0, ...ends);
+    return lastEnd;
 }
--- a/src/pool/job-registry.ts
+++ b/src/pool/job-registry.ts
@@ -244,6 +244,7 @@
             failedWorkers: new Map(),
             runCount: 0,
             openTasks: undefined,
+            unfinishedTasks: undefined,
             exceedsTeamShare,
         };
         this.entries.set(job.id, entry);
@@ -259,6 +260,7 @@
         }
         entry.state = state;
         entry.openTasks = undefined;
+        entry.unfinishedTasks = undefined;
         entry.isDirty = true;
         this.dirty.add(entry);
     }
--- a/src/pool/records.ts
+++ b/src/pool/records.ts
@@ -99,6 +99,8 @@
     runCount: number;
     /** Cache of the positions of waiting tasks whose preceding steps are done; undefined after a change of state. */
     openTasks: readonly number[] | undefined;
+    /** Cache of the number of tasks of each step that are not done; undefined after a change of state. */
+    unfinishedTasks: readonly number[] | undefined;
     /** Whether the job exceeded the number of jobs per second that its team is guaranteed. */
     exceedsTeamShare: boolean;
     /** Monotonic time at which the job became final, in milliseconds. */
--- a/src/pool/urgency.ts
+++ b/src/pool/urgency.ts
@@ -3,7 +3,7 @@
  * pool for some seconds. Jobs that can still meet their objective go first, the shortest first among them, so that as
  * many as possible meet it; late jobs run in the idle capacity after the burst.
  */
-import { criticalPathMs, type StepSpec, TaskPhase } from "../job/index.js";
+import { criticalPathMs, TaskPhase } from "../job/index.js";
 import type { Directory, Queue } from "../version/directory.js";
 import type { DurationEstimator } from "./duration-estimator.js";
 import type { JobRegistry } from "./job-registry.js";
@@ -50,15 +50,22 @@
 
 /** Estimates a job's remaining work and derives its urgency. */
 export function estimateJob({ entry, queue, durations, wallMs }: JobEstimateInput): JobEstimate {
-    const { spec, queue: name, acceptedAtMs, schedule } = { ...entry.job, schedule: entry.job.spec.schedule };
-    const durationOf = (step: StepSpec): number => durations.estimate(name, step.estimateMs);
-    const remaining = remainingOf(entry, durationOf);
-    const chainMs = criticalPathMs(spec, durationOf);
+    const { spec, queue: name, acceptedAtMs } = entry.job;
+    const { steps, schedule } = spec;
+    // Called for every waiting job in every round, so each step's duration is estimated once.
+    const stepMs = steps.map(({ estimateMs }) => durations.estimate(name, estimateMs));
+    const unfinished = unfinishedTasks(entry);
+    const remainingMs = criticalPathMs(spec, (_, index) => unfinished[index] === 0 ? 0 : stepMs[index]!);
+    const chainMs = unfinished.includes(0) ? criticalPathMs(spec, (_, index) => stepMs[index]!) : remainingMs;
+    let remainingWork = 0;
+    for (let index = 0; index < steps.length; index++) {
+        remainingWork += unfinished[index]! * stepMs[index]! * steps[index]!.needs.cpu;
+    }
     const allowedMs = (queue?.stretch ?? 1) * chainMs + (queue?.objectiveMs ?? 0);
     const startAtMs = schedule === undefined
         ? acceptedAtMs
         : schedule.firstAtMs + Math.max(0, entry.state.occurrences - 1) * schedule.intervalMs;
-    const finishAtMs = wallMs + remaining.remainingMs;
+    const finishAtMs = wallMs + remainingMs;
     const urgencyByTime = entry.isService
         ? Urgency.Service
         : finishAtMs <= startAtMs + allowedMs
@@ -68,23 +75,21 @@
         : Urgency.Overdue;
     const isBeyondShare = entry.exceedsTeamShare && !entry.isService;
     const urgency = isBeyondShare ? Urgency.BeyondShare : urgencyByTime;
-    return { urgency, urgencyByTime, objectiveAtMs: startAtMs + allowedMs, ...remaining };
+    return { urgency, urgencyByTime, objectiveAtMs: startAtMs + allowedMs, remainingMs, remainingWork };
 }
 
-function remainingOf(entry: JobEntry, durationOf: (step: StepSpec) => number) {
-    const { spec } = entry.job;
-    const unfinished = spec.steps.map(() => 0);
-    for (const task of entry.state.tasks) {
-        if (task.phase !== TaskPhase.Done) {
-            unfinished[task.step] = (unfinished[task.step] ?? 0) + 1;
+/** Number of tasks of each step that are not done, in all occurrences. */
+function unfinishedTasks(entry: JobEntry): readonly number[] {
+    if (entry.unfinishedTasks === undefined) {
+        const counts = entry.job.spec.steps.map(() => 0);
+        for (const task of entry.state.tasks) {
+            if (task.phase !== TaskPhase.Done) {
+                counts[task.step] = (counts[task.step] ?? 0) + 1;
+            }
         }
+        entry.unfinishedTasks = counts;
     }
-    const remainingMs = criticalPathMs(spec, (step, index) => unfinished[index] === 0 ? 0 : durationOf(step));
-    const remainingWork = spec.steps.reduce(
-        (sum, step, index) => sum + unfinished[index]! * durationOf(step) * step.needs.cpu,
-        0,
-    );
-    return { remainingMs, remainingWork };
+    return entry.unfinishedTasks;
 }
 
 /** A job with its sort keys. */
