--- a/src/pool/job-registry.ts
+++ b/src/pool/job-registry.ts
@@ -244,6 +244,8 @@
             failedWorkers: new Map(),
             runCount: 0,
             openTasks: undefined,
+            openSteps: undefined,
+            unfinishedTasks: undefined,
             exceedsTeamShare,
         };
         this.entries.set(job.id, entry);
@@ -259,6 +261,8 @@
         }
         entry.state = state;
         entry.openTasks = undefined;
+        entry.openSteps = undefined;
+        entry.unfinishedTasks = undefined;
         entry.isDirty = true;
         this.dirty.add(entry);
     }
