The stand-in site checks that orders keep the disruption budget of a service

Cause: the users' rule AVAIL was played by no test. The checker of the stand-in site knew nothing of it, and the two tests of waves over services only counted the runs that the workers had. Change: AvailabilityChecker (standin/site/availability.ts). A stop that a worker accepts, an order that the platform accepts for a VM, and a lease that ends with no fault within 3 s before must not end a task at work on a sound worker that is not draining, while as many others of its step are away as the step's budget: ended by such an order and not at work since, or not at work for 4.5 s whatever the cause. New faults and options: workers that carry out commands whose answers are lost, and the time that a run takes to stop.

--- a/standin/site/checker.ts
+++ b/standin/site/checker.ts
@@ -3,6 +3,7 @@
 import type { ReportedEnd, StartRequest } from "../../src/pool/ports.js";
 import { fitsInto, type Resources } from "../../src/process/resources.js";
 import type { Timer } from "../../src/process/timer.js";
+import { AvailabilityChecker } from "./availability.js";
 import type { StandinWorker, WorkerEvents } from "./worker.js";
 
 interface ActiveRun {
@@ -41,6 +42,8 @@
     startCount = 0;
     /** Tasks of the runs that succeeded, one item for each such run. */
     readonly successes: string[] = [];
+    /** Checks the disruption budgets of services. */
+    readonly availability: AvailabilityChecker;
     private readonly activeRuns = new Map<string, ActiveRun>();
     private readonly doneTasks = new Set<string>();
     /** Tasks whose success was stored, as the acknowledgement of the ended run implies. */
@@ -51,7 +54,14 @@
     private readonly refusedJobs = new Set<string>();
     private readonly crashesByTask = new Map<string, CrashRecord>();
 
-    constructor(private readonly timer: Timer) {}
+    constructor(private readonly timer: Timer) {
+        this.availability = AvailabilityChecker.create({
+            timer,
+            specOf: job => this.specs.get(job),
+            isCancelled: job => this.cancelledAt.has(job),
+            reportViolation: text => this.reportViolation(text),
+        });
+    }
 
     /** Records that a caller received the acknowledgement of a cancellation. */
     recordCancelled(job: string): void {
@@ -125,6 +135,7 @@
             this.reportViolation(`${task} starts again after its success was stored`);
         }
         this.activeRuns.set(task, { run, worker });
+        this.availability.recordStart(worker, task);
         this.checkZone(worker, task);
         this.checkCapacity(worker, task);
         this.checkJob(task);
@@ -150,6 +161,7 @@
     }
 
     onRunEnded(worker: StandinWorker, task: string, run: number, outcome: ReportedEnd | "gone"): void {
+        this.availability.recordEnd(worker, task, outcome);
         const active = this.activeRuns.get(task);
         if (active?.worker === worker && active.run === run) {
             this.activeRuns.delete(task);
@@ -160,6 +172,10 @@
         }
     }
 
+    onStopAccepted(worker: StandinWorker, task: string): void {
+        this.availability.recordStop(worker, task);
+    }
+
     onEndAcknowledged(_: StandinWorker, task: string, __: number, outcome: ReportedEnd): void {
         if (outcome === RunEnd.Done) {
             this.acknowledgedTasks.add(task);
--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -84,6 +84,8 @@
     readonly guardsCapacity?: boolean;
     /** Whether the platform lists its VMs, so that entries move them between pools and service them. */
     readonly managesVms?: boolean;
+    /** Time that runs take to stop, in milliseconds. */
+    readonly stopDurationMs?: number;
 }
 
 /** Lists that the simulated operator writes. */
@@ -105,6 +107,9 @@
 const vmMaintenanceMs = 2000;
 /** Least time between commands of two holders for one VM; equals the default of the setting of that name. */
 const holderGapMs = 3000;
+/** Time after a fault within which leases may lapse, and the interval of looking for faults. */
+const impairmentReachMs = 3000;
+const impairmentCheckMs = 50;
 const sparePool = "spare";
 const defaultZone = "z";
 /** Table that entries read before each list of workers. */
@@ -144,11 +149,16 @@
     private readonly random: Random;
     private nextWorkerNumber = 1;
     private nextIncarnation = 1;
+    /** Time at which a fault was last in effect, in milliseconds. */
+    private lastImpairedAt = 0;
 
     private constructor(private readonly options: StandinSiteOptions) {
         this.random = Random.create(options.seed ?? 1);
         this.rows = StandinRowStore.create(this.timer, this.random);
         this.checker = new InvariantChecker(this.timer);
+        this.checker.availability.isImpairmentNear = () =>
+            this.timer.now() - this.lastImpairedAt < impairmentReachMs;
+        this.timer.every(impairmentCheckMs, () => this.watchFaults());
         this.net = VirtualNetwork.create(this.timer, 1);
     }
 
@@ -269,6 +279,7 @@
 
     /** Kills a process without a shutdown. */
     kill(entry: StandinEntry): void {
+        this.lastImpairedAt = this.timer.now();
         entry.timer.end();
         entry.peers.node.isAlive = false;
         this.net.disconnectNode(entry.name);
@@ -360,6 +371,22 @@
         return this.vms.find(candidate => candidate.vm === vm)?.pool;
     }
 
+    /** Records the time while a process, the store, a worker or a link has a fault, or a process is missing. */
+    private watchFaults(): void {
+        const isEntryImpaired = this.entries.some(({ timer, peers, storeFaults }) =>
+            timer.isPaused || !peers.node.isAlive || isStoreImpaired(storeFaults)
+        );
+        const isWorkerImpaired = this.vms.some(({ phase, worker }) =>
+            phase === VmPhase.Up && worker === undefined
+            || worker !== undefined
+                && Object.values(worker.faults).some(fault => fault !== false && fault !== 0)
+        );
+        const isCut = this.partitionedWorkers.size > 0 || this.soleEntries.size > 0;
+        if (isEntryImpaired || isWorkerImpaired || isCut || isStoreImpaired(this.rows.faults)) {
+            this.lastImpairedAt = this.timer.now();
+        }
+    }
+
     private addVms(pool: string, count: number): void {
         const zones = this.options.workerZones ?? [defaultZone];
         for (let i = 0; i < count; i++) {
@@ -395,6 +422,7 @@
             gangs,
         );
         worker.zone = vm.zone;
+        worker.stopDurationMs = this.options.stopDurationMs ?? worker.stopDurationMs;
         worker.guardsCapacity = this.options.guardsCapacity ?? true;
         return worker;
     }
@@ -482,12 +510,17 @@
                 this.timer.after(commandDelayMs, () => {
                     const current = this.workers.find(({ id, isAlive }) => id === target.worker && isAlive);
                     if (current !== undefined) {
-                        carryOut(current, () => undefined);
+                        this.checker.availability.carryOutLate(() => carryOut(current, () => undefined));
                     }
                 });
                 await sleep(timer, callTimeoutMs);
                 return failure("timeout");
             }
+            if (isCommand && worker.faults.losesAnswers) {
+                carryOut(worker, () => undefined);
+                await sleep(timer, callTimeoutMs);
+                return failure("timeout");
+            }
             return new Promise(resolve => {
                 carryOut(worker, result => {
                     timer.after(
@@ -601,6 +634,9 @@
         if (vm.phase !== VmPhase.Up) {
             return VmOrderResult.Busy;
         }
+        if (vm.worker !== undefined) {
+            this.checker.availability.recordVmOrder(vm.worker);
+        }
         vm.worker?.terminate();
         vm.worker = undefined;
         vm.phase = phase;
@@ -613,6 +649,12 @@
     }
 }
 
+function isStoreImpaired(faults: RowStoreFaults): boolean {
+    return faults.isUnresponsive || faults.isBusy || faults.latencyFactor !== 1 || faults.lostAnswerShare > 0
+        || faults.delayedCommitShare > 0 || faults.unreadableTables.size > 0
+        || faults.unansweredFeeds.size > 0;
+}
+
 function statusKey(wave: number): RowKey {
     return { table: "status", part: "", key: String(wave) };
 }
--- a/standin/site/worker.ts
+++ b/standin/site/worker.ts
@@ -57,6 +57,8 @@
     onRunStarted(worker: StandinWorker, request: StartRequest): void;
     onRunEnded(worker: StandinWorker, task: string, run: number, outcome: ReportedEnd | "gone"): void;
     onEndAcknowledged(worker: StandinWorker, task: string, run: number, outcome: ReportedEnd): void;
+    /** Called when the worker has accepted a stop order for a run that it has, and before the run stops. */
+    onStopAccepted(worker: StandinWorker, task: string): void;
 }
 
 /** Faults of a worker. */
@@ -65,6 +67,8 @@
     isUnreachable: boolean;
     /** Start and stop commands receive no answer and are carried out after this delay; 0 turns the fault off. */
     commandDelayMs: number;
+    /** Start and stop commands are carried out at once and receive no answer. */
+    losesAnswers: boolean;
     /** Every run fails at its next tick. */
     failsAll: boolean;
     /** Share of its runs that fail halfway, from 0 to 1. */
@@ -87,7 +91,7 @@
 }
 
 const tickMs = 20;
-const stopDurationMs = 60;
+const defaultStopDurationMs = 60;
 const serviceStartupMs = 300;
 /** Time for which a member of a gang waits for the others to start. */
 const gangFormationTimeoutMs = 3000;
@@ -99,6 +103,7 @@
     readonly faults: WorkerFaults = {
         isUnreachable: false,
         commandDelayMs: 0,
+        losesAnswers: false,
         failsAll: false,
         failureShare: 0,
         isHung: false,
@@ -109,6 +114,8 @@
     isDraining = false;
     /** Whether it refuses runs that exceed its capacity. */
     guardsCapacity = true;
+    /** Time that a run takes to stop, in milliseconds. */
+    stopDurationMs = defaultStopDurationMs;
     private readonly capacities: { readonly until: number; readonly capacity: Resources }[] = [];
     private lastListed: ListedWorker | undefined;
     private nextReport = 1;
@@ -193,10 +200,17 @@
         return new Map([...this.runs].map(([task, { run }]) => [task, run]));
     }
 
+    /** Whether a service's task runs here, is ready, and has not been ordered to stop. */
+    isAtWork(task: string): boolean {
+        const run = this.runs.get(task);
+        return this.isAlive && run !== undefined && run.progressMs >= serviceStartupMs
+            && run.stopAtMs === undefined;
+    }
+
     /** Ends this incarnation: its runs end as `gone`, without an entry in the list of ended runs. */
     terminate(): void {
-        this.isAlive = false;
         this.runs.forEach(({ task, run }) => this.events.onRunEnded(this, task, run, "gone"));
+        this.isAlive = false;
         this.runs.clear();
         this.holdWaiters.forEach(wake => wake());
     }
@@ -255,8 +269,9 @@
         this.highestFence = fence;
         this.settledRuns.set(task, Math.max(run, this.settledRuns.get(task) ?? 0));
         const current = this.runs.get(task);
-        if (current !== undefined && current.run <= run) {
-            current.stopAtMs ??= this.timer.now() + stopDurationMs;
+        if (current !== undefined && current.run <= run && current.stopAtMs === undefined) {
+            this.events.onStopAccepted(this, task);
+            current.stopAtMs = this.timer.now() + this.stopDurationMs;
         }
         return { kind: "done" };
     }
@@ -366,6 +381,7 @@
         if (profile.gang !== undefined) {
             this.gangs.leave(`${profile.gang.name}/${run}`, task, outcome === RunEnd.Done);
         }
+        this.events.onRunEnded(this, task, run, outcome);
         this.runs.delete(task);
         this.settledRuns.set(task, Math.max(run, this.settledRuns.get(task) ?? 0));
         this.unacknowledgedEnds.push({
@@ -375,7 +391,6 @@
             outcome,
             saved: "",
         });
-        this.events.onRunEnded(this, task, run, outcome);
         [...this.holdWaiters].forEach(wake => wake());
     }
 }
