The disruption budget of a service is asked for at each stop order, by what workers report to this owner

A start without an answer is followed by a stop, whatever the step's budget. If the worker has carried the start out and the stop reaches it late, the task is at work by then; five tasks of a step were stopped at once (workers out of reach for 0.3 to 1 s after starts whose answers were lost). A new owner counts a task as at work that the one before is stopping, and stops another. A stop that got no answer is repeated for as long as it is not confirmed, without a look at the step: a task of it may be away by then. Change: disruption-budget.ts tells what of a step is certainly at work: reported as ready, on a reachable worker, no order under way by the worker's clock since it accepted this owner's fence (bounds.longestStopMs, from the users' stop-ms). run-stopper.ts is the one place that sends stops and asks at each send; a stop that is no longer allowed is withdrawn, and the VM's drain decides anew. After a start of a service's task without an answer the worker is asked first: a run that it has goes on, one that it has not is stopped there as before. Runs of other jobs are stopped as before. Event 2311 has what a stop's decision knew of its step. Why it works: each task that is not known to be at work counts as away, and between the question and the order nothing is awaited.

--- a/bench/packing/replay.ts
+++ b/bench/packing/replay.ts
@@ -292,7 +292,11 @@
     }
 
     private evictServices(): void {
-        const view = { jobs: this.jobs, workers: this.workers };
+        const view = {
+            jobs: this.jobs,
+            workers: this.workers,
+            options: { times: { longestStopMs: stopMs } },
+        };
         const elsewhere = { isZoneEvacuated: () => false, now: this.now };
         for (const vm of this.vms.filter(each => each.isCordoned)) {
             const worker = this.workers.byId.get(vm.worker);
@@ -301,6 +305,7 @@
                     continue;
                 }
                 record.stopReason = StopReason.VmLeaving;
+                record.stopSentAt = this.now;
                 this.serviceStops++;
                 this.after(stopMs, () => this.end(record, RunEnd.Stopped));
             }
--- a/src/pool/job-registry.ts
+++ b/src/pool/job-registry.ts
@@ -278,6 +278,7 @@
             claimedAt: now,
             startedAt: now,
             stopSentAt: -Infinity,
+            probedAt: -Infinity,
             progressPercent: 0,
             progressedAt: now,
             lastReading: 0,
--- a/src/pool/records.ts
+++ b/src/pool/records.ts
@@ -38,6 +38,8 @@
     stopConfirmedAt?: number;
     /** Monotonic time of the last stop order, in milliseconds. */
     stopSentAt: number;
+    /** Monotonic time at which its worker was last asked whether it has the run, in milliseconds. */
+    probedAt: number;
     progressPercent: number;
     /** Monotonic time at which the progress last increased, in milliseconds. */
     progressedAt: number;
--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -13,12 +13,11 @@
     StopReason,
     taskOf,
 } from "./records.js";
+import { RunStopper } from "./run-stopper.js";
 import { TakeoverPhase } from "./takeover-phases.js";
 import { queueOf, suspectWorkerPauseMs, targetOf, type TenureContext } from "./tenure-context.js";
 import { markUnreachable, updateSlowdown, type WorkerState } from "./worker-registry.js";
 
-/** Interval of repeating a stop request that is not confirmed. */
-const stopRetryMs = 300;
 /** Time for which nothing is placed on a worker after it refused or did not answer, by cause. */
 const backoffMs = { noRoom: 200, unhealthy: 1000, unanswered: 500 } as const;
 /** Consecutive failures, of different tasks, from which a worker is suspected of failing every run. */
@@ -29,12 +28,11 @@
 export class RunDispatcher {
     /** Claimed runs whose record is not stored yet. */
     private readonly awaitingStore = new Set<RunRecord>();
+    private readonly stopper: RunStopper;
 
-    constructor(
-        private readonly ctx: TenureContext,
-        /** Requests a worker's runs at once, since its next response shows whether a run exists. */
-        private readonly probeWorker: (worker: WorkerState) => void,
-    ) {}
+    constructor(private readonly ctx: TenureContext, probeWorker: (worker: WorkerState) => void) {
+        this.stopper = new RunStopper(ctx, probeWorker);
+    }
 
     /** Number of claimed runs whose record is not stored yet. */
     get awaitingStoreCount(): number {
@@ -59,8 +57,12 @@
 
     /** Stops a run; the first reason given is kept. */
     stop(record: RunRecord, reason: StopReason): void {
-        record.stopReason ??= reason;
-        this.sendStop(record);
+        this.stopper.stop(record, reason);
+    }
+
+    /** Sends the stop request of a run that has to stop, if it is due and, for a service, its disruption budget allows it. */
+    sendStop(record: RunRecord): void {
+        this.stopper.sendStop(record);
     }
 
     /**
@@ -145,34 +147,6 @@
         }
     }
 
-    /** Sends the stop request of a run that has to stop, unless it is confirmed or was sent within `stopRetryMs`. */
-    sendStop(record: RunRecord): void {
-        const { timer, calls } = this.ctx.options;
-        const now = timer.now();
-        const isStartSent = record.start !== StartStatus.Recorded;
-        if (
-            record.stopReason === undefined || record.stopConfirmedAt !== undefined || !isStartSent
-            || now - record.stopSentAt < stopRetryMs || !this.ctx.mayOrder()
-        ) {
-            return;
-        }
-        record.stopSentAt = now;
-        const worker = this.ctx.workers.workerOf(record);
-        void calls.stop(targetOf(worker), record.name, record.run, this.ctx.fence).then(result => {
-            if (result.kind === "done") {
-                record.stopConfirmedAt = timer.now();
-                this.probeAfterStop(worker, record);
-            }
-        });
-    }
-
-    /** Probes a worker after a confirmed stop: its response shows whether a run with an uncertain start existed. */
-    private probeAfterStop(worker: WorkerState, record: RunRecord): void {
-        if (record.start === StartStatus.Uncertain && this.ctx.isActive) {
-            this.probeWorker(worker);
-        }
-    }
-
     private async startRun(record: RunRecord): Promise<void> {
         const { timer, times, calls, metrics } = this.ctx.options;
         const worker = this.ctx.workers.workerOf(record);
--- a/src/pool/tenure-context.ts
+++ b/src/pool/tenure-context.ts
@@ -27,6 +27,8 @@
     readonly holdWaitMs: number;
     /** Time after the last confirmation of ownership during which orders may be sent. */
     readonly trustMs: number;
+    /** Longest time that a run takes to end after its worker has received the order to stop it. */
+    readonly longestStopMs: number;
     /** Period of fetching the list of workers. */
     readonly rosterMs: number;
     /** Retention period of final jobs. */
--- a/src/pool/worker-monitor.ts
+++ b/src/pool/worker-monitor.ts
@@ -53,6 +53,8 @@
         void options.calls.hold(targetOf(worker), order).then(result => {
             if (result.kind === "held" && this.ctx.isActive) {
                 this.applyHoldResult(worker, result, sentAt);
+                [...worker.runs.values()].filter(({ step }) => step.isService)
+                    .forEach(record => this.dispatcher.sendStop(record));
             }
         });
     }
@@ -232,7 +234,10 @@
         if (!worker.hasAcceptedFence) {
             // From now on the worker rejects the orders of earlier owners, so their last lease is one granted just before.
             worker.lease.tightenInheritedBound(now + maxLeaseDurationMs(this.ctx.options.times.leaseMs));
+            worker.fencedClockMs = result.clockMs;
         }
+        worker.reportRequestedAt = Math.max(worker.reportRequestedAt, sentAt);
+        worker.reportClockMs = Math.max(worker.reportClockMs, result.clockMs);
         worker.hasAcceptedFence = true;
         worker.isReachable = true;
         const found = reconcile({
--- a/src/pool/worker-registry.ts
+++ b/src/pool/worker-registry.ts
@@ -27,6 +27,11 @@
     isQueried: boolean;
     /** Monotonic time of the last successful hold response. */
     lastHoldAt: number;
+    /** Monotonic time at which the latest report of its runs was requested. */
+    reportRequestedAt: number;
+    /** Its clock in the latest report, and in the first one under this owner's fence. */
+    reportClockMs: number;
+    fencedClockMs: number;
     /** Whether the last request was answered. */
     isReachable: boolean;
     /** Whether it was draining, or its VM being drained, when it was last reached. */
@@ -170,6 +175,7 @@
         worker.lease = LeaseClock.create(this.inheritedBoundOf(worker));
         worker.isLeaseBlocked = this.blockedIncarnations.has(incarnationKey(worker));
         worker.hasAcceptedFence = false;
+        worker.reportClockMs = 0;
         worker.appliedPosition = 0;
         worker.storedPosition = 0;
         worker.consecutiveFailures = 0;
@@ -257,6 +263,9 @@
             hasAcceptedFence: false,
             isQueried: false,
             lastHoldAt: -Infinity,
+            reportRequestedAt: -Infinity,
+            reportClockMs: 0,
+            fencedClockMs: 0,
             isReachable: false,
             isExpectedToEnd: false,
             appliedPosition: 0,
--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -67,6 +67,7 @@
     WorkerLossForgotten = 2308,
     TaskGivenUp = 2309,
     SharesInherited = 2310,
+    ServiceStopSent = 2311,
     WorkerListed = 2401,
     WorkerUnreachable = 2402,
     WorkerSuspected = 2403,
--- a/src/process/site-settings.ts
+++ b/src/process/site-settings.ts
@@ -45,6 +45,8 @@
     bounds: z.object({
         /** Longest lease that workers grant. */
         longestLeaseMs: milliseconds.default(6000),
+        /** Longest time that a run takes to end after its worker has received the order to stop it. */
+        longestStopMs: milliseconds.default(1000),
         /** Time that a VM takes to move to another pool. */
         moveMs: milliseconds.default(1500),
         /** Time that the maintenance of a VM takes. */
--- a/src/site-core.ts
+++ b/src/site-core.ts
@@ -175,6 +175,7 @@
                 leaseMs: Math.min(leaseMs, settings.bounds.longestLeaseMs),
                 holdWaitMs,
                 trustMs,
+                longestStopMs: settings.bounds.longestStopMs,
                 rosterMs,
                 keepFinalMs,
             },
