--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -70,6 +70,7 @@
     TaskGivenUp = 2309,
     SharesInherited = 2310,
     StartWindowShrunk = 2311,
+    ServiceStopSent = 2312,
     WorkerListed = 2401,
     WorkerUnreachable = 2402,
     WorkerSuspected = 2403,
--- a/test/owner-tenure.ts
+++ b/test/owner-tenure.ts
@@ -89,7 +89,7 @@
         rows.write(ownerKey(domain), JSON.stringify(owner));
         rows.write(chainKey(domain), JSON.stringify({ incarnation: owner.incarnation, batch: 0 }));
         this.workers = Array.from({ length: options.workers }, (_, i) => this.createWorker(`w${i}`));
-        const { times, scheduling, jobParts } = siteSettingsSchema.parse({
+        const { times, bounds, scheduling, jobParts } = siteSettingsSchema.parse({
             entry: owner.entry,
             zone: "",
             callers: "x:1",
@@ -124,7 +124,7 @@
             timer,
             log: { write: (_: Severity, event, fields = {}) => this.recordPhase(event, fields) },
             metrics,
-            times,
+            times: { ...times, longestStopMs: bounds.longestStopMs },
             scheduling,
             jobParts,
             onSuperseded: () => {
@@ -181,6 +181,7 @@
                     this.checker.onRunStarted(worker, request);
                 },
                 onRunEnded: (...end) => this.checker.onRunEnded(...end),
+                onStopAccepted: (...stop) => this.checker.onStopAccepted(...stop),
                 onEndAcknowledged: (...end) => this.checker.onEndAcknowledged(...end),
             },
         );
