Rounds of the owner: open tasks are counted, and possible steps looked up, only where the answer is needed

The checks beside a round's starts grew with the backlog, too: each round counted all waiting tasks for the log of evacuated zones, though none was evacuated; every 100 ms the plan of VMs went through each waiting task for steps that no VM could run, and the check of jobs compared each step of each waiting job with the shapes of all VMs.

Now tasks are counted for an order that is not logged yet, the plan of VMs looks at steps instead of tasks, and a step that a recorded shape could run is not compared again: no shape is forgotten.

The runs started are the same (digest), test/recorded-load.test.ts passes.

--- a/src/pool/evacuation-log.ts
+++ b/src/pool/evacuation-log.ts
@@ -1,6 +1,7 @@
 /** Logs which evacuated zones an owner starts nothing in: one line for each zone and order, not one for each task. */
 import { EventId, Severity } from "../process/events.js";
 import type { Log } from "../process/log.js";
+import type { JobRegistry } from "./job-registry.js";
 import type { EvacuatedZones } from "./ports.js";
 import type { WorkerState } from "./worker-registry.js";
 
@@ -22,10 +23,11 @@
     }
 
     /** Logs the orders that keep work off workers now and were not logged before. */
-    report(workers: Iterable<WorkerState>, waitingTasks: number): void {
+    report(workers: Iterable<WorkerState>, jobs: Pick<JobRegistry, "openTaskCount">): void {
         const { zones, log } = this.options;
         for (const { zone, version, ageMs } of zones.orders) {
-            if (waitingTasks > 0 && this.logged.get(zone) !== version) {
+            const waitingTasks = this.logged.get(zone) === version ? 0 : jobs.openTaskCount;
+            if (waitingTasks > 0) {
                 this.logged.set(zone, version);
                 const inZone = [...workers].filter(({ listed }) => listed.zone === zone);
                 log.write(Severity.Info, EventId.StartsPrevented, {
--- a/src/pool/fleet-controller.ts
+++ b/src/pool/fleet-controller.ts
@@ -15,6 +15,7 @@
     type VmOrder,
     type VmSnapshot,
 } from "./fleet-plan.js";
+import { openSteps } from "./open-steps.js";
 import { type EvacuatedZones, type InventoryVm, VmPhase } from "./ports.js";
 import { FleetPacking } from "./scheduling/fleet-packing.js";
 import { TakeoverPhase } from "./takeover-phases.js";
@@ -269,8 +270,7 @@
         const unplaceable = new Map<string, StepSpec>();
         for (const entry of tenure.jobs.activeEntries) {
             if (queues.has(entry.job.queue)) {
-                for (const at of tenure.jobs.openTasks(entry)) {
-                    const step = entry.job.spec.steps[entry.state.tasks[at]!.step]!;
+                for (const { step } of openSteps(tenure.jobs, entry)) {
                     const kind = `${step.label ?? ""}/${step.needs.accelerators > 0}`;
                     if (!unplaceable.has(kind) && !poolVms.some(vm => canRunWhenEmpty(step, vm))) {
                         unplaceable.set(kind, step);
--- a/src/pool/task-placer.ts
+++ b/src/pool/task-placer.ts
@@ -56,7 +56,7 @@
         }
         const { timer, log } = options;
         const now = timer.now();
-        this.evacuationLog.report(workers.byId.values(), jobs.openTaskCount);
+        this.evacuationLog.report(workers.byId.values(), jobs);
         fairShares?.advance(jobs.runs.values(), workers.byId.values());
         const placements = planStarts({
             jobs,
--- a/src/pool/worker-registry.ts
+++ b/src/pool/worker-registry.ts
@@ -85,6 +85,8 @@
 export class WorkerRegistry {
     readonly byId = new Map<string, WorkerState>();
     private readonly shapes = new Map<string, WorkerShape>();
+    /** Steps that a recorded shape could run. No shape is forgotten, so they stay possible. */
+    private readonly possibleSteps = new WeakSet<StepSpec>();
     /** Monotonic time at which the last roster was requested. */
     private lastRosterAt = -Infinity;
     private inheritedLeasesUntil: number;
@@ -152,13 +154,17 @@
 
     /** Whether any recorded shape could run a task of the step on an empty worker. */
     couldEverRun(step: StepSpec): boolean {
-        if (this.shapes.size === 0 || this.shapes.size >= maxShapes) {
+        if (this.shapes.size === 0 || this.shapes.size >= maxShapes || this.possibleSteps.has(step)) {
             return true;
         }
-        return [...this.shapes.values()].some(({ capacity, labels }) =>
-            fitsInto(reservedResources({ step }), capacity)
-            && (step.label === undefined || labels.includes(step.label))
+        const needs = reservedResources({ step });
+        const isPossible = [...this.shapes.values()].some(({ capacity, labels }) =>
+            fitsInto(needs, capacity) && (step.label === undefined || labels.includes(step.label))
         );
+        if (isPossible) {
+            this.possibleSteps.add(step);
+        }
+        return isPossible;
     }
 
     /** Records a worker's incarnation; resets its state and returns true if it is a later one. */
