Test: an owner that was short of processor time starts at its full rate once it is no longer

In virtual time: 4 s at 4 ms of the owner's time for each start, then 0.1 ms and 1,500 tasks of a burst. Required: all have started within 3.5 s (500 a second and the rest of what waited), and all jobs are within their 8 s. The costs of the owner's processor in test/owner-tenure.ts are read at each call, so that they may change.

--- a/test/owner-tenure.ts
+++ b/test/owner-tenure.ts
@@ -37,6 +37,7 @@
 
 /** Options of `OwnerTenure.create`. */
 export interface OwnerTenureOptions {
+    /** Read at each call, so that they may change. */
     readonly costs: ProcessorCosts;
     readonly workers: number;
     /** Factor on the time of the store for a call, which is 12 ms for a batch. */
@@ -194,11 +195,11 @@
 
     /** The store, whose batches of progress are sent and answered when the owner's processor comes to it. */
     private slowStore(store: RowStore): RowStore {
-        const { batchMs, rowMs } = this.options.costs;
         return {
             read: range => store.read(range),
             feed: (table, since, options) => store.feed(table, since, options),
             transact: async tx => {
+                const { batchMs, rowMs } = this.options.costs;
                 await this.processor.run(batchMs + tx.puts.length * rowMs);
                 const outcome = await store.transact(tx);
                 await this.processor.run(batchMs);
@@ -208,12 +209,15 @@
     }
 
     private workerClient(): WorkerClient {
-        const { sendMs, readMs, holdMs } = this.options.costs;
+        const command = (limitMs: number) => {
+            const { sendMs, readMs } = this.options.costs;
+            return { sendMs, readMs, limitMs };
+        };
         return {
             start: async (target, request) => {
                 this.starts++;
                 const result = await this.call<StartResult>(
-                    { sendMs, readMs, limitMs: timeLimits.startMs },
+                    command(timeLimits.startMs),
                     answer => answer(this.workerOf(target).start(request)),
                 );
                 this.uncertainStarts += result === undefined ? 1 : 0;
@@ -221,14 +225,17 @@
             },
             stop: async (target, task, run, fence) =>
                 await this.call(
-                    { sendMs, readMs, limitMs: timeLimits.stopMs },
+                    command(timeLimits.stopMs),
                     answer => answer(this.workerOf(target).stop(task, run, fence)),
                 ) ?? { kind: "failed", reason: "timeout" },
-            hold: async (target, request) =>
-                await this.call<HoldResult>(
-                    { sendMs: holdMs, readMs: holdMs, limitMs: request.waitMs + timeLimits.holdMarginMs },
+            hold: async (target, request) => {
+                const { holdMs } = this.options.costs;
+                const limitMs = request.waitMs + timeLimits.holdMarginMs;
+                return await this.call<HoldResult>(
+                    { sendMs: holdMs, readMs: holdMs, limitMs },
                     answer => this.workerOf(target).hold(request, answer),
-                ) ?? { kind: "unknown", reason: "timeout" },
+                ) ?? { kind: "unknown", reason: "timeout" };
+            },
             pace: () => Promise.resolve({ kind: "done" }),
             retain: () => undefined,
         };
--- a/test/slow-owner.test.ts
+++ b/test/slow-owner.test.ts
@@ -29,6 +29,28 @@
     });
 });
 
+describe("an owner that was short of processor time", () => {
+    test("starts 500 tasks a second of a burst as soon as it is no longer", async () => {
+        const costs = { sendMs: 2, readMs: 2, holdMs: 0.5, batchMs: 1, rowMs: 0.2 };
+        const owner = OwnerTenure.create({ costs, workers: 60, queue: { stretch: 2, objectiveMs: 6000 } });
+        const job = jobOf({ tasks: 6, estimateMs: 1000 });
+        owner.submit(20, job);
+        void owner.tenure.start();
+        for (let i = 0; i < 20; i++) {
+            await owner.timer.advance(200);
+            owner.submit(2, job);
+        }
+        Object.assign(costs, { sendMs: 0.05, readMs: 0.05, holdMs: 0.05, batchMs: 0.1, rowMs: 0.01 });
+        const from = owner.timer.now();
+        const tasks = 1500;
+        owner.submit(tasks / 6, job);
+        await owner.timer.advance(10_000);
+        expect(owner.onTimeShare()).toBe(1);
+        expect(owner.startedAt.at(-1)! - from).toBeLessThanOrEqual(tasks / 500 * msPerSecond + 500);
+        expect(owner.checker.violations).toEqual([]);
+    });
+});
+
 describe("an owner with processor time to spare whose store takes 300 ms for a batch", () => {
     test("starts 500 tasks a second of a burst", async () => {
         const owner = OwnerTenure.create({
