An odd job, stored or submitted, does not keep an owner from all other jobs

What operators would see, shown on the stand-in site with the earlier code: - A row of a job with 1e308 tasks: a new owner never gets past loading the jobs, and an owner in office reads the same change of the feed again and again (StoreUnavailable "Invalid array length" every 200 ms); a job that was accepted later stayed queued. - A row of a job with a million tasks: the process does nothing else; the test did not end within 28 s. Submissions had no limit either: 10,001 tasks were accepted (more not tried). - A progress row with 1e308 occurrences: as the first one. - A job of 2^53 occurrences, all due (`interval-ms` 0): the loop that adds those due has no end (the test did not end within 40 s), in the process of each owner after the other.

Cause: counts, amounts and times of stored jobs and of submissions had no bounds, and one row that throws ends the reading of all.

Change: src/process/bounds.ts has bounds, with reasons, for what other processes write; the codec of jobs and progress and the submissions of both interfaces use them. A submission out of bounds gets 400: more than 10,000 tasks a step, which the interface of our own refused already; amounts over 1e9; a step that is not after earlier ones; an interval below 0. Due occurrences are added 100 at a time, and none while 10,000 tasks of the job are unfinished. A refused job row is logged and counted (2103), each version once, instead of being left out without a trace.

--- a/src/job/codec.ts
+++ b/src/job/codec.ts
@@ -1,25 +1,36 @@
 /** Encodes accepted jobs and their progress as compact JSON for rows of the store. */
 import { z } from "zod";
+import {
+    amountSchema,
+    intervalSchema,
+    maxUnixMs,
+    occurrenceTimeSchema,
+    roughDurationSchema,
+    startTimeSchema,
+} from "../process/bounds.js";
 import { parseJson } from "../process/json.js";
-import { type AcceptedJob, type JobSpec, type StepSpec } from "./spec.js";
+import { type DecodedText, decodeText } from "../process/row-refusals.js";
+import { type AcceptedJob, type JobSpec, maxSteps, maxTasksPerStep, type StepSpec } from "./spec.js";
 import { initialState, isFinal, JobPhase, type JobState, TaskPhase, type TaskState } from "./state.js";
 
+const count = z.int().min(0);
+
 /**
  * Stored step: tasks (n), needs (r: cpu, memory, accelerators), estimateMs (e), after (a), flags (f), label (l),
  * dataRack (d), perWorker (w), image (i), tailTargetMs (t), disruptionBudget (b).
  */
 const stepSchema = z.object({
-    n: z.number(),
-    r: z.tuple([z.number(), z.number(), z.number()]),
-    e: z.number().default(0),
-    a: z.array(z.number()).default([]),
-    f: z.number().default(0),
+    n: z.int().min(1).max(maxTasksPerStep),
+    r: z.tuple([amountSchema, amountSchema, amountSchema]),
+    e: roughDurationSchema.default(0),
+    a: z.array(count).default([]),
+    f: count.default(0),
     l: z.string().optional(),
     d: z.string().optional(),
-    w: z.number().default(0),
+    w: count.default(0),
     i: z.string().default(""),
-    t: z.number().default(0),
-    b: z.number().optional(),
+    t: z.number().min(0).default(0),
+    b: count.optional(),
 });
 
 /**
@@ -29,10 +40,10 @@
 const jobSchema = z.object({
     q: z.string(),
     t: z.string(),
-    at: z.number(),
+    at: z.number().min(-maxUnixMs).max(maxUnixMs),
     p: z.string(),
-    s: z.array(stepSchema),
-    o: z.tuple([z.number(), z.number(), z.number()]).optional(),
+    s: z.array(stepSchema).max(maxSteps),
+    o: z.tuple([count, occurrenceTimeSchema, intervalSchema]).optional(),
 });
 
 /** Bits of the field `f` of a stored step. */
@@ -58,13 +69,13 @@
     });
 }
 
-/** Decodes an accepted job; undefined when the row is malformed. */
-export function decodeJob(id: string, text: string): AcceptedJob | undefined {
-    const parsed = jobSchema.safeParse(parseJson(text));
-    if (!parsed.success) {
-        return undefined;
-    }
-    const { q, t, at, p, s, o } = parsed.data;
+/** Decodes an accepted job. */
+export function decodeJob(id: string, text: string): DecodedText<AcceptedJob> {
+    const decoded = decodeText(jobSchema, text);
+    return decoded.kind === "valid" ? { kind: "valid", value: jobOf(id, decoded.value) } : decoded;
+}
+
+function jobOf(id: string, { q, t, at, p, s, o }: z.output<typeof jobSchema>): AcceptedJob {
     const spec: JobSpec = {
         payload: p,
         steps: s.map(decodeStep),
@@ -117,24 +128,24 @@
 
 /** Stored task: occurrence, step, index, phase, run, failures, worker, workerStartedAt, checkpoint. */
 const taskSchema = z.tuple([
-    z.number(),
-    z.number(),
-    z.number(),
+    count,
+    count,
+    count,
     z.enum(TaskPhase),
-    z.number(),
-    z.number(),
+    count,
+    count,
     z.string(),
-    z.number(),
+    startTimeSchema,
     z.string(),
 ]);
 
 /** Stored loss of a worker under a task: occurrence, step, index, worker, workerStartedAt, isExplained. */
-const lossSchema = z.tuple([z.number(), z.number(), z.number(), z.string(), z.number(), z.boolean()]);
+const lossSchema = z.tuple([count, count, count, z.string(), startTimeSchema, z.boolean()]);
 
 /** Stored progress: phase (s), occurrences (o), reason (why), tasks (t), losses of workers (c). */
 const stateSchema = z.object({
     s: z.enum(JobPhase),
-    o: z.number().default(0),
+    o: count.default(0),
     why: z.string().optional(),
     t: z.array(taskSchema).default([]),
     c: z.array(lossSchema).default([]),
@@ -182,6 +193,9 @@
     return parsed.success ? parsed.data.s : undefined;
 }
 
+/** Most tasks of a job with stored progress: more would not fit into its row, whatever their state. */
+const maxStoredTasks = 1_000_000;
+
 /** Decodes a job's progress; undefined when the row is malformed or refers to tasks that the job does not have. */
 export function decodeState(job: AcceptedJob, text: string): JobState | undefined {
     const parsed = stateSchema.safeParse(parseJson(text));
@@ -189,6 +203,10 @@
         return undefined;
     }
     const { s, o, why, t, c } = parsed.data;
+    const tasksPerOccurrence = job.spec.steps.reduce((sum, step) => sum + step.tasks, 0);
+    if (job.spec.schedule !== undefined && o * tasksPerOccurrence > maxStoredTasks) {
+        return undefined;
+    }
     const initial = initialTasks(job, o);
     const tasks = new Map(initial.map(task => [`${task.occurrence}.${task.step}.${task.index}`, task]));
     for (const row of t) {
--- a/src/job/spec.ts
+++ b/src/job/spec.ts
@@ -43,6 +43,10 @@
     readonly disruptionBudget?: number;
 }
 
+/** Most steps of a job, and most tasks of a step. */
+export const maxSteps = 64;
+export const maxTasksPerStep = 10_000;
+
 /** Repetition of a job at fixed intervals. */
 export interface Schedule {
     readonly count: number;
--- a/src/job/state.ts
+++ b/src/job/state.ts
@@ -87,6 +87,21 @@
     return { ...state, occurrences: occurrence + 1, tasks: [...state.tasks, ...added] };
 }
 
+/** Number of unfinished tasks with which a job gets no further occurrence, however many are due. */
+const maxUnfinishedTasks = 10_000;
+
+/** Whether the next occurrence of a job is due, and may be added. */
+export function isOccurrenceDue(
+    { spec: { schedule } }: AcceptedJob,
+    state: JobState,
+    wallMs: number,
+): boolean {
+    const { occurrences, tasks } = state;
+    return schedule !== undefined && occurrences < schedule.count
+        && wallMs >= schedule.firstAtMs + occurrences * schedule.intervalMs
+        && tasks.filter(({ phase }) => phase !== TaskPhase.Done).length < maxUnfinishedTasks;
+}
+
 function newTasks(occurrence: number, step: number, spec: StepSpec): TaskState[] {
     return Array.from({ length: spec.tasks }, (_, index) => ({
         occurrence,
--- a/src/pool/job-registry.ts
+++ b/src/pool/job-registry.ts
@@ -14,6 +14,7 @@
     findTaskPosition,
     initialState,
     isFinal,
+    isOccurrenceDue,
     isSameStep,
     isServiceJob,
     type JobState,
@@ -34,6 +35,9 @@
     readonly exceedsTeamShare?: boolean;
 }
 
+/** Most occurrences of a job that are added at once; more are added at the next check. */
+const maxOccurrencesAtOnce = 100;
+
 /** Jobs and runs of a domain. */
 export class JobRegistry {
     readonly entries = new Map<string, JobEntry>();
@@ -168,11 +172,10 @@
 
     /** Adds the occurrences that are due at `wallMs`, a Unix time in milliseconds. */
     addDueOccurrences(entry: JobEntry, wallMs: number): void {
-        const schedule = entry.job.spec.schedule;
-        while (
-            schedule !== undefined && entry.state.occurrences < schedule.count
-            && wallMs >= schedule.firstAtMs + entry.state.occurrences * schedule.intervalMs
-        ) {
+        for (let added = 0; added < maxOccurrencesAtOnce; added++) {
+            if (!isOccurrenceDue(entry.job, entry.state, wallMs)) {
+                return;
+            }
             this.updateState(entry, addOccurrence(entry.job, entry.state));
         }
     }
--- a/src/pool/job-rows.ts
+++ b/src/pool/job-rows.ts
@@ -1,5 +1,6 @@
 /** Rows that any entry may write about a job: its acceptance, its cancellation, or a marker that it was refused. */
 import { type AcceptedJob, decodeJob, decodePhase, encodeJob, JobPhase } from "../job/index.js";
+import type { RefusedRow } from "../process/row-refusals.js";
 import type { RowKey, RowPut, RowRange, RowTransaction, StoredRow } from "../process/rows.js";
 import { tables } from "./ownership.js";
 
@@ -9,8 +10,9 @@
     Cancelled = "cancelled",
     /** The job was refused after a write with an unknown outcome, and must never run. */
     Refused = "refused",
-    /** Removed or malformed. */
-    Other = "other",
+    /** It cannot be used. */
+    Malformed = "malformed",
+    Removed = "removed",
 }
 
 /** A decoded job row. */
@@ -18,7 +20,8 @@
     | { readonly kind: JobRowKind.Accepted; readonly job: AcceptedJob }
     | { readonly kind: JobRowKind.Cancelled; readonly id: string }
     | { readonly kind: JobRowKind.Refused; readonly id: string }
-    | { readonly kind: JobRowKind.Other };
+    | { readonly kind: JobRowKind.Malformed; readonly refusal: RefusedRow }
+    | { readonly kind: JobRowKind.Removed };
 
 /**
  * Number of parts over which job rows are sharded, unless the settings say otherwise. The store executes the transactions of
@@ -57,7 +60,7 @@
 
 export function decodeJobRow(row: StoredRow): JobRow {
     if (row.isRemoved) {
-        return { kind: JobRowKind.Other };
+        return { kind: JobRowKind.Removed };
     }
     if (row.key.endsWith(cancelSuffix)) {
         return { kind: JobRowKind.Cancelled, id: row.key.slice(0, -cancelSuffix.length) };
@@ -65,8 +68,10 @@
     if (row.value === refusedValue) {
         return { kind: JobRowKind.Refused, id: row.key };
     }
-    const job = decodeJob(row.key, row.value);
-    return job === undefined ? { kind: JobRowKind.Other } : { kind: JobRowKind.Accepted, job };
+    const decoded = decodeJob(row.key, row.value);
+    return decoded.kind === "valid"
+        ? { kind: JobRowKind.Accepted, job: decoded.value }
+        : { kind: JobRowKind.Malformed, refusal: decoded };
 }
 
 /** Transaction that stores a job, conditional on the absence of its row. */
--- a/src/pool/job-source.ts
+++ b/src/pool/job-source.ts
@@ -3,9 +3,10 @@
 import { messageOf } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
 import { FeedReader } from "../process/feed-reader.js";
+import { RowRefusals } from "../process/row-refusals.js";
 import { readAll, readRanges, type StoredRow } from "../process/rows.js";
 import { sleep } from "../process/timer.js";
-import { decodeJobRow, jobRanges, JobRowKind } from "./job-rows.js";
+import { decodeJobRow, jobRanges, type JobRow, JobRowKind } from "./job-rows.js";
 import { tables } from "./ownership.js";
 import { retryDelayMs, type TenureContext } from "./tenure-context.js";
 
@@ -22,11 +23,15 @@
 
 /** Feeds the stored jobs of a domain into a tenure. */
 export class JobSource {
+    private readonly refusals: RowRefusals;
+
     constructor(
         private readonly ctx: TenureContext,
         private readonly domain: string,
         private readonly sink: JobSink,
-    ) {}
+    ) {
+        this.refusals = RowRefusals.create(ctx.options);
+    }
 
     /** Loads all stored jobs; returns the version to follow from, or undefined if the tenure ended meanwhile. */
     async load(): Promise<number | undefined> {
@@ -37,7 +42,7 @@
                 const jobs = await this.readJobs();
                 this.restore(
                     new Map(progress.rows.map(row => [row.key, row.value])),
-                    jobs.rows.map(row => decodeJobRow(row)),
+                    jobs.rows.map(row => this.decode(row)),
                 );
                 this.removeOrphanedProgress(progress.rows, jobs.rows);
                 return jobs.version;
@@ -92,7 +97,7 @@
 
     private restore(
         progress: ReadonlyMap<string, string>,
-        rows: readonly ReturnType<typeof decodeJobRow>[],
+        rows: readonly JobRow[],
     ): void {
         const now = this.ctx.options.timer.now();
         for (const row of rows) {
@@ -131,8 +136,17 @@
         progress.filter(({ key }) => !jobKeys.has(key)).forEach(({ key }) => this.sink.removeProgress(key));
     }
 
-    private applyJobRow(stored: Parameters<typeof decodeJobRow>[0]): void {
+    /** Decodes a job row; reports one that cannot be used. */
+    private decode(stored: StoredRow): JobRow {
         const row = decodeJobRow(stored);
+        if (row.kind === JobRowKind.Malformed) {
+            this.refusals.report(stored, row.refusal);
+        }
+        return row;
+    }
+
+    private applyJobRow(stored: StoredRow): void {
+        const row = this.decode(stored);
         switch (row.kind) {
             case JobRowKind.Accepted:
                 this.sink.accept(row.job);
@@ -141,7 +155,8 @@
                 this.sink.cancel(row.id);
                 return;
             case JobRowKind.Refused:
-            case JobRowKind.Other:
+            case JobRowKind.Malformed:
+            case JobRowKind.Removed:
                 return;
         }
     }
--- a/src/request/step-jobs-api.ts
+++ b/src/request/step-jobs-api.ts
@@ -2,7 +2,13 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { z } from "zod";
 import { readBody, sendBody, sendJson } from "../connection/caller/body.js";
-import type { JobSpec } from "../job/index.js";
+import { type JobSpec, maxSteps, maxTasksPerStep } from "../job/index.js";
+import {
+    amountSchema,
+    intervalSchema,
+    occurrenceTimeSchema,
+    roughDurationSchema,
+} from "../process/bounds.js";
 import { parseJson } from "../process/json.js";
 import { type JobCallHandler, noListsRetryMs } from "./job-call-handler.js";
 import { RefusalReason, type SubmitResult } from "./job-calls.js";
@@ -11,8 +17,6 @@
 export const stepJobsPathPrefix = "/v1/queues/";
 
 const maxBodyBytes = 256 * 1024;
-const maxSteps = 64;
-const maxTasksPerStep = 10_000;
 const msPerSecond = 1000;
 const problemType = "application/problem+json";
 const pathPattern = /^\/v1\/queues\/([A-Za-z0-9._-]{1,100})(?:\/jobs\/([A-Za-z0-9_-]{1,64}))?$/;
@@ -22,12 +26,12 @@
     tasks: z.number().int().min(1).max(maxTasksPerStep),
     needs: z.object({
         /** Thousandths of a core. */
-        cpu: z.number().min(0),
+        cpu: amountSchema,
         /** Megabytes. */
-        memory: z.number().min(0),
-        accelerators: z.number().min(0).default(0),
+        memory: amountSchema,
+        accelerators: amountSchema.default(0),
     }),
-    estimateMs: z.number().min(0).default(0),
+    estimateMs: roughDurationSchema.default(0),
     after: z.array(z.number().int().min(0)).default([]),
     savesProgress: z.boolean().default(false),
     isGang: z.boolean().default(false),
@@ -51,8 +55,8 @@
         }),
     schedule: z.object({
         count: z.number().int().min(1),
-        firstAtMs: z.number(),
-        intervalMs: z.number().min(0),
+        firstAtMs: occurrenceTimeSchema,
+        intervalMs: intervalSchema,
     }).optional(),
 });
 
--- a/test/job-features.test.ts
+++ b/test/job-features.test.ts
@@ -341,7 +341,7 @@
             schedule: { count: 2, firstAtMs: 5, intervalMs: 7 },
         };
         const job = { id: "j", queue: "q", team: "t", acceptedAtMs: 3, spec };
-        expect(decodeJob("j", encodeJob(job))).toEqual(job);
+        expect(decodeJob("j", encodeJob(job))).toEqual({ kind: "valid", value: job });
         const unscheduledJob = { ...job, spec: { payload: "text", steps: spec.steps } };
         const state = claimTask(unscheduledJob, initialState(unscheduledJob), 1, {
             worker: "w",
@@ -354,7 +354,7 @@
         "that are malformed (%s) decode to undefined",
         text => {
             const job = { id: "j", queue: "q", team: "", acceptedAtMs: 0, spec: jobOf({}) };
-            expect(decodeJob("j", text)).toBeUndefined();
+            expect(decodeJob("j", text).kind).toBe("refused");
             expect(decodeState(job, text)).toBeUndefined();
         },
     );
