An odd owner row does not let the fencing tokens begin anew

What operators would see: another writer overwrites the row of the owner. With the largest token that a number holds, nobody becomes the owner any more, and accepted jobs stay queued.

Cause: a takeover counts from the row it reads, and from 0 if that cannot be used. Such a row also counted as "no owner before", so that the leases of the one that may run on were not waited for. Tokens had no bound below 2^53, beyond which adding one changes nothing.

Change: if the row is gone or cannot be used, a takeover counts from the largest token that the entry knows or the lease bounds hold, and treats the owner before as one that may run on. Tokens, batch numbers and the times of leases and of orders in progress have bounds. A member needs a URL of a WebSocket; those in the answer of a peer are checked, too, which they were not.

All three failed before.

--- a/src/pool/fleet-handover.ts
+++ b/src/pool/fleet-handover.ts
@@ -34,9 +34,15 @@
  */
 const maxStateAgeMs = 5000;
 
+/** Longest time after which the inventory shows the effect of an order: moves and maintenance take seconds. */
+const maxOrderMs = 600_000;
+/** Demand of all tasks of a pool for a resource. */
+const maxDemand = 1e15;
+const demand = z.number().min(0).max(maxDemand);
+
 const stateText = z.object({
-    samples: z.record(z.string(), z.array(z.tuple([z.number(), z.number(), z.number(), z.number()]))),
-    orders: z.array(z.tuple([z.string(), z.string(), z.enum(VmPhase), z.number()])),
+    samples: z.record(z.string(), z.array(z.tuple([z.number().min(0), demand, demand, demand]))),
+    orders: z.array(z.tuple([z.string(), z.string(), z.enum(VmPhase), z.number().max(maxOrderMs)])),
     cordoned: z.array(z.string()),
 });
 
--- a/src/pool/lease-bounds.ts
+++ b/src/pool/lease-bounds.ts
@@ -7,6 +7,7 @@
  * the moment of reading, which is later: a bound may come out too long, never too short.
  */
 import { z } from "zod";
+import { counterSchema, maxDurationMs, startTimeSchema } from "../process/bounds.js";
 import { parseJson } from "../process/json.js";
 import type { RowKey, RowPut, StoredRow } from "../process/rows.js";
 import { maxLeaseDurationMs } from "./lease.js";
@@ -46,10 +47,13 @@
 /** Largest size of the workers in a row. For any others the next owner assumes the longest possible lease. */
 export const maxWorkersBytes = 32_768;
 
+/** Time left; no lease lasts longer than the settings allow, which is a day, and is trusted for as long at most. */
+const remainingSchema = z.number().max(2 * maxDurationMs);
+
 const boundsRow = z.object({
-    fence: z.number(),
-    owners: z.array(z.tuple([z.string(), z.string(), z.number(), z.number()])),
-    workers: z.array(z.tuple([z.string(), z.number(), z.number()])),
+    fence: counterSchema,
+    owners: z.array(z.tuple([z.string(), z.string(), counterSchema, remainingSchema])),
+    workers: z.array(z.tuple([z.string(), startTimeSchema, remainingSchema])),
 });
 
 /** Key of a domain's row of lease bounds. */
--- a/src/pool/ledger.ts
+++ b/src/pool/ledger.ts
@@ -117,6 +117,14 @@
     ) => LeaseBounds;
 }
 
+/**
+ * The owner before, if its row is gone or cannot be used: workers have seen its fencing token, so the next one has to be
+ * higher, and it may run on. Undefined if no token is known, as in a new domain.
+ */
+function unknownOwner(fence: number): Owner | undefined {
+    return fence === 0 ? undefined : { entry: "unknown", incarnation: "", fence };
+}
+
 /** Tries to become the owner, with a fencing token one above that of the previous owner. */
 export function* takeOver(domain: string, candidate: Candidate): Flow<LedgerEffect, TakeoverResult> {
     const { entry, incarnation, suspectFence, inheritBounds, mayShareVms } = candidate;
@@ -126,18 +134,20 @@
     for (let attempt = 0; attempt < maxTakeoverAttempts; attempt++) {
         const rows = (yield { kind: "read-ownership" }) as OwnershipRows;
         const ownerVersion = rows.owner?.version ?? 0;
-        const previous = decodeOwner(rows.owner);
-        const isSuspect = previous === undefined || previous.entry === "" || previous.fence === suspectFence;
-        if (!isSuspect && previous.incarnation !== incarnation) {
+        const stored = decodeLeaseBounds(rows.leaseBounds);
+        const owner = decodeOwner(rows.owner);
+        const isSuspect = owner === undefined || owner.entry === "" || owner.fence === suspectFence;
+        if (!isSuspect && owner.incarnation !== incarnation) {
             return { kind: "lost" };
         }
-        const owner: Owner = {
+        const previous = owner ?? unknownOwner(Math.max(suspectFence, stored?.fence ?? 0));
+        const next: Owner = {
             entry,
             incarnation,
             fence: (previous?.fence ?? 0) + 1,
             mayShareVms: mayShareVms(previous),
         };
-        const leaseBounds = inheritBounds(owner.fence, previous, decodeLeaseBounds(rows.leaseBounds));
+        const leaseBounds = inheritBounds(next.fence, previous, stored);
         const outcome = (yield {
             kind: "transact",
             tx: {
@@ -146,7 +156,7 @@
                     { ...boundsKey, version: rows.leaseBounds?.version ?? 0 },
                 ],
                 puts: [
-                    { ...key, value: JSON.stringify(owner) },
+                    { ...key, value: JSON.stringify(next) },
                     { ...chain, value: JSON.stringify({ incarnation, batch: 0 }) },
                     leaseBoundsRow(domain, leaseBounds),
                 ],
@@ -155,7 +165,7 @@
         }) as TransactionOutcome;
         if (outcome.kind === TransactionStatus.Committed) {
             const { version } = outcome;
-            const head = { domain, owner, ownerVersion: version, chainVersion: version, batch: 0 };
+            const head = { domain, owner: next, ownerVersion: version, chainVersion: version, batch: 0 };
             return { kind: "taken", head, previous, leaseBounds };
         }
         if (outcome.kind === TransactionStatus.Conflict) {
--- a/src/pool/member-rows.ts
+++ b/src/pool/member-rows.ts
@@ -1,17 +1,24 @@
 /** Member rows in the store: which entries are running, and the URLs at which their peers reach them. */
 import { z } from "zod";
-import { parseJson } from "../process/json.js";
+import { amountSchema } from "../process/bounds.js";
+import type { RowRefusals } from "../process/row-refusals.js";
 import type { RowKey, StoredRow } from "../process/rows.js";
 import { tables } from "./ownership.js";
 
+const maxNameChars = 300;
+const name = z.string().max(maxNameChars);
+
 const memberSchema = z.object({
-    incarnation: z.string(),
-    url: z.string(),
+    incarnation: name.min(1),
+    url: name.refine(url => URL.canParse(url) && /^wss?:/.test(url), { error: "no URL of a WebSocket" }),
     /** See `RankedEntry`. */
-    strength: z.number().optional(),
+    strength: amountSchema.optional(),
     /** Availability zone; absent in rows of earlier versions. */
-    zone: z.string().optional(),
+    zone: name.optional(),
 });
+const peerRow = z.tuple([z.string(), memberSchema]);
+/** Longest member row, in characters. */
+const maxRowChars = 4096;
 
 /** A member: one process on an entry VM. */
 export type MemberRow = z.output<typeof memberSchema>;
@@ -24,11 +31,16 @@
     return { table: tables.cluster, part: memberPart, key: entry };
 }
 
-/** Decodes a member row; undefined if it was removed or is malformed. */
-export function decodeMember(stored: StoredRow): MemberRow | undefined {
-    if (stored.isRemoved) {
-        return undefined;
-    }
-    const parsed = memberSchema.safeParse(parseJson(stored.value));
-    return parsed.success ? parsed.data : undefined;
+/** Decodes a member row; undefined if it was removed, or cannot be used, which is reported. */
+export function decodeMember(stored: StoredRow, refusals: RowRefusals): MemberRow | undefined {
+    return stored.isRemoved ? undefined : refusals.decode(memberSchema, stored, maxRowChars);
+}
+
+/** The members with their entries in the answer of a peer, without those that cannot be used. */
+export function decodePeerMembers(body: unknown): readonly (readonly [string, MemberRow])[] {
+    const rows: readonly unknown[] = Array.isArray(body) ? body : [];
+    return rows.flatMap(row => {
+        const { data } = peerRow.safeParse(row);
+        return data === undefined ? [] : [data];
+    });
 }
--- a/src/pool/membership.ts
+++ b/src/pool/membership.ts
@@ -2,10 +2,12 @@
 import { messageOf } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
 import type { Log } from "../process/log.js";
+import type { Metrics } from "../process/metrics.js";
 import type { Peers } from "../process/peers.js";
+import { RowRefusals } from "../process/row-refusals.js";
 import { readAll, type RowStore, type StoredRow, TransactionStatus } from "../process/rows.js";
 import type { Timer } from "../process/timer.js";
-import { decodeMember, memberKey, memberPart, type MemberRow } from "./member-rows.js";
+import { decodeMember, decodePeerMembers, memberKey, memberPart, type MemberRow } from "./member-rows.js";
 import { tables } from "./ownership.js";
 import type { SiteMember } from "./peer-selection.js";
 import type { RankedEntry } from "./ranking.js";
@@ -23,6 +25,7 @@
     readonly peers: Peers;
     readonly timer: Timer;
     readonly log: Log;
+    readonly metrics: Metrics;
 }
 
 const membersTopic = "members";
@@ -35,8 +38,10 @@
     private readonly members = new Map<string, MemberRow>();
     private readonly lastSeenAt = new Map<string, number>();
     private isLeaving = false;
+    private readonly refusals: RowRefusals;
 
     private constructor(private readonly options: MembershipOptions) {
+        this.refusals = RowRefusals.create(options);
         options.peers.on(membersTopic, () => [...this.members.entries()]);
     }
 
@@ -82,7 +87,7 @@
 
     /** Applies a member row read from the store. */
     applyRow(row: StoredRow): void {
-        const member = decodeMember(row);
+        const member = decodeMember(row, this.refusals);
         if (member === undefined) {
             this.members.delete(row.key);
         }
@@ -99,11 +104,8 @@
             return;
         }
         try {
-            const rows = await peers.request(peer.vm, membersTopic, {}, queryTimeoutMs) as [
-                string,
-                MemberRow,
-            ][];
-            rows.forEach(([entry, member]) => this.members.set(entry, member));
+            const response = await peers.request(peer.vm, membersTopic, {}, queryTimeoutMs);
+            decodePeerMembers(response).forEach(([entry, member]) => this.members.set(entry, member));
         }
         catch (err) {
             log.write(Severity.Warn, EventId.PeerLost, { peer: peer.vm, err: messageOf(err) });
--- a/src/pool/owner-follower.ts
+++ b/src/pool/owner-follower.ts
@@ -4,7 +4,9 @@
  */
 import { EventId, Severity } from "../process/events.js";
 import type { Log } from "../process/log.js";
+import type { Metrics } from "../process/metrics.js";
 import type { Peer, Peers } from "../process/peers.js";
+import { RowRefusals } from "../process/row-refusals.js";
 import type { StoredRow } from "../process/rows.js";
 import type { Timer } from "../process/timer.js";
 import type { Membership } from "./membership.js";
@@ -29,6 +31,7 @@
     readonly peers: Peers;
     readonly timer: Timer;
     readonly log: Log;
+    readonly metrics: Metrics;
     readonly view: OwnerView;
     readonly members: Membership;
     readonly links: PeerLinks;
@@ -41,7 +44,11 @@
 
 /** Follows the owner of a domain. */
 export class OwnerFollower {
-    private constructor(private readonly options: OwnerFollowerOptions) {}
+    private readonly refusals: RowRefusals;
+
+    private constructor(private readonly options: OwnerFollowerOptions) {
+        this.refusals = RowRefusals.create(options);
+    }
 
     static create(options: OwnerFollowerOptions): OwnerFollower {
         return new OwnerFollower(options);
@@ -79,7 +86,7 @@
     /** Applies an owner row that was read from the store. */
     applyRow(row: StoredRow | undefined): void {
         const { view, tenure, onVacant } = this.options;
-        const owner = decodeOwner(row);
+        const owner = decodeOwner(row, this.refusals);
         if (owner === undefined || owner.fence < view.fence) {
             return;
         }
--- a/src/pool/owner-messages.ts
+++ b/src/pool/owner-messages.ts
@@ -1,5 +1,6 @@
 /** What entries tell each other about the owner of a domain: heartbeats, news of a new owner, and the end of tenures. */
 import { z } from "zod";
+import { counterSchema } from "../process/bounds.js";
 import type { Peers } from "../process/peers.js";
 import type { Owner } from "./ownership.js";
 
@@ -13,19 +14,19 @@
 }
 
 const heartbeatSchema = z.object({
-    fence: z.number(),
+    fence: counterSchema,
     incarnation: z.string(),
     /** Milliseconds since the owner last reached the store; not a finite number before the first time. */
     storeAgeMs: z.union([z.number(), z.literal(Infinity)]),
 });
 
 const newsSchema = z.object({
-    owner: z.object({ entry: z.string().min(1), incarnation: z.string(), fence: z.number() }),
+    owner: z.object({ entry: z.string().min(1), incarnation: z.string(), fence: counterSchema }),
     /** URL at which the owner's peers reach it; empty if unknown. */
     url: z.string(),
 });
 
-const endSchema = z.object({ fence: z.number() });
+const endSchema = z.object({ fence: counterSchema });
 
 /** The owner's sign of life. */
 export type Heartbeat = z.output<typeof heartbeatSchema>;
--- a/src/pool/ownership.ts
+++ b/src/pool/ownership.ts
@@ -4,7 +4,9 @@
  * later write by an earlier owner then fails on that row, and its orders are rejected by the workers.
  */
 import { z } from "zod";
+import { counterSchema } from "../process/bounds.js";
 import { parseJson } from "../process/json.js";
+import type { RowRefusals } from "../process/row-refusals.js";
 import type { RowKey, StoredRow } from "../process/rows.js";
 
 /** Tables of a domain in the store. */
@@ -42,12 +44,12 @@
 const ownerRow = z.object({
     entry: z.string(),
     incarnation: z.string(),
-    fence: z.number(),
+    fence: counterSchema,
     hasLeft: z.boolean().exactOptional(),
     wasSlow: z.boolean().exactOptional(),
     mayShareVms: z.boolean().exactOptional(),
 });
-const chainRow = z.object({ incarnation: z.string(), batch: z.number() });
+const chainRow = z.object({ incarnation: z.string(), batch: counterSchema });
 
 /** Key of a domain's owner row. */
 export function ownerKey(domain: string): RowKey {
@@ -59,9 +61,12 @@
     return { table: tables.chain, part: domain, key: "head" };
 }
 
-/** Decodes an owner row; undefined if it is absent, removed or malformed. */
-export function decodeOwner(row: StoredRow | undefined): Owner | undefined {
-    return row === undefined || row.isRemoved ? undefined : decode(ownerRow, row.value);
+/** Decodes an owner row; undefined if it is absent, removed or malformed, which is reported to `refusals`. */
+export function decodeOwner(row: StoredRow | undefined, refusals?: RowRefusals): Owner | undefined {
+    if (row === undefined || row.isRemoved) {
+        return undefined;
+    }
+    return refusals === undefined ? decode(ownerRow, row.value) : refusals.decode(ownerRow, row);
 }
 
 /** The last batch of progress: the owner's incarnation and the number of the batch within it. */
--- a/test/odd-store-rows.test.ts
+++ b/test/odd-store-rows.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, test } from "vitest";
 import { EventId } from "../src/process/events.js";
+import { RowFault } from "../src/process/row-refusals.js";
 import type { RowKey } from "../src/process/rows.js";
 import { jobOf, StandinSite } from "../standin/site/site.js";
 import { deepJson } from "./odd-rows.js";
@@ -51,6 +52,11 @@
         table("cluster", "main", "owner"),
         '{"entry":"odd","incarnation":"i","fence":1e308}',
     ],
+    [
+        "an owner with the last fencing token",
+        table("cluster", "main", "owner"),
+        '{"entry":"odd","incarnation":"i","fence":9007199254740991}',
+    ],
     ["nested lease bounds", table("leases", "main", "bounds"), deepJson(20_000)],
     [
         "endless lease bounds",
@@ -108,6 +114,22 @@
         const lines = site.entries.flatMap(({ log }) => log);
         expect(lines.filter(({ event }) => event === EventId.TaskFailed)).toEqual([]);
     });
+
+    test("reports the rows of jobs, members and owners that it cannot use", async () => {
+        const site = StandinSite.create({ entries: 1, jobParts: 1 });
+        await site.start({ version: 1, queues: [{}] });
+        site.rows.write(table("jobs", "jobs-0", "odd"), job('[{"n":1e308,"r":[1,1,0]}]'));
+        site.rows.write(table("cluster", "members", "odd"), '{"incarnation":"i","url":""}');
+        site.rows.write(table("cluster", "main", "owner"), "{}");
+        await site.timer.advance(3000);
+        const refusals = site.entries[0]!.log.filter(({ event }) => event === EventId.RowRefused)
+            .map(({ fields }) => [fields["key"], fields["reason"]]);
+        expect(refusals.sort()).toEqual([
+            ["odd", RowFault.Malformed],
+            ["odd", RowFault.OutOfRange],
+            ["owner", RowFault.WrongType],
+        ]);
+    });
 });
 
 test("an odd count of occurrences in the progress of a job does not keep a new owner from loading the others", async () => {
@@ -129,6 +151,30 @@
     expect(await site.runUntilSettled(site.phaseOf(next, "j1"))).toBe("succeeded");
 });
 
+test("an odd owner row does not make the fencing token of the next owner one that workers have seen", async () => {
+    const site = StandinSite.create({ entries: 3 });
+    await site.start({ version: 1, queues: [{}] });
+    const changeOwner = async (): Promise<void> => {
+        const owner = site.owner()!;
+        site.kill(owner);
+        site.startEntry(owner.name);
+        await site.timer.advance(4000);
+    };
+    await changeOwner();
+    await changeOwner();
+    const { fence } = site.owner()!.core.domain.tenure!;
+    for (const text of ["{}", deepJson(100), '{"entry":"odd","incarnation":"i","fence":1e308}']) {
+        site.rows.write(table("cluster", "main", "owner"), text);
+        await changeOwner();
+    }
+    expect(site.owner()!.core.domain.tenure!.fence).toBeGreaterThan(fence + 2);
+    const owner = site.owner()!;
+    expect((await site.runUntilSettled(site.submit(owner, "j1", jobOf({ tasks: 1 })))).kind).toBe("accepted");
+    await site.timer.advance(4000);
+    expect(await site.runUntilSettled(site.phaseOf(owner, "j1"))).toBe("succeeded");
+    expect(site.checker.violations).toEqual([]);
+});
+
 test("a job whose countless occurrences are all due leaves the other jobs their turn", async () => {
     const site = StandinSite.create({ entries: 2 });
     await site.start({ version: 1, queues: [{}] });
