--- a/src/process/jsonc.ts
+++ b/src/process/jsonc.ts
@@ -3,6 +3,9 @@
 import type { z } from "zod";
 import { ConfigError } from "./errors.js";
 
+/** Longest part of a value that an error message quotes. */
+const maxQuotedChars = 80;
+
 /** Parses `text` and validates it against `schema`. Throws a `ConfigError` that lists all violations, one per line. */
 export function parseJsonc<S extends z.ZodType>(file: string, text: string, schema: S): z.output<S> {
     const value = parseText(file, text);
@@ -20,7 +23,14 @@
 
 function parseText(file: string, text: string): unknown {
     const errors: ParseError[] = [];
-    const value: unknown = parse(text, errors, { allowTrailingComma: true });
+    let value: unknown;
+    try {
+        value = parse(text, errors, { allowTrailingComma: true });
+    }
+    catch (err) {
+        // The parser calls itself for each level, and comes to the end of the stack at some thousands.
+        throw new ConfigError(`${file}: cannot be parsed; nest the values less deeply`, { cause: err });
+    }
     const first = errors[0];
     if (first !== undefined) {
         const line = text.slice(0, first.offset).split("\n").length;
@@ -31,6 +41,16 @@
 
 function describeIssue(file: string, issue: z.core.$ZodIssue): string {
     const path = issue.path.length === 0 ? "(top level)" : issue.path.map(String).join(".");
-    const found = issue.input === undefined ? "nothing" : JSON.stringify(issue.input).slice(0, 80);
+    const found = issue.input === undefined ? "nothing" : quote(issue.input);
     return `${file}: ${path}: found ${found}; ${issue.message}`;
 }
+
+function quote(value: unknown): string {
+    try {
+        return JSON.stringify(value).slice(0, maxQuotedChars);
+    }
+    catch {
+        // Not swallowed: the issue is reported all the same, without the value.
+        return "a deeply nested value";
+    }
+}
--- a/test/zone-evacuation.test.ts
+++ b/test/zone-evacuation.test.ts
@@ -1,10 +1,11 @@
 import { describe, expect, test } from "vitest";
-import { operatorTable } from "../platform/store.js";
+import { createOperatorTable } from "../platform/store.js";
 import { planFleet, poolsWithoutRoom, type VmSnapshot } from "../src/pool/fleet-plan.js";
 import { VmPhase } from "../src/pool/ports.js";
 import { EventId } from "../src/process/events.js";
 import { silentLog } from "../src/process/log.js";
 import { Metrics } from "../src/process/metrics.js";
+import { RowRefusals } from "../src/process/row-refusals.js";
 import { VirtualTimer } from "../src/process/virtual-timer.js";
 import { ZoneEvacuations, ZoneOrder } from "../src/version/zone-evacuations.js";
 import { jobOf, type StandinEntry, StandinSite, type StandinSiteOptions } from "../standin/site/site.js";
@@ -193,6 +194,9 @@
 });
 
 describe("the news of evacuated zones", () => {
+    const operatorTable = createOperatorTable(
+        RowRefusals.create({ log: silentLog, metrics: Metrics.create() }),
+    );
     const create = (changes: string[] = []): ZoneEvacuations =>
         ZoneEvacuations.create({
             store: { read: () => Promise.reject(new Error("unused")) } as never,
