--- a/src/connection/json-http-client.ts
+++ b/src/connection/json-http-client.ts
@@ -17,6 +17,11 @@
     readonly body?: unknown;
     /** Longest time until the answer begins, in milliseconds. A body that keeps arriving may take longer. */
     readonly timeoutMs: number;
+    /**
+     * Whether the call must not be sent after its time limit; false by default. A process that was blocked or frozen reads its
+     * sockets before its timers call back, so a call that waits for a connection may be sent long after its limit.
+     */
+    readonly expires?: boolean;
     /** Ends the call, which is then lost. */
     readonly signal?: AbortSignal | undefined;
     /** Called whenever a part of the body of a successful answer has arrived, with the number of bytes received so far. */
@@ -142,17 +147,23 @@
     private receivedBytes = 0;
     private receivedAt = -Infinity;
     private isSettled = false;
+    /** Monotonic time from which the call is not sent any more. */
+    private readonly expiresAt: number;
     private cancel: Cancel;
 
     constructor(
         private readonly timer: Timer,
-        private readonly call: Pick<HttpCall, "timeoutMs" | "onData" | "signal">,
+        private readonly call: Pick<HttpCall, "timeoutMs" | "expires" | "onData" | "signal">,
         private readonly resolve: (result: HttpResult) => void,
     ) {
+        this.expiresAt = call.expires === true ? timer.now() + call.timeoutMs : Infinity;
         this.cancel = timer.after(call.timeoutMs, () => this.handleTimeout());
     }
 
     onRequestStart(controller: Dispatcher.DispatchController): void {
+        if (this.timer.now() >= this.expiresAt) {
+            this.fail("timeout");
+        }
         if (this.isSettled) {
             controller.abort(new Error("call timed out before it was sent"));
             return;
