--- a/src/pool/plan-starts.ts
+++ b/src/pool/plan-starts.ts
@@ -33,7 +33,7 @@
 import { type RankedJob, rankJobs } from "./urgency.js";
 import { reservedResources, type WorkerState } from "./worker-registry.js";
 
-export { exceedsTeamLimit, isSchedulable, mayFill } from "./pool-rooms.js";
+export { exceedsTeamLimit, isAcceptingRuns, isSchedulable, mayFill } from "./pool-rooms.js";
 export { type RankedJob, rankJobs } from "./urgency.js";
 
 /** Assignment of a task to a worker. */
--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -1,7 +1,7 @@
 /** Starts and stops runs on workers, and applies their ends. */
 import { RunEnd, TaskPhase } from "../job/index.js";
 import { EventId, Severity } from "../process/events.js";
-import { mayFill } from "./plan-starts.js";
+import { isAcceptingRuns, mayFill } from "./plan-starts.js";
 import { type EndedRun, type StartRequest, type StartResult, WorkerRefusal } from "./ports.js";
 import type { ConfirmedEnd } from "./reconcile.js";
 import {
@@ -153,7 +153,7 @@
         const { timer, times, calls } = this.ctx.options;
         const worker = this.ctx.workers.workerOf(record);
         const isStale = record.stopReason !== undefined || worker.startedAtMs !== record.workerIncarnation
-            || worker.isLeaseBlocked || this.isZoneEvacuated(worker);
+            || !isAcceptingRuns(worker) || this.isZoneEvacuated(worker);
         const pool = this.ctx.options.directory()?.pools.get(worker.listed.pool);
         if (isStale || !this.ctx.mayOrder() || !mayFill(worker, pool, timer.now())) {
             this.applyEnd({ record, outcome: RunEnd.Lost, saved: "" });
--- /dev/null
+++ b/test/start-queue.test.ts
@@ -0,0 +1,46 @@
+/** Starts that wait in the owner's queue while what they rely on changes. */
+import { describe, expect, test, vi } from "vitest";
+import { jobOf } from "../standin/site/site.js";
+import { OwnerTenure } from "./owner-tenure.js";
+
+/** Period of reading the list of workers, in milliseconds. */
+const rosterMs = 400;
+
+/** An owner that sends 100 starts a second, so that the 160 of a batch wait for up to 1.6 s. */
+function createSlowOwner(): OwnerTenure {
+    const owner = OwnerTenure.create({
+        costs: { sendMs: 5, readMs: 5, holdMs: 0.1, batchMs: 1, rowMs: 0 },
+        workers: 24,
+        storeLatencyFactor: 10,
+        workMs: 5000,
+    });
+    owner.submit(40, jobOf({ tasks: 16, estimateMs: 5000 }));
+    void owner.tenure.start();
+    return owner;
+}
+
+describe("starts that wait for the answers of others", () => {
+    test("are not sent to workers that have begun to drain since they were claimed", async () => {
+        const owner = createSlowOwner();
+        await owner.timer.advance(1500);
+        const drainedFrom = owner.timer.now();
+        const draining = new Set(
+            owner["workers"].slice(0, 12).map(worker => {
+                worker.isDraining = true;
+                return worker.id;
+            }),
+        );
+        const { calls } = owner.tenure.options;
+        const start = calls.start.bind(calls);
+        const startsMs: number[] = [];
+        vi.spyOn(calls, "start").mockImplementation((target, request) => {
+            if (draining.has(target.worker)) {
+                startsMs.push(owner.timer.now() - drainedFrom);
+            }
+            return start(target, request);
+        });
+        await owner.timer.advance(5000);
+        expect(startsMs.filter(ms => ms > rosterMs)).toEqual([]);
+        expect(owner.checker.violations).toEqual([]);
+    });
+});
