Starts that are queued when a tenure ends are left to the next owner, not recorded as lost

Cause: each answer to a start takes the next ones from the queue, also after the end of the tenure. Not being the owner any more, the entry then recorded their runs as lost, and those of their gangs as to be stopped.

Evidence: an owner whose tenure ends with starts queued wrote 95 lines `RunEnded` with `lost` for runs that the next owner finds claimed (test/start-queue.test.ts).

Change: nothing is taken from the queue after the end.

Result: no such line. The test failed before.

--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -181,9 +181,12 @@
         }
     }
 
-    /** Sends the starts that the last answer has made room for; once none is queued, more may be placed. */
+    /**
+     * Sends the queued starts that the last answer has made room for; once none is queued, more may be placed. After the end of
+     * the tenure they are left to the next owner, which finds their runs claimed.
+     */
     private sendQueuedStarts(): void {
-        if (this.queue.storedCount > 0) {
+        if (this.queue.storedCount > 0 && this.ctx.isActive) {
             this.sendStarts();
             if (this.queue.storedCount === 0) {
                 this.ctx.requestRound();
--- a/test/start-queue.test.ts
+++ b/test/start-queue.test.ts
@@ -1,5 +1,6 @@
 /** Starts that wait in the owner's queue while what they rely on changes. */
 import { describe, expect, test, vi } from "vitest";
+import { EventId } from "../src/process/events.js";
 import { jobOf } from "../standin/site/site.js";
 import { OwnerTenure } from "./owner-tenure.js";
 
@@ -43,4 +44,15 @@
         expect(startsMs.filter(ms => ms > rosterMs)).toEqual([]);
         expect(owner.checker.violations).toEqual([]);
     });
+
+    test("are left to the next owner when the tenure ends, and not recorded as lost", async () => {
+        const owner = createSlowOwner();
+        await owner.timer.advance(1500);
+        expect(owner.tenure["runController"].queuedStartCount).toBeGreaterThan(0);
+        owner.tenure.end();
+        const write = vi.spyOn(owner.tenure.options.log, "write");
+        await owner.timer.advance(3000);
+        const endedRuns = write.mock.calls.filter(([, event]) => event === EventId.RunEnded);
+        expect(endedRuns).toEqual([]);
+    });
 });
