An answer to a request sent before a suspension does not confirm the ownership after it

Cause: when the wall clock jumps against the monotonic clock, the process is assumed to have been suspended, and the ownership counts as unconfirmed. The answer to a request that was sent before confirmed it again, with the time of its sending, which the monotonic clock shows as recent, since it stood still.

Evidence: a record of VM orders is sent, the process is suspended for 60 s, a check of the permission notices it, and the answer arrives: the entry was allowed to order (test/ownership-guard.test.ts), though others have replaced it meanwhile.

Change: requests sent before the suspension was noticed confirm nothing.

Result: the permission stays away until a new request has confirmed the ownership. The test failed before. owner-changes and clock-steps pass.

--- a/src/pool/ownership-guard.ts
+++ b/src/pool/ownership-guard.ts
@@ -46,6 +46,8 @@
     head: LedgerHead;
     private hasEnded = false;
     private confirmedAt: number;
+    /** Monotonic time at which the last suspension was seen; requests sent before it confirm nothing. */
+    private suspensionSeenAt = -Infinity;
     /** Wall clock less monotonic clock, as last seen; a change reveals a suspension of the process. */
     private wallClockOffsetMs: number;
 
@@ -71,7 +73,9 @@
 
     /** Records that a request sent at the monotonic time `sentAt` has confirmed the ownership. */
     recordConfirmed(sentAt: number): void {
-        this.confirmedAt = Math.max(this.confirmedAt, sentAt);
+        if (sentAt >= this.suspensionSeenAt) {
+            this.confirmedAt = Math.max(this.confirmedAt, sentAt);
+        }
     }
 
     /** Whether orders may be sent: ownership was confirmed within `trustMs`, and the process not suspended since. */
@@ -90,6 +94,7 @@
         if (Math.abs(jumpMs) > suspendThresholdMs) {
             this.wallClockOffsetMs += jumpMs;
             this.confirmedAt = -Infinity;
+            this.suspensionSeenAt = now;
             if (this.isActive) {
                 void this.confirm();
             }
