--- a/test/stale-permissions.test.ts
+++ b/test/stale-permissions.test.ts
@@ -39,7 +39,7 @@
         const call = (path: string) =>
             client.call(address, { method: "POST", path, timeoutMs: 1500, expires: true, body: {} });
         const first = call("/first");
-        await waitUntil(async () => answerFirst !== undefined);
+        await waitUntil(() => Promise.resolve(answerFirst !== undefined));
         const second = call("/second");
         blockedMs = 5000;
         answerFirst?.();
