--- a/test/start-queue.test.ts
+++ b/test/start-queue.test.ts
@@ -1,11 +1,13 @@
 /** Starts that wait in the owner's queue while what they rely on changes. */
 import { describe, expect, test, vi } from "vitest";
 import { EventId } from "../src/process/events.js";
+import { sleep } from "../src/process/timer.js";
 import { jobOf } from "../standin/site/site.js";
 import { OwnerTenure } from "./owner-tenure.js";
 
 /** Period of reading the list of workers, in milliseconds. */
 const rosterMs = 400;
+const msPerSecond = 1000;
 
 /** An owner that sends 100 starts a second, so that the 160 of a batch wait for up to 1.6 s. */
 function createSlowOwner(): OwnerTenure {
@@ -56,3 +58,27 @@
         expect(endedRuns).toEqual([]);
     });
 });
+
+describe("an owner with processor time to spare whose workers are on a slow link", () => {
+    test.each([60, 120])("starts 500 tasks a second of a burst, though answers take %d ms", async linkMs => {
+        const owner = OwnerTenure.create({
+            costs: { sendMs: 0.05, readMs: 0.05, holdMs: 0.05, batchMs: 0.1, rowMs: 0.01 },
+            workers: 60,
+        });
+        const { calls } = owner.tenure.options;
+        const start = calls.start.bind(calls);
+        vi.spyOn(calls, "start").mockImplementation(async (target, request) => {
+            const result = await start(target, request);
+            await sleep(owner.timer, linkMs);
+            return result;
+        });
+        const tasks = 1500;
+        owner.submit(tasks / 10, jobOf({ tasks: 10, estimateMs: 1000 }));
+        void owner.tenure.start();
+        await owner.timer.advance(20_000);
+        const [firstMs] = owner.startedAt;
+        expect(owner.uncertainStarts).toBe(0);
+        expect(owner.startedAt).toHaveLength(tasks);
+        expect(owner.startedAt.at(-1)! - firstMs!).toBeLessThanOrEqual(tasks / 500 * msPerSecond + 600);
+    });
+});
