Queued starts are not sent to a pool that their queue has left since they were claimed

Cause: the pool of a queue is looked up when a run is claimed. Starts that wait for the answers of others may leave seconds later, by lists that no longer hold.

Change: a start whose worker is not in the pool of its queue is not sent; its task waits again.

Result: none is sent. Not covered: a limit of an account that is lowered meanwhile.

--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -153,7 +153,8 @@
         const { timer, times, calls } = this.ctx.options;
         const worker = this.ctx.workers.workerOf(record);
         const isStale = record.stopReason !== undefined || worker.startedAtMs !== record.workerIncarnation
-            || !isAcceptingRuns(worker) || this.isZoneEvacuated(worker);
+            || !isAcceptingRuns(worker) || this.isZoneEvacuated(worker)
+            || queueOf(this.ctx, record.entry)?.pool !== worker.listed.pool;
         const pool = this.ctx.options.directory()?.pools.get(worker.listed.pool);
         if (isStale || !this.ctx.mayOrder() || !mayFill(worker, pool, timer.now())) {
             this.applyEnd({ record, outcome: RunEnd.Lost, saved: "" });
--- a/test/start-queue.test.ts
+++ b/test/start-queue.test.ts
@@ -47,6 +47,20 @@
         expect(owner.checker.violations).toEqual([]);
     });
 
+    test("are not sent to a pool that their queue has left since they were claimed", async () => {
+        const owner = createSlowOwner();
+        await owner.timer.advance(1500);
+        expect(owner.tenure["runController"].queuedStartCount).toBeGreaterThan(0);
+        const { options } = owner.tenure;
+        const directory = options.directory()!;
+        const queues = directory.queues.map(queue => ({ ...queue, pool: "other" }));
+        vi.spyOn(options, "directory").mockReturnValue({ ...directory, queues });
+        const start = vi.spyOn(options.calls, "start");
+        await owner.timer.advance(3000);
+        expect(start).not.toHaveBeenCalled();
+        expect(owner.tenure["runController"].queuedStartCount).toBe(0);
+    });
+
     test("are left to the next owner when the tenure ends, and not recorded as lost", async () => {
         const owner = createSlowOwner();
         await owner.timer.advance(1500);
