The window for starts measures the wait at the owner, not the time of links

Cause: the window shrank when the median start took more than 50 ms, whatever took that time. A smaller window does not change what a link takes. Change: what counts is the median beyond a floor, the duration of a request without a wait for others. The floor is 0 until the smallest window has shown another, and falls with every shorter request.

--- a/src/pool/scheduling/start-window.ts
+++ b/src/pool/scheduling/start-window.ts
@@ -10,8 +10,13 @@
 const initialSize = 64;
 const minSize = 16;
 const maxSize = 256;
-/** Median duration of a request above which fewer are sent at once: a quarter of the time limit, as the slowest take far longer. */
-const targetMs = 50;
+/**
+ * Median time that requests wait at the owner from which fewer are sent at once: a quarter of the time limit, since the slowest
+ * wait far longer.
+ */
+const maxDelayMs = 50;
+/** Longest time that a request is assumed to take without a wait at the owner: half of the time limit. */
+const maxFloorMs = 100;
 /** Least share of the window that is left after one change, and the factor by which it grows. */
 const maxShrinkFactor = 0.5;
 const growthFactor = 2;
@@ -26,12 +31,17 @@
     readonly medianMs: number;
 }
 
-/** Congestion window for start requests. The median is not moved by the few workers that do not answer. */
+/**
+ * Congestion window for start requests. What they take beyond the shortest one is the owner's delay; the rest is that of links and
+ * workers, which a smaller window would not change. The median is not moved by the few workers that do not answer.
+ */
 export class StartWindow {
     private size = initialSize;
     private inFlight = 0;
     /** Whether the window was full since its last change; without that, its size has shown nothing. */
     private wasFull = false;
+    /** Duration of a request without a wait at the owner, in milliseconds; 0 until the smallest window has shown another. */
+    private floorMs = 0;
     private readonly durations: number[] = [];
 
     static create(): StartWindow {
@@ -56,7 +66,9 @@
         if (this.durations.length < sampleCount) {
             return undefined;
         }
-        const medianMs = this.durations.sort((a, b) => a - b)[sampleCount / 2]!;
+        this.durations.sort((a, b) => a - b);
+        const medianMs = this.durations[sampleCount / 2]!;
+        this.updateFloor(this.durations[0]!);
         const size = this.sizeFor(medianMs);
         this.durations.length = 0;
         this.wasFull = !this.hasRoom;
@@ -68,12 +80,20 @@
         return { size, previousSize, medianMs };
     }
 
+    /** What the shortest request takes with the smallest window is not a wait for other requests. */
+    private updateFloor(shortestMs: number): void {
+        if (shortestMs < this.floorMs || this.size === minSize) {
+            this.floorMs = Math.min(shortestMs, maxFloorMs);
+        }
+    }
+
     private sizeFor(medianMs: number): number {
-        if (medianMs > targetMs) {
-            const factor = Math.max(maxShrinkFactor, targetMs / medianMs);
+        const delayMs = medianMs - this.floorMs;
+        if (delayMs > maxDelayMs) {
+            const factor = Math.max(maxShrinkFactor, (this.floorMs + maxDelayMs) / medianMs);
             return Math.max(minSize, Math.round(this.size * factor));
         }
-        return this.wasFull && medianMs <= targetMs / growthFactor
+        return this.wasFull && delayMs <= maxDelayMs / growthFactor
             ? Math.min(maxSize, this.size * growthFactor)
             : this.size;
     }
