An odd job in a peer's message does not keep the owner from starting others

What operators would see: an owner takes a job from a message of a peer as it is. One whose step has no needs makes each round of starts end with TaskFailed (1999); with a million tasks the process does nothing else.

Cause: `OwnerClient` took the body of "job.accepted" for a job unchecked, unlike the row of the same job.

Change: the body passes the codec of stored jobs and so has its bounds. One that cannot be used is logged (1204) and counted (celerywind_peer_notifications_rejected_total).

Evidence: test/odd-store-rows.test.ts, four messages.

--- a/src/job/codec.ts
+++ b/src/job/codec.ts
@@ -8,8 +8,9 @@
     roughDurationSchema,
     startTimeSchema,
 } from "../process/bounds.js";
+import { messageOf } from "../process/errors.js";
 import { parseJson } from "../process/json.js";
-import { type DecodedText, decodeText } from "../process/row-refusals.js";
+import { type DecodedText, decodeText, RowFault } from "../process/row-refusals.js";
 import { type AcceptedJob, type JobSpec, maxSteps, maxTasksPerStep, type StepSpec } from "./spec.js";
 import { initialState, isFinal, JobPhase, type JobState, TaskPhase, type TaskState } from "./state.js";
 
@@ -75,6 +76,17 @@
     return decoded.kind === "valid" ? { kind: "valid", value: jobOf(id, decoded.value) } : decoded;
 }
 
+/** Decodes an accepted job as another entry has sent it. */
+export function decodeSentJob(body: unknown): DecodedText<AcceptedJob> {
+    try {
+        const sent = body as AcceptedJob;
+        return decodeJob(String(sent.id), encodeJob(sent));
+    }
+    catch (err) {
+        return { kind: "refused", fault: RowFault.Malformed, detail: messageOf(err) };
+    }
+}
+
 function jobOf(id: string, { q, t, at, p, s, o }: z.output<typeof jobSchema>): AcceptedJob {
     const spec: JobSpec = {
         payload: p,
--- a/src/pool/owner-client.ts
+++ b/src/pool/owner-client.ts
@@ -2,12 +2,12 @@
  * Client for the owner of a domain, used by every entry: notifies it of jobs and cancellations that were just stored,
  * and queries the state of jobs. Calls are handled locally when this entry is the owner.
  */
-import type { AcceptedJob, JobPhase } from "../job/index.js";
+import { type AcceptedJob, decodeSentJob, type JobPhase } from "../job/index.js";
 import { messageOf } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
 import type { Log } from "../process/log.js";
 import type { Metrics } from "../process/metrics.js";
-import type { Peers } from "../process/peers.js";
+import type { Peer, Peers } from "../process/peers.js";
 import { type ExplainedJob, explainJob } from "./explain.js";
 import type { Tenure } from "./tenure.js";
 
@@ -40,7 +40,7 @@
 export class OwnerClient {
     private constructor(private readonly options: OwnerClientOptions) {
         const { peers } = options;
-        peers.on(Topic.Accepted, (_, body) => this.tenure?.accept(body as AcceptedJob));
+        peers.on(Topic.Accepted, (peer, body) => this.acceptFrom(peer, body));
         peers.on(Topic.Cancelled, (_, body) => this.tenure?.cancel((body as { id: string }).id));
         peers.on(Topic.Phase, (_, body) => this.phaseLocally((body as { id: string }).id));
         peers.on(Topic.Pending, (_, body) => this.pendingLocally((body as { queue: string }).queue));
@@ -51,6 +51,25 @@
         return new OwnerClient(options);
     }
 
+    /** Accepts a job that a peer has stored; one that cannot be used is logged and counted. */
+    private acceptFrom({ vm: peer }: Peer, body: unknown): void {
+        if (this.tenure === undefined) {
+            return;
+        }
+        const { metrics, log } = this.options;
+        const decoded = decodeSentJob(body);
+        switch (decoded.kind) {
+            case "valid":
+                this.tenure.accept(decoded.value);
+                return;
+            case "refused": {
+                const topic = Topic.Accepted;
+                metrics.count("celerywind_peer_notifications_rejected_total", { topic });
+                log.write(Severity.Warn, EventId.PeerFrameInvalid, { peer, topic, err: decoded.detail });
+            }
+        }
+    }
+
     /** Notifies the owner of a job that was just stored. */
     notifyAccepted(job: AcceptedJob): void {
         this.notifyOwner(tenure => tenure.accept(job), Topic.Accepted, job);
--- a/test/odd-store-rows.test.ts
+++ b/test/odd-store-rows.test.ts
@@ -192,3 +192,32 @@
     await site.timer.advance(4000);
     expect(await site.runUntilSettled(site.phaseOf(entry!, "j1"))).toBe("succeeded");
 });
+
+describe("an accepted job as a peer sends it", () => {
+    const needs = { cpu: 1000, memory: 100, accelerators: 0 };
+
+    test.each([
+        ["without needs", { tasks: 1, needs: undefined }],
+        ["with needs of another type", { tasks: 1, needs: { cpu: "x", memory: [], accelerators: {} } }],
+        ["of a million tasks", { tasks: 1_000_000, needs }],
+        ["of nested steps after which it comes", {
+            tasks: 1,
+            needs,
+            after: JSON.parse(deepJson(1000)) as unknown,
+        }],
+    ])("%s does not keep the owner from starting other jobs", async (_, step) => {
+        const site = StandinSite.create({ entries: 2 });
+        await site.start({ version: 1, queues: [{}] });
+        const owner = site.owner()!;
+        const peer = site.entries.find(entry => entry !== owner)!;
+        const sound = jobOf({ tasks: 1 });
+        const spec = { ...sound, steps: [{ ...sound.steps[0]!, ...step }] };
+        const sent = { id: "odd", queue: "q", team: "t", acceptedAtMs: site.timer.wall(), spec };
+        peer.peers.notify(owner.name, "job.accepted", sent);
+        await site.timer.advance(500);
+        void site.submit(peer, "j1", jobOf({ tasks: 1 }));
+        await site.timer.advance(4000);
+        expect(await site.runUntilSettled(site.phaseOf(peer, "j1"))).toBe("succeeded");
+        expect(owner.log.filter(({ event }) => event === EventId.TaskFailed)).toEqual([]);
+    });
+});
