A worker whose start is earlier than a row has said is used again, and not asked without a pause until then

Cause: an owner keeps the latest start of a worker that a row of the list or an answer has named, and passes over all answers of an earlier one. If the wall clock of a VM was set back before its worker started again, or a row named a later start than the true one (any up to the year 2100 is valid), it passed over all answers of the worker for the rest of its tenure, and asked again at once.

A row that was wrong for 1 s: the worker got no more runs, a job that ran there did not end, and 1,949 hold requests were sent to it in 5 s. A worker that started again with an earlier start: the same.

Change: the start that the list and an answer that was requested after reading the list agree on counts, though it is earlier; leases that were granted before may last for one more lease. After an answer that is passed over there is a pause.

Open: a worker that such a row names and that cannot be reached before the correction may be given up before its leases end.

--- a/src/pool/worker-monitor.ts
+++ b/src/pool/worker-monitor.ts
@@ -193,7 +193,7 @@
                 this.recordHoldFailure(worker, wasReachable, result);
                 await sleep(timer, worker.isListed ? retryDelayMs : unlistedRetryMs);
             }
-            else if (worker.isLeaseBlocked) {
+            else if (worker.isLeaseBlocked || result.startedAtMs < worker.startedAtMs) {
                 await sleep(timer, retryDelayMs);
             }
             await this.waitForStore(worker);
@@ -248,7 +248,12 @@
         sentAt: number,
     ): void {
         const now = this.ctx.options.timer.now();
-        if (result.startedAtMs < worker.startedAtMs) {
+        const maxLeaseMs = maxLeaseDurationMs(this.ctx.options.times.leaseMs);
+        const correction = { sentAt, leasesUntil: now + maxLeaseMs };
+        if (
+            result.startedAtMs < worker.startedAtMs
+            && !this.ctx.workers.correctIncarnation(worker, result.startedAtMs, correction)
+        ) {
             return;
         }
         this.ctx.workers.updateIncarnation(worker, result.startedAtMs);
@@ -256,7 +261,7 @@
         const isNewlyHeld = !worker.hasAcceptedFence || !worker.isReachable;
         if (!worker.hasAcceptedFence) {
             // From now on the worker rejects the orders of earlier owners, so their last lease is one granted just before.
-            worker.lease.tightenInheritedBound(now + maxLeaseDurationMs(this.ctx.options.times.leaseMs));
+            worker.lease.tightenInheritedBound(now + maxLeaseMs);
             worker.fencedClockMs = result.clockMs;
         }
         worker.reportRequestedAt = Math.max(worker.reportRequestedAt, sentAt);
--- a/src/pool/worker-registry.ts
+++ b/src/pool/worker-registry.ts
@@ -1,9 +1,12 @@
 /** Registry of a domain's workers at its owner: the platform's roster combined with the workers' own responses. */
 import type { StepSpec } from "../job/index.js";
-import { addResources, fitsInto, noResources, type Resources } from "../process/resources.js";
+import { addResources, noResources, type Resources } from "../process/resources.js";
 import { LeaseClock } from "./lease.js";
 import type { ListedWorker } from "./ports.js";
 import { lossesOf, type RunRecord } from "./records.js";
+import { reservedResources, type WorkerShape, WorkerShapes } from "./worker-shapes.js";
+
+export { reservedResources, type WorkerShape } from "./worker-shapes.js";
 
 /** The owner's state of a worker. */
 export interface WorkerState {
@@ -76,22 +79,12 @@
 /** Identifies one run of a worker. */
 type Incarnation = Pick<WorkerState, "id" | "startedAtMs">;
 
-/** Capacity and labels of a worker, or of a VM that could become one. */
-export interface WorkerShape {
-    readonly capacity: Resources;
-    readonly labels: readonly string[];
-}
-
 const slowdownSmoothing = 0.2;
-/** Limit on recorded shapes. Once it is reached, every step counts as possible. */
-const maxShapes = 2000;
 
 /** Workers of a domain and their reserved resources. */
 export class WorkerRegistry {
     readonly byId = new Map<string, WorkerState>();
-    private readonly shapes = new Map<string, WorkerShape>();
-    /** Steps that a recorded shape could run. No shape is forgotten, so they stay possible. */
-    private readonly possibleSteps = new WeakSet<StepSpec>();
+    private readonly shapes = WorkerShapes.create();
     /** Monotonic time at which the last roster was requested. */
     private lastRosterAt = -Infinity;
     private inheritedLeasesUntil: number;
@@ -147,29 +140,13 @@
     }
 
     /** Records the shapes of workers and of VMs that could become workers, including those in the spare pool. */
-    recordShapes(kinds: readonly WorkerShape[]): void {
-        for (const kind of kinds) {
-            const { cpu, memory, accelerators } = kind.capacity;
-            const key = `${cpu}/${memory}/${accelerators}/${kind.labels.join("/")}`;
-            if (this.shapes.size < maxShapes) {
-                this.shapes.set(key, kind);
-            }
-        }
+    recordShapes(shapes: readonly WorkerShape[]): void {
+        this.shapes.record(shapes);
     }
 
     /** Whether any recorded shape could run a task of the step on an empty worker. */
     couldEverRun(step: StepSpec): boolean {
-        if (this.shapes.size === 0 || this.shapes.size >= maxShapes || this.possibleSteps.has(step)) {
-            return true;
-        }
-        const needs = reservedResources({ step });
-        const isPossible = [...this.shapes.values()].some(({ capacity, labels }) =>
-            fitsInto(needs, capacity) && (step.label === undefined || labels.includes(step.label))
-        );
-        if (isPossible) {
-            this.possibleSteps.add(step);
-        }
-        return isPossible;
+        return this.shapes.couldEverRun(step);
     }
 
     /** Records a worker's incarnation; resets its state and returns true if it is a later one. */
@@ -177,8 +154,34 @@
         if (startedAtMs <= worker.startedAtMs) {
             return false;
         }
+        this.beginIncarnation(
+            worker,
+            startedAtMs,
+            LeaseClock.create(this.inheritedBoundOf({ ...worker, startedAtMs })),
+        );
+        return true;
+    }
+
+    /**
+     * Replaces a worker's incarnation by the earlier one that has answered a request sent at `sentAt`, if the list of workers read
+     * before shows the same; returns whether it did. The wall clock of its VM was set back before it started, or another row named
+     * a later start. Leases may last until `leasesUntil`. All times but the incarnation's are monotonic.
+     */
+    correctIncarnation(
+        worker: WorkerState,
+        startedAtMs: number,
+        { sentAt, leasesUntil }: { readonly sentAt: number; readonly leasesUntil: number },
+    ): boolean {
+        if (!worker.isListed || worker.listed.startedAtMs !== startedAtMs || sentAt < this.lastRosterAt) {
+            return false;
+        }
+        this.beginIncarnation(worker, startedAtMs, LeaseClock.create(leasesUntil));
+        return true;
+    }
+
+    private beginIncarnation(worker: WorkerState, startedAtMs: number, lease: LeaseClock): void {
         worker.startedAtMs = startedAtMs;
-        worker.lease = LeaseClock.create(this.inheritedBoundOf(worker));
+        worker.lease = lease;
         worker.isLeaseBlocked = this.blockedIncarnations.has(incarnationKey(worker));
         worker.hasAcceptedFence = false;
         worker.reportClockMs = 0;
@@ -186,7 +189,6 @@
         worker.storedPosition = 0;
         worker.consecutiveFailures = 0;
         worker.slowdownFactor = 1;
-        return true;
     }
 
     /** The worker of a run; adds a placeholder if no roster has contained it. */
@@ -320,11 +322,6 @@
     return addResources(listed.capacity, reserved, -1);
 }
 
-/** Resources that a run reserves on its worker. Best-effort runs reserve no processor time. */
-export function reservedResources({ step }: { readonly step: RunRecord["step"] }): Resources {
-    return step.isBestEffort ? { ...step.needs, cpu: 0 } : step.needs;
-}
-
 function placeholderFor({ worker, workerIncarnation: born }: RunRecord): ListedWorker {
     return {
         id: worker,
