A claimed run is started although its VM has been cordoned since

Cause: the check at the send counted a cordoned VM as one that accepts no runs. A VM with claimed runs is not moved, so the start is safe, as before the queue. Draining, unreachable and unlisted workers still get none.

--- a/src/pool/pool-rooms.ts
+++ b/src/pool/pool-rooms.ts
@@ -105,13 +105,13 @@
 
 /** Whether new runs may be placed on a worker at the monotonic time `now`. */
 export function isSchedulable(worker: WorkerState, now: number): boolean {
-    return isAcceptingRuns(worker) && now >= worker.backoffUntil;
+    return isAcceptingRuns(worker) && !worker.isCordoned && now >= worker.backoffUntil;
 }
 
-/** Whether a worker may start runs at all, including those that were placed on it before. */
+/** Whether a worker may start runs at all, including those that were placed on it before, for which its VM is not moved. */
 export function isAcceptingRuns(worker: WorkerState): boolean {
     return worker.isListed && worker.hasAcceptedFence && worker.isReachable && !worker.listed.isDraining
-        && !worker.isCordoned && !worker.isLeaseBlocked;
+        && !worker.isLeaseBlocked;
 }
 
 /** Whether runs may be added to a worker: its pool's workers refuse what exceeds their capacity, or the capacity is known. */
