A run without a record is not stopped after the owner's permission has ended

A hold request stays open for up to a second. Its answer may name runs that the owner has no record of, and the owner stopped them without asking whether it may still order. An owner whose ownership the store had not confirmed for times.trustMs therefore sent stops, though it promises to send no order then. A worker that knows a later owner refuses them by the fencing token; one that does not would end a run that the later owner has just placed on another claim.

The permission is now asked when the answer is applied. The next answer reports the runs again, so that none is left over.

test/worker-orders.test.ts failed before: a stop 1 hold after the end of the permission (6,155 ms).

--- a/src/pool/worker-monitor.ts
+++ b/src/pool/worker-monitor.ts
@@ -257,7 +257,8 @@
             // Orphaned runs use resources that are not accounted for until they have stopped.
             worker.backoffUntil = Math.max(worker.backoffUntil, now + orphanBackoffMs);
         }
-        for (const { task, run } of found.orphans) {
+        // The answer may have outlasted the permission; the next one reports the orphans again.
+        for (const { task, run } of this.ctx.mayOrder() ? found.orphans : []) {
             void this.ctx.options.calls.stop(targetOf(worker), task, run, this.ctx.fence);
         }
         worker.isExpectedToEnd = false;
