A VM whose permit was released meanwhile is not drained again

A maintenance round read the pool's row once and advanced its permits one after the other. Each may wait a second for answers of peers, and the row was read again only if it had changed by this round. If another entry became responsible meanwhile and released a later permit, the round drained that VM although it had no permit any more; nothing undrains such a VM, so that the pool has one VM less.

The row is read again before each further permit, which costs one read a permit and round while a pool has permits.

--- a/src/process/maintenance.ts
+++ b/src/process/maintenance.ts
@@ -77,8 +77,11 @@
     }
     const key = poolRowKey(options.pool);
     let row = yield* getRow(key, StorePriority.Claim);
-    for (const permit of Object.values(poolRowValue(row).permits)) {
-        if (yield* advancePermit(options, row, permit)) {
+    for (const vm of Object.keys(poolRowValue(row).permits)) {
+        const permit = poolRowValue(row).permits[vm];
+        if (permit !== undefined) {
+            yield* advancePermit(options, row, permit);
+            // Peers may have taken a second to answer, in which another entry can release a permit or advance it.
             row = yield* getRow(key, StorePriority.Claim);
         }
     }
@@ -174,7 +177,7 @@
     return true;
 }
 
-/** Advances one permit; returns whether the row changed. */
+/** Advances one permit, which `row` contains; returns whether the row changed. */
 function* advancePermit(
     options: MaintenanceRoundOptions,
     row: Row | undefined,
