A row that names a later start of a worker does not end the leases of its runs

Cause: a later start in the list of workers was taken as proof that the earlier incarnation has ended: its leases were forgotten, so that its runs were given up and started again as soon as the worker did not answer, while it still worked on them.

Evidence: a row names a later start than the true one for 1 s, and the worker cannot be reached for 2 s after that: two tasks run twice at a time (test/odd-births.test.ts, the stand-in's check).

Change: the leases that were granted to the earlier incarnation are waited for, too. An answer of the later incarnation shows that the earlier one has ended, as before.

--- a/src/pool/worker-registry.ts
+++ b/src/pool/worker-registry.ts
@@ -154,11 +154,12 @@
         if (startedAtMs <= worker.startedAtMs) {
             return false;
         }
-        this.beginIncarnation(
-            worker,
-            startedAtMs,
-            LeaseClock.create(this.inheritedBoundOf({ ...worker, startedAtMs })),
+        // A row alone does not show that the earlier incarnation has ended, so its leases are waited for, too.
+        const leasesUntil = Math.max(
+            worker.lease.latestEnd(),
+            this.inheritedBoundOf({ id: worker.id, startedAtMs }),
         );
+        this.beginIncarnation(worker, startedAtMs, LeaseClock.create(leasesUntil));
         return true;
     }
 
--- a/test/odd-births.test.ts
+++ b/test/odd-births.test.ts
@@ -8,9 +8,9 @@
 const msPerDay = 86_400_000;
 
 /** A site whose workers are listed by rows, in which the first one's start is later than it was. */
-async function createSite(laterMs: () => number): Promise<StandinSite> {
+async function createSite(laterMs: () => number, vmsPerPool = 2): Promise<StandinSite> {
     const site = StandinSite.create({
-        vmsPerPool: 2,
+        vmsPerPool,
         entries: 2,
         createRoster: ({ store, log, metrics }) =>
             PlatformRoster.create({ store, refusals: RowRefusals.create({ log, metrics }) }),
@@ -59,6 +59,28 @@
         expect(site.checker.violations).toEqual([]);
     });
 
+    test("does not have its runs given up before their leases have ended, if it cannot be reached then", async () => {
+        let laterMs = 0;
+        const site = await createSite(() => laterMs, 3);
+        const [entry] = site.entries;
+        const long = jobOf({
+            tasks: 3,
+            estimateMs: 20_000,
+            needs: { cpu: 12_000, memory: 100, accelerators: 0 },
+        });
+        await site.runUntilSettled(site.submit(entry!, "long", long, { workMs: 20_000 }));
+        await site.timer.advance(3000);
+        laterMs = msPerDay;
+        await site.timer.advance(1000);
+        site.workers[0]!.faults.isUnreachable = true;
+        await site.timer.advance(2000);
+        laterMs = 0;
+        site.workers[0]!.faults.isUnreachable = false;
+        await site.timer.advance(30_000);
+        expect(site.checker.violations).toEqual([]);
+        expect(await site.runUntilSettled(site.phaseOf(entry!, "long"))).toBe("succeeded");
+    });
+
     test("does not have the worker asked again without a pause", async () => {
         let laterMs = 0;
         const site = await createSite(() => laterMs);
