Calls that share a signal leave no listeners behind and print no warning of a leak

Node warns from the 11th on. Change: a call removes its listener when it is settled, and Node is told that a signal may have many. Measured: test/http-transfers.test.ts, 30 calls with one signal, failed before (one warning, listeners left) and passes.

--- a/src/connection/json-http-client.ts
+++ b/src/connection/json-http-client.ts
@@ -2,6 +2,7 @@
  * HTTP client for calls with JSON bodies over reused HTTP/1.1 connections, each with its own timeout. The result shows
  * whether the server may have received a call that was not answered.
  */
+import { setMaxListeners } from "node:events";
 import { validateHeaderValue } from "node:http";
 import { type Dispatcher, Pool } from "undici";
 import { messageOf } from "../process/errors.js";
@@ -73,7 +74,6 @@
         }
         return new Promise(resolve => {
             const exchange = new Exchange(this.options.timer, call, resolve);
-            call.signal?.addEventListener("abort", () => exchange.giveUp("cancelled"), { once: true });
             try {
                 this.poolOf(address).dispatch(encodeCall(call), exchange);
             }
@@ -158,6 +158,11 @@
     ) {
         this.expiresAt = call.expires === true ? timer.now() + call.timeoutMs : Infinity;
         this.cancel = timer.after(call.timeoutMs, () => this.handleTimeout());
+        if (call.signal !== undefined) {
+            // Many calls may share a signal, which Node would report as a leak of listeners.
+            setMaxListeners(0, call.signal);
+            call.signal.addEventListener("abort", this.handleAbort);
+        }
     }
 
     onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -196,6 +201,8 @@
         this.fail(err.message);
     }
 
+    private readonly handleAbort = (): void => this.giveUp("cancelled");
+
     private handleTimeout(): void {
         const maxStallMs = Math.min(this.call.timeoutMs, maxStallTimeoutMs);
         const leftMs = this.receivedAt + maxStallMs - this.timer.now();
@@ -222,6 +229,7 @@
         if (!this.isSettled) {
             this.isSettled = true;
             this.cancel();
+            this.call.signal?.removeEventListener("abort", this.handleAbort);
             this.resolve(result);
         }
     }
--- a/test/http-transfers.test.ts
+++ b/test/http-transfers.test.ts
@@ -1,3 +1,4 @@
+import { getEventListeners } from "node:events";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, describe, expect, test } from "vitest";
@@ -74,3 +75,18 @@
         client.close();
     });
 });
+
+test("calls that share a signal leave no listeners behind and print no warning of a leak", async () => {
+    const warnings: string[] = [];
+    const onWarning = ({ name }: Error): void => void warnings.push(name);
+    process.on("warning", onWarning);
+    const client = JsonHttpClient.create({ timer, maxConnections: 1 });
+    const { signal } = new AbortController();
+    const call = { method: "GET", path: "/", timeoutMs, signal } as const;
+    await Promise.all(Array.from({ length: 30 }, () => client.call("127.0.0.1:1", call)));
+    await sleep(timer, 0);
+    client.close();
+    process.off("warning", onWarning);
+    expect(warnings).toEqual([]);
+    expect(getEventListeners(signal, "abort")).toEqual([]);
+});
