The window for starts does not take silent workers for a slow owner

Cause: a start without an answer counted with its full time limit. It shows that the worker is silent as well as that the owner is late. Change: the median is taken of answered starts, if there are at least four of sixteen; an owner that is late shows in these, too. Where hardly any is answered, all count. Measured: test/start-window.test.ts, half of the workers silent: at least 64 in flight; it fails (16) if all starts count.

--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -175,7 +175,7 @@
         const sentAt = timer.now();
         this.queue.recordSent();
         const result = await calls.start(targetOf(worker), order);
-        this.queue.recordEnded(timer.now() - sentAt);
+        this.queue.recordEnded({ ms: timer.now() - sentAt, isAnswered: isAnswer(result) });
         this.sendQueuedStarts();
         if (this.ctx.isActive && this.ctx.jobs.runs.get(record.name) === record) {
             this.applyStartResult(record, worker, result);
@@ -285,3 +285,15 @@
         return queueOf(this.ctx, entry)?.maxAttempts ?? defaultMaxFailures;
     }
 }
+
+/** Whether a result shows that the worker has answered. */
+function isAnswer(result: StartResult): boolean {
+    switch (result.kind) {
+        case "started":
+            return true;
+        case "refused":
+            return result.reason !== WorkerRefusal.NotSent;
+        case "unknown":
+            return false;
+    }
+}
--- a/src/pool/scheduling/start-window.ts
+++ b/src/pool/scheduling/start-window.ts
@@ -20,8 +20,16 @@
 /** Least share of the window that is left after one change, and the factor by which it grows. */
 const maxShrinkFactor = 0.5;
 const growthFactor = 2;
-/** Requests after which the window may change. */
+/** Requests after which the window may change, and the least number of answers among them that tell enough. */
 const sampleCount = 16;
+const minAnswers = 4;
+
+/** A start request that has ended, after a time in milliseconds. */
+export interface EndedRequest {
+    readonly ms: number;
+    /** Whether its worker has answered, be it with a refusal. */
+    readonly isAnswered: boolean;
+}
 
 /** A change of the window. */
 export interface WindowChange {
@@ -33,7 +41,8 @@
 
 /**
  * Congestion window for start requests. What they take beyond the shortest one is the owner's delay; the rest is that of links and
- * workers, which a smaller window would not change. The median is not moved by the few workers that do not answer.
+ * workers, which a smaller window would not change. Requests without an answer count only where hardly any is answered: they show that
+ * their workers are silent as well as that the owner is late.
  */
 export class StartWindow {
     private size = initialSize;
@@ -42,7 +51,7 @@
     private wasFull = false;
     /** Duration of a request without a wait at the owner, in milliseconds; 0 until the smallest window has shown another. */
     private floorMs = 0;
-    private readonly durations: number[] = [];
+    private readonly ended: EndedRequest[] = [];
 
     static create(): StartWindow {
         return new StartWindow();
@@ -59,18 +68,20 @@
         this.wasFull ||= !this.hasRoom;
     }
 
-    /** Records the end of a request, answered or not, and its duration in milliseconds. Returns the change that follows from it. */
-    recordEnded(ms: number): WindowChange | undefined {
+    /** Records the end of a request. Returns the change that follows from it. */
+    recordEnded(request: EndedRequest): WindowChange | undefined {
         this.inFlight -= 1;
-        this.durations.push(ms);
-        if (this.durations.length < sampleCount) {
+        this.ended.push(request);
+        if (this.ended.length < sampleCount) {
             return undefined;
         }
-        this.durations.sort((a, b) => a - b);
-        const medianMs = this.durations[sampleCount / 2]!;
-        this.updateFloor(this.durations[0]!);
+        const answered = this.ended.filter(({ isAnswered }) => isAnswered);
+        const durations = (answered.length >= minAnswers ? answered : this.ended).map(({ ms }) => ms)
+            .sort((a, b) => a - b);
+        const medianMs = durations[Math.floor(durations.length / 2)]!;
+        this.updateFloor(durations[0]!);
         const size = this.sizeFor(medianMs);
-        this.durations.length = 0;
+        this.ended.length = 0;
         this.wasFull = !this.hasRoom;
         if (size === this.size) {
             return undefined;
--- a/src/pool/start-queue.ts
+++ b/src/pool/start-queue.ts
@@ -4,7 +4,7 @@
 import type { Metrics } from "../process/metrics.js";
 import type { Timer } from "../process/timer.js";
 import type { JobEntry, RunRecord } from "./records.js";
-import { StartWindow } from "./scheduling/start-window.js";
+import { type EndedRequest, StartWindow } from "./scheduling/start-window.js";
 
 /** Options of `StartQueue.create`. */
 export interface StartQueueOptions {
@@ -81,11 +81,11 @@
         this.window.recordSent();
     }
 
-    /** Records that a start request has ended, answered or not, after a time in milliseconds. */
-    recordEnded(ms: number): void {
+    /** Records that a start request has ended. */
+    recordEnded(request: EndedRequest): void {
         const { timer, log, metrics } = this.options;
-        metrics.observe("celerywind_start_ms", ms);
-        const change = this.window.recordEnded(ms);
+        metrics.observe("celerywind_start_ms", request.ms);
+        const change = this.window.recordEnded(request);
         if (
             change !== undefined && change.size < change.previousSize
             && timer.now() - this.loggedAt >= logIntervalMs
--- a/test/start-window.test.ts
+++ b/test/start-window.test.ts
@@ -28,7 +28,7 @@
         for (let request = 1; request <= sent; request++) {
             const ms = isSilent(request) ? timeoutMs : request * costMs;
             late += !isSilent(request) && ms > timeoutMs ? 1 : 0;
-            window.recordEnded(ms);
+            window.recordEnded({ ms, isAnswered: ms < timeoutMs });
         }
         inFlight.push(sent);
     }
@@ -56,6 +56,22 @@
         expect(Math.min(...inFlight)).toBeGreaterThanOrEqual(64);
     });
 
+    test("does not shrink while half of the workers do not answer", () => {
+        const { inFlight } = play(StartWindow.create(), {
+            turns: 10,
+            costMs: 0.1,
+            isSilent: request => request % 2 === 0,
+        });
+        expect(Math.min(...inFlight)).toBeGreaterThanOrEqual(64);
+    });
+
+    test("shrinks although the few answers that an overloaded owner reads in time are all that it gets", () => {
+        const window = StartWindow.create();
+        play(window, { turns: 20, costMs: 8, isSilent: request => request > 25 });
+        expect(window.hasRoom).toBe(true);
+        expect(play(window, { turns: 1, costMs: 8 }).inFlight[0]).toBeLessThanOrEqual(25);
+    });
+
     test("opens again once the owner has its processor time back", () => {
         const window = StartWindow.create();
         play(window, { turns: 20, costMs: 20 });
