The soak's log file of a process is closed once both of its output streams have ended

Cause: standard output and standard error were piped into one file stream, and the first of them to end closed it under the other.

--- a/soak/entry-process.ts
+++ b/soak/entry-process.ts
@@ -76,8 +76,9 @@
             env: { CELERYWIND_SETTINGS: file, PATH: process.env["PATH"] },
             stdio: ["ignore", "pipe", "pipe"],
         });
-        child.stdout.pipe(log);
-        child.stderr.pipe(log);
+        // Either stream may end first; the file is closed once both have.
+        child.stdout.pipe(log, { end: false });
+        child.stderr.pipe(log, { end: false });
         let output = "";
         const keep = (data: Buffer): void =>
             void (output = (output + data.toString()).slice(-keptOutputLength));
@@ -88,6 +89,7 @@
         this.closed = new Promise(resolve =>
             // The output is complete only now.
             child.once("close", (code, signal) => {
+                log.end();
                 this.judgeEnd(expected, code ?? signal, output);
                 resolve();
             })
