--- a/standin/site/rows.ts
+++ b/standin/site/rows.ts
@@ -15,6 +15,7 @@
 } from "../../src/process/rows.js";
 import { sleep, type Timer } from "../../src/process/timer.js";
 import type { SharedLink } from "../simulation/shared-link.js";
+import { CallRates, hasTooManyTables, invalidityOf, maxPageRows, pageOf } from "./row-limits.js";
 
 /** Faults of the row store, for all entries or for the clients of one. */
 export interface RowStoreFaults {
@@ -71,8 +72,6 @@
 const partOccupancyMs = 5;
 /** Longest wait for a part; a transaction that would wait longer is refused. */
 const maxPartQueueMs = 1000;
-const defaultPageRows = 500;
-
 interface FeedWaiter {
     readonly table: string;
     readonly wake: () => void;
@@ -93,10 +92,18 @@
     transactionCount = 0;
     /** Fault by number of the transaction as `transactionCount` counts them, from 1. */
     readonly transactionFaults = new Map<number, TransactionFault>();
+    /** Why calls were refused that can never be carried out, such as those beyond a limit of the store. */
+    readonly invalidCalls: string[] = [];
+    /** Tables that the entries may not write to. */
+    readonly readOnlyTables = new Set<string>();
+    private readonly tables = new Set<string>();
+    private readonly rates: CallRates;
     /** Called with the sender's timer after a `KillSender` transaction is applied; kills that process. */
     onKillSender: (sender: Timer) => void = () => undefined;
 
-    private constructor(private readonly timer: Timer, private readonly random: Random) {}
+    private constructor(private readonly timer: Timer, private readonly random: Random) {
+        this.rates = new CallRates(timer);
+    }
 
     static create(timer: Timer, random: Random): StandinRowStore {
         return new StandinRowStore(timer, random);
@@ -158,6 +165,18 @@
             await sleep(timer, readLatencyMs);
             return { kind: TransactionStatus.Refused, reason: "busy" };
         }
+        if (!faults.some(({ isUnresponsive }) => isUnresponsive)) {
+            const reason = this.invalidityOf(tx);
+            if (reason !== undefined) {
+                this.invalidCalls.push(reason);
+                await sleep(timer, readLatencyMs);
+                return { kind: TransactionStatus.Refused, reason };
+            }
+            if (!this.rates.admit("write")) {
+                await sleep(timer, readLatencyMs);
+                return { kind: TransactionStatus.Refused, reason: "too many write calls" };
+            }
+        }
         if (faults.some(({ isUnresponsive }) => isUnresponsive)) {
             await sleep(timer, callTimeoutMs);
             return { kind: TransactionStatus.Unknown, reason: "timeout" };
@@ -192,6 +211,12 @@
         });
     }
 
+    private invalidityOf(tx: RowTransaction): string | undefined {
+        return hasTooManyTables(new Set([...this.tables, ...tx.puts.map(({ table }) => table)]))
+            ? "the store holds no more tables"
+            : invalidityOf(tx, this.readOnlyTables);
+    }
+
     private async injectFault(
         fault: TransactionFault,
         tx: RowTransaction,
@@ -241,13 +266,14 @@
         }
         else {
             this.rows.set(key, row);
+            this.tables.add(row.table);
         }
         this.changes.push(row);
     }
 
     private async read(range: RowRange, timer: Timer, clientFaults: RowStoreFaults): Promise<RowPage> {
         await this.simulateReadCall(timer, clientFaults, timer.now() + callTimeoutMs);
-        const { table, part, from = "", to, limit = defaultPageRows } = range;
+        const { table, part, from = "", to, limit = maxPageRows } = range;
         if ([this.faults, clientFaults].some(({ unreadableTables }) => unreadableTables.has(table))) {
             throw new PlatformError(`row store refused the read of table "${table}"`);
         }
@@ -255,7 +281,8 @@
             .filter(row => row.table === table && row.part === part && row.key >= from)
             .filter(row => to === undefined || row.key < to)
             .sort((a, b) => a.key < b.key ? -1 : 1);
-        return { rows: rows.slice(0, limit), hasMore: rows.length > limit, version: this.version };
+        const page = pageOf(rows, limit);
+        return { rows: page, hasMore: rows.length > page.length, version: this.version };
     }
 
     private async feed(
@@ -312,6 +339,9 @@
         if (faults.some(({ isBusy }) => isBusy)) {
             throw new PlatformError("row store refused the call: busy");
         }
+        if (!this.rates.admit("read")) {
+            throw new PlatformError("row store refused the call: too many read calls");
+        }
     }
 
     /** Rejects at `deadline`, when the client gives the call up, if a fault keeps the store from answering now. */
--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -11,10 +11,12 @@
     type WorkerClient,
     type WorkerTarget,
 } from "../../src/pool/ports.js";
+import { PlatformError } from "../../src/process/errors.js";
 import { EventId, type Severity } from "../../src/process/events.js";
 import type { Log, LogFields } from "../../src/process/log.js";
 import { Metrics } from "../../src/process/metrics.js";
 import { Random } from "../../src/process/random.js";
+import { RateWindow } from "../../src/process/rate-window.js";
 import { type Resources } from "../../src/process/resources.js";
 import type { RowKey, RowStore, StoredRow } from "../../src/process/rows.js";
 import { type SchedulingSettings, siteSettingsSchema } from "../../src/process/site-settings.js";
@@ -28,7 +30,9 @@
 import { VirtualNetwork, type VirtualPeers } from "../simulation/network.js";
 import { PausableTimer } from "../simulation/pausable-timer.js";
 import { SharedLink } from "../simulation/shared-link.js";
+import { StandinAdviser } from "./adviser.js";
 import { InvariantChecker } from "./checker.js";
+import { admit } from "./row-limits.js";
 import { noRowStoreFaults, type RowStoreFaults, StandinRowStore } from "./rows.js";
 import { type ArrivedOrder, VmHolderChecker } from "./vm-holders.js";
 import { GangTracker, StandinWorker, type TaskProfile } from "./worker.js";
@@ -115,8 +119,15 @@
     readonly weights?: Readonly<Record<string, number>>;
 }
 
+/** How the tasks of a job behave. */
+interface JobProfile {
+    readonly workMs: number;
+    readonly failures: number;
+    /** Whether a start has to carry a ticket of the adviser; not by default. */
+    readonly needsTicket?: boolean;
+}
+
 const callLatencyMs = 1;
-const adviceLatencyMs = 30;
 const callTimeoutMs = 200;
 /** Time from the start of a deadly task to the crash of its worker, and from there to its VM's next worker. */
 const crashDelayMs = 10;
@@ -124,6 +135,9 @@
 /** Time after which an entry gives up an order for a VM. */
 const maxOrderMs = 1500;
 const vmMoveMs = 1500;
+/** Readings of the inventory, and orders for VMs, that the platform accepts in a second from all entries together. */
+const inventoryReadsPerS = 64;
+const vmOrdersPerS = 64;
 const vmMaintenanceMs = 2000;
 /** Time after a fault within which leases may lapse, and the interval of looking for faults. */
 const impairmentReachMs = 3000;
@@ -152,12 +166,11 @@
     private readonly waves = new Map<number, MaintenanceWave>();
     /** Checks who orders the VMs. */
     readonly vmHolders: VmHolderChecker;
-    /** Steps for which entries requested advice. */
-    readonly adviceRequests: string[] = [];
-    /** Whether the adviser allows a worker for a step; a test may replace it. */
-    adviserAllows: (step: string, worker: string) => boolean = () => true;
+    readonly adviser: StandinAdviser;
     private readonly gangs = new GangTracker();
-    readonly jobProfiles = new Map<string, { workMs: number; failures: number }>();
+    private readonly inventoryReads = RateWindow.create(inventoryReadsPerS);
+    private readonly vmOrders = RateWindow.create(vmOrdersPerS);
+    readonly jobProfiles = new Map<string, JobProfile>();
     /** Tasks that crash each worker that starts them, by name. */
     readonly deadlyTasks = new Set<string>();
     private readonly vms: StandinVm[] = [];
@@ -173,7 +186,9 @@
     private constructor(private readonly options: StandinSiteOptions) {
         this.random = Random.create(options.seed ?? 1);
         this.rows = StandinRowStore.create(this.timer, this.random);
+        this.rows.readOnlyTables.add(operatorTable).add(rosterTable);
         this.checker = new InvariantChecker(this.timer);
+        this.adviser = new StandinAdviser(this.timer);
         this.vmHolders = new VmHolderChecker(violation => this.checker.reportViolation(violation));
         this.checker.availability.isImpairmentNear = () =>
             this.timer.now() - this.lastImpairedAt < impairmentReachMs;
@@ -321,8 +336,12 @@
         options: { workMs?: number; failures?: number; team?: string } = {},
     ) {
         this.checker.specs.set(id, spec);
-        this.jobProfiles.set(id, { workMs: options.workMs ?? 500, failures: options.failures ?? 0 });
         const queue = entry.core.lists.directory?.queues[0];
+        this.jobProfiles.set(id, {
+            workMs: options.workMs ?? 500,
+            failures: options.failures ?? 0,
+            needsTicket: queue?.needsAdvice === true,
+        });
         if (queue === undefined) {
             throw new Error(`${entry.name} has no lists yet; advance the time before submitting`);
         }
@@ -459,7 +478,12 @@
             : {
                 needs: step.needs,
                 isService: step.isService,
-                ...profile,
+                workMs: profile.workMs,
+                failures: profile.failures,
+                ...(profile.needsTicket === true && {
+                    acceptsTicket: (ticket: string | undefined, worker: string) =>
+                        this.adviser.isValid(ticket, `${id!.job}.${id!.occurrence}.${id!.step}`, worker),
+                }),
                 ...(this.deadlyTasks.has(task) && {
                     onStarted: (worker: StandinWorker) => this.crashSoon(worker),
                 }),
@@ -489,17 +513,7 @@
                 },
             },
             workerClient: this.workerClientFor(entry, timer),
-            adviser: {
-                advise: async (step, workers) => {
-                    await sleep(timer, adviceLatencyMs);
-                    this.adviceRequests.push(step);
-                    const allowed = workers.filter(worker => this.adviserAllows(step, worker));
-                    return {
-                        tickets: new Map(allowed.map(worker => [worker, `ticket-${worker}`])),
-                        validMs: 3000,
-                    };
-                },
-            },
+            adviser: this.adviser.clientFor(entry, timer),
             vmClient: this.vmClientFor(timer, vmFaults),
             operatorTable: {
                 name: operatorTable,
@@ -588,6 +602,9 @@
         return {
             list: async () => {
                 await sleep(timer, callLatencyMs);
+                if (!admit(this.inventoryReads, this.timer.now())) {
+                    throw new PlatformError("the inventory refused the call: too many readings");
+                }
                 return this.options.managesVms === true ? this.vms.map(vm => this.inventoryOf(vm)) : [];
             },
             maxOrderMs,
@@ -609,6 +626,10 @@
         carryOut: () => VmOrderResult,
     ): Promise<VmOrderResult> {
         const delayMs = callLatencyMs + orderDelayMs;
+        if (!admit(this.vmOrders, this.timer.now())) {
+            await sleep(order.sender, callLatencyMs);
+            return VmOrderResult.RateLimited;
+        }
         let result = VmOrderResult.Unknown;
         if (delayMs <= maxOrderMs) {
             this.timer.after(delayMs, () => {
--- a/standin/site/worker.ts
+++ b/standin/site/worker.ts
@@ -23,6 +23,8 @@
     readonly isService: boolean;
     /** Called when a worker has started a run of the task. */
     readonly onStarted?: (worker: StandinWorker) => void;
+    /** Whether a worker accepts a start with this ticket of the adviser; without it, starts need none. */
+    readonly acceptsTicket?: (ticket: string | undefined, worker: string) => boolean;
     /** Name and size of the gang that the task belongs to. */
     readonly gang?: { readonly name: string; readonly size: number };
 }
@@ -93,6 +95,11 @@
 }
 
 const tickMs = 20;
+/** Longest lease, and longest time for which a hold request waits for an end (PROTOCOL.md, "Running subtasks"). */
+const maxLeaseMs = 6000;
+const maxHoldWaitMs = 2000;
+/** Most ends in the answer to a hold request. */
+const maxEndsPerAnswer = 500;
 const defaultStopDurationMs = 60;
 const serviceStartupMs = 300;
 /** Time for which a member of a gang waits for the others to start. */
@@ -228,7 +235,7 @@
         if (request.leaseUntil <= clockMs) {
             return refuse(WorkerRefusal.LeaseExpired);
         }
-        this.leaseUntil = Math.max(this.leaseUntil, request.leaseUntil);
+        this.extendLease(request.leaseUntil);
         const current = this.runs.get(request.task);
         if (current?.run === request.run) {
             return { kind: "started", clockMs };
@@ -240,6 +247,9 @@
         if (profile === undefined) {
             return refuse(WorkerRefusal.Malformed);
         }
+        if (profile.acceptsTicket?.(request.ticket, this.id) === false) {
+            return refuse(WorkerRefusal.TicketInvalid);
+        }
         const hasRoom = fitsInto(profile.needs, addResources(this.capacity, this.used, -1));
         if (this.guardsCapacity && !hasRoom) {
             return refuse(WorkerRefusal.NoCapacity);
@@ -286,7 +296,7 @@
             return;
         }
         this.highestFence = request.fence;
-        this.leaseUntil = Math.max(this.leaseUntil, request.leaseUntil ?? 0);
+        this.extendLease(request.leaseUntil ?? 0);
         this.acknowledge(request.acknowledged);
         if (this.unacknowledgedEnds.length > 0 || request.waitMs === 0) {
             answer(this.holdResult());
@@ -298,7 +308,11 @@
             }
         };
         this.holdWaiters.add(wake);
-        this.timer.after(request.waitMs, wake);
+        this.timer.after(Math.min(request.waitMs, maxHoldWaitMs), wake);
+    }
+
+    private extendLease(until: number): void {
+        this.leaseUntil = Math.max(this.leaseUntil, Math.min(until, this.clockMs + maxLeaseMs));
     }
 
     private acknowledge(position: number): void {
@@ -326,7 +340,7 @@
                 ),
                 reading: 0,
             })),
-            ended: [...this.unacknowledgedEnds],
+            ended: this.unacknowledgedEnds.slice(0, maxEndsPerAnswer),
         };
     }
 
--- a/standin/wire/platform.ts
+++ b/standin/wire/platform.ts
@@ -53,6 +53,7 @@
     private constructor(private readonly options: WirePlatformOptions) {
         this.checker = new InvariantChecker(this.timer);
         this.rows = StandinRowStore.create(this.timer, Random.create(options.seed ?? 1));
+        this.rows.readOnlyTables.add("op").add("servers");
     }
 
     static create(options: WirePlatformOptions): WirePlatform {
--- a/test/job-features.test.ts
+++ b/test/job-features.test.ts
@@ -92,13 +92,13 @@
     test("starts its tasks only on workers that the adviser allows, and queries the adviser once per step", async () => {
         const site = await startSite({ needsAdvice: true });
         const allowed = site.workers[2]!.id;
-        site.adviserAllows = (_, worker) => worker === allowed;
+        site.adviser.allows = (_, worker) => worker === allowed;
         await site.runUntilSettled(site.submit(site.entries[0]!, "a", jobOf({ tasks: 4 }), { workMs: 1000 }));
         await site.timer.advance(500);
         expect(site.workers.filter(({ running }) => running.size > 0).map(({ id }) => id)).toEqual([allowed]);
         await site.timer.advance(1500);
         expect(await checkedPhaseOf(site, "a")).toBe("succeeded");
-        expect(site.adviceRequests).toEqual(["a.0.0"]);
+        expect(site.adviser.calls.map(({ step }) => step)).toEqual(["a.0.0"]);
     });
 });
 
