A worker's loss counts against a task only on evidence, and only ended workers decide

The job was `failed` although none of the tasks in question had begun anywhere.

Cause: the runs of a worker whose lease was over ended as worker-lost whatever was known of them; a start without an answer counted like a crash, a rack like four causes, and a worker that reports to the list but does not answer like one that had ended. Three of them were final.

Evidence: the log of the case has `start: uncertain`, `how: worker-lost` three times for each task, then TaskGivenUp with lostWorkers 3.

The bound of five starts stands. WorkerLossAttributed (2313) logs each decision with its inputs. The state of workers moves to worker-state.ts.

--- a/src/job/state.ts
+++ b/src/job/state.ts
@@ -197,6 +197,11 @@
     readonly saved?: string;
     /** See `WorkerLoss`; only with `RunEnd.WorkerLost`. */
     readonly isExplained?: boolean;
+    /**
+     * Whether a worker that was lost under the task is known to have ended. Only such workers decide that a task is given up;
+     * by default, all that were lost do.
+     */
+    readonly hasEnded?: (lost: WorkerIncarnation) => boolean;
 }
 
 /**
@@ -213,6 +218,7 @@
 ): JobState {
     const task = state.tasks[position]!;
     const step = job.spec.steps[task.step]!;
+    const { hasEnded = () => true } = end;
     const checkpoint = end.saved === undefined || end.saved === "" ? task.checkpoint : end.saved;
     const { worker, workerStartedAt } = task;
     const lostWorkers = end.how === RunEnd.WorkerLost
@@ -225,9 +231,8 @@
     if (isFinal(state.phase)) {
         return withTask(state, position, { ...released, phase: TaskPhase.Failed });
     }
-    if (exceedsLossLimit(lostWorkers, step.isService)) {
-        const givenUp = withTask(state, position, { ...released, phase: TaskPhase.Failed });
-        return step.isService ? givenUp : failJob(givenUp, "workers-lost");
+    if (end.how === RunEnd.WorkerLost && exceedsLossLimit(lostWorkers.filter(hasEnded), step.isService)) {
+        return giveUpTask(job, withTask(state, position, released), position);
     }
     if (step.isService) {
         return withTask(state, position, { ...released, phase: TaskPhase.Waiting });
@@ -255,6 +260,23 @@
     }
 }
 
+/** Gives up a task under which too many workers were lost; its job fails with it, unless the task is part of a service. */
+export function giveUpTask(job: AcceptedJob, state: JobState, position: number): JobState {
+    const givenUp = withTask(state, position, { phase: TaskPhase.Failed });
+    return job.spec.steps[state.tasks[position]!.step]!.isService
+        ? givenUp
+        : failJob(givenUp, "workers-lost");
+}
+
+/**
+ * Whether a waiting task is not started, since too many workers were lost under it, although not all of them are known to
+ * have ended: it is given up once they are, and started once those that have answered are off its record.
+ */
+export function isHeld(job: AcceptedJob, { phase, step, lostWorkers }: TaskState): boolean {
+    return phase === TaskPhase.Waiting && lostWorkers.length > 0
+        && exceedsLossLimit(lostWorkers, job.spec.steps[step]!.isService);
+}
+
 function endFailedRun(
     state: JobState,
     position: number,
--- a/src/pool/job-registry.ts
+++ b/src/pool/job-registry.ts
@@ -12,6 +12,7 @@
     failJob,
     findOpenTasks,
     findTaskPosition,
+    giveUpTask,
     initialState,
     isFinal,
     isOccurrenceDue,
@@ -123,6 +124,7 @@
         if (end.how === RunEnd.WorkerLost) {
             this.losses.add(entry);
             this.losses.explainBy(entry, position);
+            this.losses.noteIfHeld(entry, position);
         }
         if (record.step.isGang && end.how === RunEnd.Done) {
             this.endGang(record);
@@ -164,6 +166,13 @@
         return entry;
     }
 
+    /** Gives up a task that is held. */
+    giveUp(entry: JobEntry, position: number, now: number): void {
+        this.updateState(entry, giveUpTask(entry.job, entry.state, position));
+        this.losses.explainBy(entry, position);
+        this.finishIfFinal(entry, now);
+    }
+
     /** Fails a job and marks its runs to be stopped. */
     fail(entry: JobEntry, reason: string, now: number): void {
         this.updateState(entry, failJob(entry.state, reason));
--- a/src/pool/plan-starts.ts
+++ b/src/pool/plan-starts.ts
@@ -4,7 +4,7 @@
  * Load pattern: a burst of several times a pool's room, planned anew with every batch. Hundreds of tasks wait for which no
  * worker has room; a task that needs no less than one that found none is passed over without a look at the workers.
  */
-import { type StepSpec, Suspicion, suspicionOf, TaskPhase } from "../job/index.js";
+import { isHeld, type StepSpec, Suspicion, suspicionOf, TaskPhase } from "../job/index.js";
 import { addResources, fitsInto, isWithinLimit, noResources, type Resources } from "../process/resources.js";
 import type { Queue } from "../version/directory.js";
 import type { JobRegistry } from "./job-registry.js";
@@ -243,7 +243,9 @@
         const members = entry.state.tasks
             .map((task, memberIndex) => ({ task, memberIndex }))
             .filter(({ task }) => task.occurrence === occurrence && task.step === stepIndex);
-        const allWaiting = members.every(({ task }) => task.phase === TaskPhase.Waiting);
+        const allWaiting = members.every(({ task }) =>
+            task.phase === TaskPhase.Waiting && !isHeld(entry.job, task)
+        );
         const before = room.candidates.map(({ free, untested, lastChances, untestedLastChances }) => ({
             free,
             untested,
--- a/src/pool/pool-rooms.ts
+++ b/src/pool/pool-rooms.ts
@@ -15,7 +15,7 @@
 import { limitedResources, type WorkerLimit } from "./worker-outliers.js";
 import { freeResources, isCapacityKnown, type WorkerState } from "./worker-registry.js";
 
-const noRack = "";
+export { rackLabel } from "./worker-registry.js";
 
 /** Input of `collectRooms`. */
 export interface RoomInput {
@@ -124,8 +124,3 @@
     const times = step.isGang ? step.tasks : 1;
     return !isWithinLimit(addResources(noResources, step.needs, times), cap);
 }
-
-/** Rack of a worker: its second label, after the label of its kind. */
-export function rackLabel({ listed }: WorkerState): string {
-    return listed.labels[1] ?? noRack;
-}
--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -13,11 +13,13 @@
     StopReason,
     taskOf,
 } from "./records.js";
+import { attributeEnd } from "./run-losses.js";
 import { updateStatistics } from "./run-statistics.js";
 import { RunStopper } from "./run-stopper.js";
 import { StartQueue } from "./start-queue.js";
 import { TakeoverPhase } from "./takeover-phases.js";
 import { queueOf, targetOf, type TenureContext } from "./tenure-context.js";
+import { Liveness } from "./worker-liveness.js";
 import { markUnreachable, type WorkerState } from "./worker-registry.js";
 
 /** Time for which nothing is placed on a worker after it refused or did not answer, by cause. */
@@ -76,7 +78,8 @@
         const lost = ends.filter(({ outcome }) => outcome === RunEnd.WorkerLost)
             .sort((a, b) => b.record.startedAt - a.record.startedAt);
         const causes = new Set(lost.filter(({ record }) => !this.wasTested(record)));
-        lost.forEach(end => this.applyEnd({ ...end, isExplained: causes.size > 0 && !causes.has(end) }));
+        lost.map(end => attributeEnd(this.ctx, end, causes.size > 0 && !causes.has(end)))
+            .forEach(end => this.applyEnd(end));
     }
 
     /** Whether a run had been at work for long enough when its worker last answered. */
@@ -93,15 +96,18 @@
         }
         const now = timer.now();
         const worker = this.ctx.workers.workerOf(record);
-        // The end of a worker that was draining, or whose VM was being drained, needs no other explanation.
-        const isExplained = end.isExplained === true || worker.isExpectedToEnd;
         updateStatistics(this.ctx, record, outcome, now);
         const gang = outcome === RunEnd.Done ? [] : this.ctx.jobs.otherGangRuns(record);
         this.ctx.workers.removeRun(record);
         this.queue.delete(record);
         this.ctx.jobs.end(
             record,
-            { how: outcome, saved, isExplained },
+            {
+                how: outcome,
+                saved,
+                isExplained: end.isExplained === true,
+                hasEnded: lost => this.ctx.liveness.of(lost) === Liveness.Ended,
+            },
             this.maxFailuresOf(record.entry),
             now,
         );
@@ -270,7 +276,7 @@
                 return;
             case WorkerRefusal.WrongIncarnation:
             case WorkerRefusal.NotSent:
-                markUnreachable(worker);
+                markUnreachable(worker, now);
                 worker.backoffUntil = now + backoffMs.unanswered;
                 return;
             case WorkerRefusal.Superseded:
--- a/src/pool/run-monitor.ts
+++ b/src/pool/run-monitor.ts
@@ -1,11 +1,19 @@
 /** Periodic checks of runs and jobs: expired leases, stalled runs, pacing of best-effort runs, due occurrences. */
-import { RunEnd } from "../job/index.js";
+import {
+    exceedsLossLimit,
+    isHeld,
+    isSameIncarnation,
+    RunEnd,
+    taskName,
+    type WorkerLoss,
+} from "../job/index.js";
 import { EventId, Severity } from "../process/events.js";
 import { planPaceChanges } from "./pacing.js";
 import { exceedsTeamLimit } from "./plan-starts.js";
 import { type JobEntry, type RunRecord, StartStatus, StopReason } from "./records.js";
 import type { RunDispatcher } from "./run-dispatcher.js";
 import { suspectWorkerPauseMs, targetOf, type TenureContext } from "./tenure-context.js";
+import { Liveness } from "./worker-liveness.js";
 import type { WorkerState } from "./worker-registry.js";
 
 /** Time without progress after which a run counts as stalled. Progress reports arrive about once a second. */
@@ -37,6 +45,7 @@
         const now = timer.now();
         this.endRunsOnLostWorkers(now);
         this.clearHarmlessRuns(now);
+        this.giveUpHeldTasks(now);
         for (const record of [...this.ctx.jobs.runs.values()]) {
             this.checkRun(record, now);
         }
@@ -94,6 +103,34 @@
         }
     }
 
+    /** Gives up the tasks that are held and whose lost workers are known to have ended by now. */
+    private giveUpHeldTasks(now: number): void {
+        const { jobs, liveness, options } = this.ctx;
+        const undecided: WorkerLoss[] = [];
+        for (const { entry, position } of jobs.losses.heldTasks()) {
+            const task = entry.state.tasks[position]!;
+            if (!isHeld(entry.job, task)) {
+                continue;
+            }
+            const { isService } = entry.job.spec.steps[task.step]!;
+            const ended = task.lostWorkers.filter(lost => liveness.of(lost) === Liveness.Ended);
+            const waitsForOther = task.lostWorkers.some(lost =>
+                undecided.some(other => isSameIncarnation(lost, other))
+            );
+            if (waitsForOther || !exceedsLossLimit(ended, isService)) {
+                undecided.push(...task.lostWorkers);
+                continue;
+            }
+            jobs.giveUp(entry, position, now);
+            options.log.write(Severity.Warn, EventId.TaskGivenUp, {
+                task: taskName({ ...task, job: entry.job.id }),
+                lostWorkers: task.lostWorkers.length,
+                endedWorkers: ended.length,
+                phase: entry.state.phase,
+            });
+        }
+    }
+
     private checkRun(record: RunRecord, now: number): void {
         const worker = this.ctx.workers.workerOf(record);
         if (record.start === StartStatus.Recorded) {
--- a/src/pool/tenure-context.ts
+++ b/src/pool/tenure-context.ts
@@ -16,6 +16,7 @@
 import type { Reservations } from "./scheduling/reservations.js";
 import type { OwnerSuspicion, TakeoverPhases } from "./takeover-phases.js";
 import type { TenureClock } from "./tenure-clock.js";
+import type { WorkerLiveness } from "./worker-liveness.js";
 import type { WorkerOutliers } from "./worker-outliers.js";
 import type { WorkerRegistry, WorkerState } from "./worker-registry.js";
 
@@ -64,6 +65,7 @@
     readonly options: TenureOptions;
     readonly jobs: JobRegistry;
     readonly workers: WorkerRegistry;
+    readonly liveness: WorkerLiveness;
     /** Clock for the age of jobs. */
     readonly clock: TenureClock;
     readonly durations: DurationEstimator;
--- a/src/pool/tenure.ts
+++ b/src/pool/tenure.ts
@@ -31,6 +31,7 @@
 import { TeamShareLimiter } from "./team-share-limiter.js";
 import { TenureClock } from "./tenure-clock.js";
 import { retryDelayMs, type TenureContext, type TenureOptions } from "./tenure-context.js";
+import { WorkerLiveness } from "./worker-liveness.js";
 import { WorkerMonitor } from "./worker-monitor.js";
 import { WorkerOutliers } from "./worker-outliers.js";
 import { WorkerRegistry } from "./worker-registry.js";
@@ -50,6 +51,7 @@
 export class Tenure implements TenureContext {
     readonly jobs = JobRegistry.create();
     readonly workers: WorkerRegistry;
+    readonly liveness: WorkerLiveness;
     readonly clock: TenureClock;
     readonly durations: DurationEstimator;
     readonly advice: AdviceCache;
@@ -97,6 +99,7 @@
                 { startedAtMs, until: now + remainingMs },
             ])),
         });
+        this.liveness = WorkerLiveness.create({ workers: this.workers, timer });
         this.leaseBounds = LeaseBoundsRecorder.create({
             domain: head.domain,
             fence: head.owner.fence,
--- a/src/pool/worker-losses.ts
+++ b/src/pool/worker-losses.ts
@@ -1,6 +1,7 @@
 /** Workers that were lost under the tasks of unfinished jobs, and which of them a task that was given up explains. */
 import {
     exceedsLossLimit,
+    isHeld,
     isSameIncarnation,
     type JobState,
     TaskPhase,
@@ -10,10 +11,18 @@
 } from "../job/index.js";
 import type { JobEntry, RunRecord } from "./records.js";
 
+/** A task that is held, see `isHeld`. */
+export interface HeldTask {
+    readonly entry: JobEntry;
+    /** Position of the task in the job's state. */
+    readonly position: number;
+}
+
 /** Corrects the losses that tasks have on record, as the owner learns more of the workers. */
 export class WorkerLosses {
     private readonly affected = new Set<JobEntry>();
     private readonly explained = new Set<string>();
+    private readonly held = new Map<string, HeldTask>();
 
     private constructor(private readonly updateState: (entry: JobEntry, state: JobState) => void) {}
 
@@ -31,6 +40,30 @@
         this.affected.delete(entry);
     }
 
+    /**
+     * Waiting tasks that are held because of the workers that were lost under them, in the order in which they came to be: the
+     * first to be given up explains the losses that it shares with others.
+     */
+    heldTasks(): readonly HeldTask[] {
+        for (const entry of this.affected) {
+            entry.state.tasks.forEach((_, position) => this.noteIfHeld(entry, position));
+        }
+        for (const [key, { entry, position }] of this.held) {
+            if (!this.affected.has(entry) || !isHeld(entry.job, entry.state.tasks[position]!)) {
+                this.held.delete(key);
+            }
+        }
+        return [...this.held.values()];
+    }
+
+    /** Notes that a task is held, if it is. */
+    noteIfHeld(entry: JobEntry, position: number): void {
+        const key = `${entry.job.id}/${position}`;
+        if (!this.held.has(key) && isHeld(entry.job, entry.state.tasks[position]!)) {
+            this.held.set(key, { entry, position });
+        }
+    }
+
     /** Whether a task was given up for the loss of this worker, among others. */
     isExplained(lost: WorkerIncarnation): boolean {
         return this.explained.has(keyOf(lost));
--- a/src/pool/worker-monitor.ts
+++ b/src/pool/worker-monitor.ts
@@ -107,6 +107,7 @@
         if (!this.ctx.isActive) {
             return;
         }
+        this.ctx.liveness.recordRoster(requestedAt);
         const pools = this.ctx.options.directory()?.pools;
         const changed = this.ctx.workers.update(
             list.filter(worker => pools?.get(worker.pool)?.isSpare !== true),
@@ -266,6 +267,9 @@
         }
         worker.reportRequestedAt = Math.max(worker.reportRequestedAt, sentAt);
         worker.reportClockMs = Math.max(worker.reportClockMs, result.clockMs);
+        if (worker.hasAcceptedFence) {
+            worker.unreachableAt = -Infinity;
+        }
         worker.hasAcceptedFence = true;
         worker.isReachable = true;
         const found = reconcile({
@@ -331,7 +335,7 @@
         failure: Exclude<HoldResult, { kind: "held" }>,
     ): void {
         const { reason } = failure;
-        markUnreachable(worker);
+        markUnreachable(worker, this.ctx.options.timer.now());
         if (failure.kind === "refused" && failure.reason === WorkerRefusal.Fenced) {
             void this.ctx.confirm();
         }
--- a/src/pool/worker-registry.ts
+++ b/src/pool/worker-registry.ts
@@ -1,65 +1,14 @@
 /** Registry of a domain's workers at its owner: the platform's roster combined with the workers' own responses. */
 import type { StepSpec } from "../job/index.js";
-import { addResources, noResources, type Resources } from "../process/resources.js";
+import { addResources, noResources } from "../process/resources.js";
 import { LeaseClock } from "./lease.js";
 import type { ListedWorker } from "./ports.js";
 import { lossesOf, type RunRecord } from "./records.js";
 import { reservedResources, type WorkerShape, WorkerShapes } from "./worker-shapes.js";
+import type { WorkerState } from "./worker-state.js";
 
 export { reservedResources, type WorkerShape } from "./worker-shapes.js";
-
-/** The owner's state of a worker. */
-export interface WorkerState {
-    readonly id: string;
-    /** Latest roster entry. */
-    listed: ListedWorker;
-    /** Whether the latest roster contains the worker. */
-    isListed: boolean;
-    /** Monotonic time after which the worker wrote its latest roster entry. */
-    reportedAfter: number;
-    /** Whether its latest response listed runs that are not accounted for. */
-    hasOrphans: boolean;
-    /** Unix time in milliseconds at which the latest known incarnation started. */
-    startedAtMs: number;
-    lease: LeaseClock;
-    /** Whether stored bounds promise the next owner that this incarnation is granted no lease. */
-    isLeaseBlocked: boolean;
-    /** Whether this incarnation has accepted this owner's fence and reported its runs. */
-    hasAcceptedFence: boolean;
-    /** Whether its first query by this owner was answered or has failed. */
-    isQueried: boolean;
-    /** Monotonic time of the last successful hold response. */
-    lastHoldAt: number;
-    /** Monotonic time at which the latest report of its runs was requested. */
-    reportRequestedAt: number;
-    /** Its clock in the latest report, and in the first one under this owner's fence. */
-    reportClockMs: number;
-    fencedClockMs: number;
-    /** Whether the last request was answered. */
-    isReachable: boolean;
-    /** Whether it was draining, or its VM being drained, when it was last reached. */
-    isExpectedToEnd: boolean;
-    /** Last applied position in its list of ended runs. */
-    appliedPosition: number;
-    /** Last position whose end is stored. The worker may discard ends up to it. */
-    storedPosition: number;
-    /** Runs that may exist on the worker, by task name. */
-    readonly runs: Map<string, RunRecord>;
-    /** Those of them under whose tasks other workers had been lost when they were claimed. */
-    readonly runsAfterLosses: Set<RunRecord>;
-    /** Resources reserved by these runs. */
-    reserved: Resources;
-    /** Whether its VM is being drained: no new run is placed there. */
-    isCordoned: boolean;
-    /** Whether its VM is due for maintenance in an open wave, so that services would soon have to move. */
-    isMaintenanceDue: boolean;
-    /** Monotonic time until which no new run is placed there. */
-    backoffUntil: number;
-    /** Failed runs of different tasks since the last success. */
-    consecutiveFailures: number;
-    /** Moving average of the ratio of actual to expected run duration. */
-    slowdownFactor: number;
-}
+export * from "./worker-state.js";
 
 /** Options of `WorkerRegistry.create`. */
 export interface WorkerRegistryOptions {
@@ -79,8 +28,6 @@
 /** Identifies one run of a worker. */
 type Incarnation = Pick<WorkerState, "id" | "startedAtMs">;
 
-const slowdownSmoothing = 0.2;
-
 /** Workers of a domain and their reserved resources. */
 export class WorkerRegistry {
     readonly byId = new Map<string, WorkerState>();
@@ -276,6 +223,8 @@
             reportClockMs: 0,
             fencedClockMs: 0,
             isReachable: false,
+            unreachableAt: this.lastRosterAt,
+            hadNewRuns: true,
             isExpectedToEnd: false,
             appliedPosition: 0,
             storedPosition: 0,
@@ -297,32 +246,6 @@
     return `${id}@${startedAtMs}`;
 }
 
-/** Records that a worker did not answer, and whether its end was expected then. */
-export function markUnreachable(worker: WorkerState): void {
-    if (worker.isReachable) {
-        worker.isReachable = false;
-        worker.isExpectedToEnd = worker.isCordoned || worker.listed.isDraining;
-    }
-}
-
-/** Updates a worker's slowdown factor with the actual and expected duration of a run. */
-export function updateSlowdown(worker: WorkerState, ms: number, expectedMs: number): void {
-    worker.slowdownFactor += (ms / Math.max(1, expectedMs) - worker.slowdownFactor) * slowdownSmoothing;
-}
-
-/** Age of a worker's report up to which its capacity is relied on. A smaller one may count a heartbeat and 3 s after. */
-const maxReportAgeMs = 3500;
-
-/** Whether nothing but the runs on record can use a worker's capacity, and that is as last reported. */
-export function isCapacityKnown({ reportedAfter, hasOrphans }: WorkerState, now: number): boolean {
-    return !hasOrphans && now - reportedAfter <= maxReportAgeMs;
-}
-
-/** Free resources of a worker after all claimed runs. */
-export function freeResources({ listed, reserved }: WorkerState): Resources {
-    return addResources(listed.capacity, reserved, -1);
-}
-
 function placeholderFor({ worker, workerIncarnation: born }: RunRecord): ListedWorker {
     return {
         id: worker,
--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -71,6 +71,7 @@
     SharesInherited = 2310,
     StartWindowShrunk = 2311,
     ServiceStopSent = 2312,
+    WorkerLossAttributed = 2313,
     WorkerListed = 2401,
     WorkerUnreachable = 2402,
     WorkerSuspected = 2403,
--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -383,6 +383,19 @@
         });
     }
 
+    /** Takes the power from a worker; after `downMs` its VM starts another one. No call to it is answered from now on. */
+    darken(worker: StandinWorker, downMs: number): void {
+        this.checker.recordCrash(worker);
+        worker.goDark();
+        const vm = this.vms.find(candidate => candidate.worker === worker);
+        this.timer.after(downMs, () => {
+            worker.terminate();
+            if (vm?.worker === worker) {
+                vm.worker = this.createWorker(vm, `w-${this.nextWorkerNumber++}`);
+            }
+        });
+    }
+
     /** Crashes the worker of a deadly task shortly after its start; its VM has a worker of another id some seconds later. */
     private crashSoon(worker: StandinWorker): void {
         this.timer.after(crashDelayMs, () => {
@@ -509,7 +522,7 @@
             roster: this.options.createRoster?.(source) ?? {
                 list: async () => {
                     await source.store.read({ table: rosterTable, part: "" });
-                    return this.workers.filter(({ isAlive }) => isAlive).map(({ listed }) => listed);
+                    return this.workers.filter(({ isListed }) => isListed).map(({ listed }) => listed);
                 },
             },
             workerClient: this.workerClientFor(entry, timer),
@@ -566,7 +579,12 @@
                 carryOut(worker, result => {
                     timer.after(
                         callLatencyMs,
-                        () => resolve(isCutOff(worker) || !worker.isAlive ? failure("timeout") : result),
+                        () =>
+                            resolve(
+                                isCutOff(worker) || !worker.isAlive || worker.faults.isUnreachable
+                                    ? failure("timeout")
+                                    : result,
+                            ),
                     );
                 });
             });
--- a/standin/site/worker.ts
+++ b/standin/site/worker.ts
@@ -95,6 +95,8 @@
 }
 
 const tickMs = 20;
+/** Time without heartbeats after which a worker is no longer listed: three of their intervals. */
+const listingExpiryMs = 4500;
 /** Longest lease, and longest time for which a hold request waits for an end (PROTOCOL.md, "Running subtasks"). */
 const maxLeaseMs = 6000;
 const maxHoldWaitMs = 2000;
@@ -134,6 +136,8 @@
     zone = "z";
     private leaseUntil = 0;
     private dueFailures = 0;
+    /** Time since when it is dark, in milliseconds; infinite while it is not. */
+    private darkSince = Infinity;
     private nextEndPosition = 1;
     private acknowledgedPosition = 0;
     private readonly startedAtMonotonicMs: number;
@@ -194,6 +198,20 @@
         return this.lastListed;
     }
 
+    /** Whether the list of workers has its entry. */
+    get isListed(): boolean {
+        return this.isAlive && this.timer.now() - this.darkSince < listingExpiryMs;
+    }
+
+    /** Loses its power: its runs are gone, it answers no call, not even those that wait, and stays listed for a while. */
+    goDark(): void {
+        this.runs.forEach(({ task, run }) => this.events.onRunEnded(this, task, run, "gone"));
+        this.runs.clear();
+        this.darkSince = this.timer.now();
+        this.faults.isUnreachable = true;
+        this.faults.isReportStale = true;
+    }
+
     get clockMs(): number {
         return Math.floor((this.timer.now() - this.startedAtMonotonicMs) * clockRate);
     }
