Requests for advice name the workers that are not known yet, and what is known outlives its ticket

Cause: AdviceCache named workers.slice(0, 30) in the order of the registry in each request, whatever the answers were. Besides, a step with tickets for full workers did not ask about those with room, and the maps by step were never cleared.

A request names workers of which nothing is known, those with room first, until an allowed one has room; tickets of allowed workers alone are renewed. The step whose last request is oldest goes first. AdviceReceived (2407) and StepNotAllowed (2408) tell what was asked, allowed and known.

--- a/src/pool/records.ts
+++ b/src/pool/records.ts
@@ -30,6 +30,8 @@
     /** Whether an earlier owner claimed the run, so that its start is known only to be after the job's acceptance. */
     readonly isInherited: boolean;
     start: StartStatus;
+    /** Ticket of the placement adviser for its start; undefined if its queue needs none. */
+    ticket?: string;
     /** Monotonic time of the claim, in milliseconds. */
     readonly claimedAt: number;
     startedAt: number;
--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -167,7 +167,6 @@
             return;
         }
         const task = record.entry.state.tasks[record.position]!;
-        const ticket = this.ctx.advice.takeRunTicket(record);
         const order: StartRequest = {
             task: record.name,
             run: record.run,
@@ -175,7 +174,7 @@
             leaseUntil: worker.lease.grant(times.leaseMs, timer.now()),
             payload: record.entry.job.spec.payload,
             saved: task.checkpoint,
-            ...(ticket !== undefined && { ticket }),
+            ...(record.ticket !== undefined && { ticket: record.ticket }),
         };
         record.start = StartStatus.Sent;
         const sentAt = timer.now();
--- a/src/pool/run-monitor.ts
+++ b/src/pool/run-monitor.ts
@@ -8,13 +8,16 @@
     type WorkerLoss,
 } from "../job/index.js";
 import { EventId, Severity } from "../process/events.js";
+import { componentwiseMax, noResources } from "../process/resources.js";
+import type { AdvisedWorker, AdvisedWorkers, WaitingStep } from "./advice-cache.js";
+import { openSteps } from "./open-steps.js";
 import { planPaceChanges } from "./pacing.js";
-import { exceedsTeamLimit } from "./plan-starts.js";
+import { exceedsTeamLimit, isSchedulable } from "./plan-starts.js";
 import { type JobEntry, type RunRecord, StartStatus, StopReason } from "./records.js";
 import type { RunDispatcher } from "./run-dispatcher.js";
 import { suspectWorkerPauseMs, targetOf, type TenureContext } from "./tenure-context.js";
 import { Liveness } from "./worker-liveness.js";
-import type { WorkerState } from "./worker-registry.js";
+import { freeResources, type WorkerState } from "./worker-registry.js";
 
 /** Time without progress after which a run counts as stalled. Progress reports arrive about once a second. */
 const stallTimeoutMs = 2500;
@@ -212,21 +215,29 @@
     }
 
     private requestAdvice(): void {
-        const directory = this.ctx.options.directory();
-        const queues = directory?.queues.filter(({ needsAdvice }) => needsAdvice) ?? [];
-        for (const queue of queues) {
-            const workers = [...this.ctx.workers.byId.values()]
-                .filter(worker => worker.isListed && worker.listed.pool === queue.pool)
-                .map(({ id }) => id);
-            for (const entry of this.ctx.jobs.activeEntries) {
-                if (entry.job.queue === queue.name) {
-                    this.ctx.advice.requestMissing(
-                        entry,
-                        this.ctx.jobs.openTasks(entry),
-                        workers,
-                        () => this.ctx.requestRound(),
-                    );
-                }
+        this.ctx.advice.requestMissing(this.stepsAwaitingAdvice(), () => this.ctx.requestRound());
+    }
+
+    private *stepsAwaitingAdvice(): Generator<WaitingStep> {
+        const { options, jobs, workers } = this.ctx;
+        const now = options.timer.now();
+        const poolByQueue = new Map(
+            options.directory()?.queues.filter(({ needsAdvice }) => needsAdvice).map((
+                { name, pool },
+            ) => [name, pool]),
+        );
+        if (poolByQueue.size === 0) {
+            return;
+        }
+        const groups = new Map<string, AdvisedWorkers>();
+        for (const entry of jobs.activeEntries) {
+            const pool = poolByQueue.get(entry.job.queue);
+            for (const open of pool === undefined ? [] : openSteps(jobs, entry)) {
+                const { label } = open.step;
+                const key = `${pool}/${label ?? ""}`;
+                const group = groups.get(key) ?? advisedWorkers(workers.byId.values(), { pool, label, now });
+                groups.set(key, group);
+                yield { entry, open, workers: group };
             }
         }
     }
@@ -246,6 +257,26 @@
     }
 }
 
+/** The listed workers of a pool, of those alone that have the label if there is one. */
+function advisedWorkers(
+    workers: Iterable<WorkerState>,
+    { pool, label, now }: {
+        readonly pool: string | undefined;
+        readonly label: string | undefined;
+        readonly now: number;
+    },
+): AdvisedWorkers {
+    const byId = new Map<string, AdvisedWorker>();
+    for (const worker of workers) {
+        const { id, startedAtMs, isListed, listed } = worker;
+        if (isListed && listed.pool === pool && (label === undefined || listed.labels.includes(label))) {
+            const free = isSchedulable(worker, now) ? freeResources(worker) : noResources;
+            byId.set(id, { id, startedAtMs, free });
+        }
+    }
+    return { byId, largestFree: componentwiseMax([...byId.values()].map(({ free }) => free)) };
+}
+
 /**
  * Whether a start request to an earlier incarnation may still be executed by the present one. It has its own clock, so the
  * request's lease end does not stop it; only a higher fence does.
--- a/src/pool/task-placer.ts
+++ b/src/pool/task-placer.ts
@@ -78,7 +78,7 @@
             const record = jobs.claim(entry, at, worker.id, worker.startedAtMs, now);
             this.dispatcher.enqueueStart(record);
             if (ticket !== undefined) {
-                advice.setRunTicket(record, ticket);
+                record.ticket = ticket;
             }
             log.write(Severity.Info, EventId.RunClaimed, {
                 task: record.name,
--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -78,6 +78,8 @@
     RosterLost = 2404,
     RosterRegained = 2405,
     AdviceMissing = 2406,
+    AdviceReceived = 2407,
+    StepNotAllowed = 2408,
     WorkerVerdictChanged = 2410,
     DirectoryAdopted = 2501,
     DirectoryRejected = 2502,
--- a/src/process/resources.ts
+++ b/src/process/resources.ts
@@ -41,3 +41,14 @@
         accelerators: Math.max(0, ...amounts.map(({ accelerators }) => accelerators)),
     };
 }
+
+/** How many times `needed` fits into `free`; infinite if nothing is needed. */
+export function timesFitting(needed: Resources, free: Resources): number {
+    const times = (need: number, available: number): number =>
+        need === 0 ? Infinity : Math.max(0, Math.floor(available / need));
+    return Math.min(
+        times(needed.cpu, free.cpu),
+        times(needed.memory, free.memory),
+        times(needed.accelerators, free.accelerators),
+    );
+}
