A batch that the store can never accept is stored in parts, and large progress in segments

Cause: the progress of a job is one row, which outgrew the 65,536 bytes of a row; commitBatch repeats a transaction that the store refused for its size like one that it refused as busy, without end, and nothing else is stored meanwhile.

A batch that is invalid is stored in parts, down to the item at fault; a job whose row it is is suspended and offered again, the others go on, and workers keep its ends. A batch counts entries and bytes of all its rows. Progress beyond 16 KiB is stored in segments of 64 tasks, of which the changed ones are written; rows in the old form are read and converted in one transaction. A job that is larger than a row is refused at once (413). BatchInvalid (2207) and JobSuspended (2208) tell what was refused and why.

--- a/src/job/codec.ts
+++ b/src/job/codec.ts
@@ -1,4 +1,4 @@
-/** Encodes accepted jobs and their progress as compact JSON for rows of the store. */
+/** Encodes accepted jobs as compact JSON for rows of the store. */
 import { z } from "zod";
 import {
     amountSchema,
@@ -6,13 +6,10 @@
     maxUnixMs,
     occurrenceTimeSchema,
     roughDurationSchema,
-    startTimeSchema,
 } from "../process/bounds.js";
 import { messageOf } from "../process/errors.js";
-import { parseJson } from "../process/json.js";
 import { type DecodedText, decodeText, RowFault } from "../process/row-refusals.js";
 import { type AcceptedJob, type JobSpec, maxSteps, maxTasksPerStep, type StepSpec } from "./spec.js";
-import { initialState, isFinal, JobPhase, type JobState, TaskPhase, type TaskState } from "./state.js";
 
 const count = z.int().min(0);
 
@@ -137,123 +134,3 @@
         ...(row.b !== undefined && { disruptionBudget: row.b }),
     };
 }
-
-/** Stored task: occurrence, step, index, phase, run, failures, worker, workerStartedAt, checkpoint. */
-const taskSchema = z.tuple([
-    count,
-    count,
-    count,
-    z.enum(TaskPhase),
-    count,
-    count,
-    z.string(),
-    startTimeSchema,
-    z.string(),
-]);
-
-/** Stored loss of a worker under a task: occurrence, step, index, worker, workerStartedAt, isExplained. */
-const lossSchema = z.tuple([count, count, count, z.string(), startTimeSchema, z.boolean()]);
-
-/** Stored progress: phase (s), occurrences (o), reason (why), tasks (t), losses of workers (c). */
-const stateSchema = z.object({
-    s: z.enum(JobPhase),
-    o: count.default(0),
-    why: z.string().optional(),
-    t: z.array(taskSchema).default([]),
-    c: z.array(lossSchema).default([]),
-});
-
-/**
- * Encodes a job's progress. Tasks without any run are omitted. Once the job is final, only the tasks whose run is still
- * claimed are kept, because those runs have yet to be stopped.
- */
-export function encodeState(state: JobState): string {
-    const isJobFinal = isFinal(state.phase);
-    const rows = state.tasks.filter(task => isJobFinal ? task.phase === TaskPhase.Claimed : task.run > 0);
-    const losses = rows.flatMap(task =>
-        task.lostWorkers.map(lost => [
-            task.occurrence,
-            task.step,
-            task.index,
-            lost.worker,
-            lost.workerStartedAt,
-            lost.isExplained,
-        ])
-    );
-    return JSON.stringify({
-        s: state.phase,
-        o: state.occurrences,
-        why: state.reason,
-        t: rows.map(task => [
-            task.occurrence,
-            task.step,
-            task.index,
-            task.phase,
-            task.run,
-            task.failures,
-            task.worker,
-            task.workerStartedAt,
-            task.checkpoint,
-        ]),
-        ...(losses.length > 0 && { c: losses }),
-    });
-}
-
-/** Decodes only the phase of an encoded state; undefined when the row is malformed. */
-export function decodePhase(text: string): JobPhase | undefined {
-    const parsed = stateSchema.safeParse(parseJson(text));
-    return parsed.success ? parsed.data.s : undefined;
-}
-
-/** Most tasks of a job with stored progress: more would not fit into its row, whatever their state. */
-const maxStoredTasks = 1_000_000;
-
-/** Decodes a job's progress; undefined when the row is malformed or refers to tasks that the job does not have. */
-export function decodeState(job: AcceptedJob, text: string): JobState | undefined {
-    const parsed = stateSchema.safeParse(parseJson(text));
-    if (!parsed.success) {
-        return undefined;
-    }
-    const { s, o, why, t, c } = parsed.data;
-    const tasksPerOccurrence = job.spec.steps.reduce((sum, step) => sum + step.tasks, 0);
-    if (job.spec.schedule !== undefined && o * tasksPerOccurrence > maxStoredTasks) {
-        return undefined;
-    }
-    const initial = initialTasks(job, o);
-    const tasks = new Map(initial.map(task => [`${task.occurrence}.${task.step}.${task.index}`, task]));
-    for (const row of t) {
-        const key = `${row[0]}.${row[1]}.${row[2]}`;
-        const task = tasks.get(key);
-        if (task === undefined) {
-            return undefined;
-        }
-        const [, , , phase, run, failures, worker, workerStartedAt, checkpoint] = row;
-        tasks.set(key, { ...task, phase, run, failures, worker, workerStartedAt, checkpoint });
-    }
-    for (const [occurrence, step, index, worker, workerStartedAt, isExplained] of c) {
-        const key = `${occurrence}.${step}.${index}`;
-        const task = tasks.get(key);
-        if (task === undefined) {
-            return undefined;
-        }
-        tasks.set(key, {
-            ...task,
-            lostWorkers: [...task.lostWorkers, { worker, workerStartedAt, isExplained }],
-        });
-    }
-    return {
-        phase: s,
-        occurrences: o,
-        tasks: [...tasks.values()],
-        ...(why !== undefined && { reason: why }),
-    };
-}
-
-/** Tasks of all due occurrences, as they are before their first run. */
-function initialTasks(job: AcceptedJob, occurrences: number): readonly TaskState[] {
-    const { schedule, ...rest } = job.spec;
-    const template = initialState({ ...job, spec: rest }).tasks;
-    const count = schedule === undefined ? 1 : occurrences;
-    return Array.from({ length: count }, (_, occurrence) => template.map(task => ({ ...task, occurrence })))
-        .flat();
-}
--- a/src/pool/index.ts
+++ b/src/pool/index.ts
@@ -1,8 +1,8 @@
 export type { DomainOptions } from "./domain-options.js";
 export { Domain } from "./domain.js";
 export { FleetController } from "./fleet-controller.js";
+export { progressKey } from "./job-progress.js";
 export * from "./job-rows.js";
-export { progressKey } from "./ledger.js";
 export { type MemberRow } from "./member-rows.js";
 export type { PhaseAnswer } from "./owner-client.js";
 export * from "./ownership.js";
--- a/src/pool/job-registry.ts
+++ b/src/pool/job-registry.ts
@@ -28,6 +28,8 @@
 } from "../job/index.js";
 import { parseTaskName, taskName } from "../job/index.js";
 import { addResources, noResources, type Resources } from "../process/resources.js";
+import { ChangedJobs } from "./changed-jobs.js";
+import { JobProgress } from "./job-progress.js";
 import { type JobEntry, type RunRecord, StartStatus, StopReason } from "./records.js";
 import { WorkerLosses } from "./worker-losses.js";
 
@@ -38,12 +40,12 @@
 
 /** Most occurrences of a job that are added at once; more are added at the next check. */
 const maxOccurrencesAtOnce = 100;
-
 /** Jobs and runs of a domain. */
 export class JobRegistry {
     readonly entries = new Map<string, JobEntry>();
     readonly runs = new Map<string, RunRecord>();
-    private readonly dirty = new Set<JobEntry>();
+    /** Jobs that have changed since they were last stored. */
+    readonly changes = ChangedJobs.create();
     private readonly active = new Set<JobEntry>();
     private readonly usage = new Map<string, Resources>();
     /** Workers lost under the tasks of unfinished jobs. */
@@ -58,18 +60,15 @@
         return this.active;
     }
 
-    get dirtyCount(): number {
-        return this.dirty.size;
-    }
-
     /** Adds a job, or returns the existing entry unchanged. */
     accept(job: AcceptedJob, { exceedsTeamShare = false }: AcceptOptions = {}): JobEntry {
-        return this.entries.get(job.id) ?? this.add(job, initialState(job), exceedsTeamShare);
+        return this.entries.get(job.id)
+            ?? this.add(job, initialState(job), { exceedsTeamShare, progress: JobProgress.create() });
     }
 
     /** Adds a job with its stored progress, and records its claimed runs, which may still exist on their workers. */
-    restore(job: AcceptedJob, state: JobState, now: number): void {
-        const entry = this.add(job, state, false);
+    restore(job: AcceptedJob, state: JobState, now: number, progress = JobProgress.create()): void {
+        const entry = this.add(job, state, { exceedsTeamShare: false, progress });
         for (const [position, task] of state.tasks.entries()) {
             entry.hasStarted ||= task.run > 0;
             if (task.lostWorkers.length > 0) {
@@ -79,11 +78,11 @@
                 this.addRun(entry, position, StartStatus.Inherited, now);
             }
         }
-        if (isFinal(state.phase)) {
-            entry.finalAt = now;
-            this.losses.remove(entry);
-            this.markRunsForStop(entry);
+        if (!isFinal(state.phase)) {
+            // The tasks may have been stored a batch earlier than what follows from them.
+            this.updateState(entry, completeIfDone(job, state));
         }
+        this.finishIfFinal(entry, now);
     }
 
     /** Claims the next run of a waiting task for an incarnation of a worker. */
@@ -113,6 +112,7 @@
         const lost = { worker, workerStartedAt: workerIncarnation };
         const isExplained = end.isExplained === true || this.losses.isExplained(lost);
         this.dropRun(record);
+        entry.unstoredEnds.add(worker);
         if (end.how === RunEnd.Failed) {
             const failedWorkers = entry.failedWorkers.get(position) ?? new Set();
             entry.failedWorkers.set(position, failedWorkers.add(worker));
@@ -189,7 +189,7 @@
 
     /** Positions of a job's waiting tasks whose preceding steps are done. */
     openTasks(entry: JobEntry): readonly number[] {
-        entry.openTasks ??= findOpenTasks(entry.job, entry.state);
+        entry.openTasks ??= entry.suspension === undefined ? findOpenTasks(entry.job, entry.state) : [];
         return entry.openTasks;
     }
 
@@ -215,22 +215,6 @@
             .flatMap(other => this.runs.get(nameOf(entry, other)) ?? []);
     }
 
-    /** Takes up to `limit` changed jobs off the dirty set; the caller stores them or marks them as dirty again. */
-    takeDirty(limit: number): readonly JobEntry[] {
-        const taken: JobEntry[] = [];
-        for (const entry of this.dirty) {
-            if (taken.length >= limit) {
-                break;
-            }
-            taken.push(entry);
-        }
-        for (const entry of taken) {
-            this.dirty.delete(entry);
-            entry.isDirty = false;
-        }
-        return taken;
-    }
-
     /** Resources of a team's running and claimed runs. */
     usageOf(team: string): Resources {
         return this.usage.get(team) ?? noResources;
@@ -240,16 +224,22 @@
     remove(entry: JobEntry): void {
         this.entries.delete(entry.job.id);
         this.active.delete(entry);
-        this.dirty.delete(entry);
+        this.changes.remove(entry);
     }
 
-    private add(job: AcceptedJob, state: JobState, exceedsTeamShare: boolean): JobEntry {
+    private add(
+        job: AcceptedJob,
+        state: JobState,
+        { exceedsTeamShare, progress }: Pick<JobEntry, "exceedsTeamShare" | "progress">,
+    ): JobEntry {
         const entry: JobEntry = {
             job,
             isService: isServiceJob(job.spec),
             state,
             storedPhase: state.phase,
             isDirty: false,
+            progress,
+            unstoredEnds: new Set(),
             hasStarted: false,
             failedWorkers: new Map(),
             runCount: 0,
@@ -273,8 +263,7 @@
         entry.openTasks = undefined;
         entry.openSteps = undefined;
         entry.unfinishedTasks = undefined;
-        entry.isDirty = true;
-        this.dirty.add(entry);
+        this.changes.add(entry);
     }
 
     private addRun(entry: JobEntry, position: number, start: StartStatus, now: number): RunRecord {
--- a/src/pool/job-remover.ts
+++ b/src/pool/job-remover.ts
@@ -1,5 +1,5 @@
 /** Removes jobs from the store that have been final for longer than the retention period. */
-import { TransactionStatus } from "../process/rows.js";
+import { type RowKey, TransactionStatus } from "../process/rows.js";
 import { jobPart, removeTransaction } from "./job-rows.js";
 import type { JobEntry } from "./records.js";
 import type { TenureContext } from "./tenure-context.js";
@@ -11,8 +11,9 @@
 export class JobRemover {
     constructor(
         private readonly ctx: TenureContext,
-        /** Schedules the removal of a job's progress row. */
-        private readonly removeProgress: (id: string) => void,
+        /** Schedules the removal of rows with a job's progress. */
+        private readonly removeProgress: (keys: readonly RowKey[]) => void,
+        private readonly domain: string,
     ) {}
 
     /**
@@ -43,7 +44,7 @@
             if (outcome.kind === TransactionStatus.Committed && this.ctx.isActive) {
                 for (const entry of entries) {
                     jobs.remove(entry);
-                    this.removeProgress(entry.job.id);
+                    this.removeProgress(entry.progress.rowKeys(this.domain, entry.job.id));
                 }
                 this.ctx.requestRound();
             }
--- a/src/pool/job-source.ts
+++ b/src/pool/job-source.ts
@@ -4,8 +4,9 @@
 import { EventId, Severity } from "../process/events.js";
 import { FeedReader } from "../process/feed-reader.js";
 import { RowRefusals } from "../process/row-refusals.js";
-import { readAll, readRanges, type StoredRow } from "../process/rows.js";
+import { readAll, readRanges, type RowKey, type StoredRow } from "../process/rows.js";
 import { sleep } from "../process/timer.js";
+import { JobProgress, parseSegmentKey } from "./job-progress.js";
 import { decodeJobRow, jobRanges, type JobRow, JobRowKind } from "./job-rows.js";
 import { tables } from "./ownership.js";
 import { retryDelayMs, type TenureContext } from "./tenure-context.js";
@@ -14,8 +15,14 @@
 export interface JobSink {
     accept(job: AcceptedJob): void;
     cancel(id: string): void;
-    /** Called for a progress row without a job, which can be removed. */
-    removeProgress(id: string): void;
+    /** Called for rows of progress without a job, which can be removed. */
+    removeProgress(keys: readonly RowKey[]): void;
+}
+
+/** Progress of a job as stored. */
+interface StoredProgress {
+    readonly head: string;
+    readonly segments: { readonly segment: number; readonly value: string }[];
 }
 
 /** Pause between reads of the feed. Most jobs arrive earlier, by a notification from the entry that accepted them. */
@@ -38,13 +45,16 @@
         const { store, timer, log } = this.ctx.options;
         while (this.ctx.isActive) {
             try {
-                const progress = await readAll(store, { table: tables.progress, part: this.domain });
+                const [progress, tasks] = await Promise.all([
+                    readAll(store, { table: tables.progress, part: this.domain }),
+                    readAll(store, { table: tables.progressTasks, part: this.domain }),
+                ]);
                 const jobs = await this.readJobs();
                 this.restore(
-                    new Map(progress.rows.map(row => [row.key, row.value])),
+                    groupProgress(progress.rows, tasks.rows),
                     jobs.rows.map(row => this.decode(row)),
                 );
-                this.removeOrphanedProgress(progress.rows, jobs.rows);
+                this.removeOrphanedProgress([...progress.rows, ...tasks.rows], jobs.rows);
                 return jobs.version;
             }
             catch (err) {
@@ -96,15 +106,17 @@
     }
 
     private restore(
-        progress: ReadonlyMap<string, string>,
+        progress: ReadonlyMap<string, StoredProgress>,
         rows: readonly JobRow[],
     ): void {
         const now = this.ctx.options.timer.now();
         for (const row of rows) {
             if (row.kind === JobRowKind.Accepted) {
-                const encodedState = progress.get(row.job.id);
-                const state = encodedState === undefined ? undefined : decodeState(row.job, encodedState);
-                if (encodedState !== undefined && state === undefined) {
+                const stored = progress.get(row.job.id);
+                const state = stored === undefined
+                    ? undefined
+                    : decodeState(row.job, stored.head, stored.segments.map(({ value }) => value));
+                if (stored !== undefined && state === undefined) {
                     this.ctx.options.log.write(Severity.Error, EventId.RowMalformed, { job: row.job.id });
                     continue;
                 }
@@ -113,7 +125,11 @@
                     this.ctx.jobs.accept(job);
                 }
                 else {
-                    this.ctx.jobs.restore(job, state, now);
+                    const segments = stored?.segments.map(({ segment }) => segment) ?? [];
+                    const known = segments.length === 0
+                        ? JobProgress.create()
+                        : JobProgress.fromSegments(state, segments);
+                    this.ctx.jobs.restore(job, state, now, known);
                 }
             }
         }
@@ -133,7 +149,10 @@
      */
     private removeOrphanedProgress(progress: readonly StoredRow[], jobs: readonly StoredRow[]): void {
         const jobKeys = new Set(jobs.map(({ key }) => key));
-        progress.filter(({ key }) => !jobKeys.has(key)).forEach(({ key }) => this.sink.removeProgress(key));
+        const orphaned = progress.filter(({ table, key }) =>
+            !jobKeys.has(table === tables.progressTasks ? parseSegmentKey(key)?.job ?? key : key)
+        );
+        this.sink.removeProgress(orphaned.map(({ table, part, key }) => ({ table, part, key })));
     }
 
     /** Decodes a job row; reports one that cannot be used. */
@@ -161,3 +180,20 @@
         }
     }
 }
+
+/** The rows of each job's progress, by job. Segments without the job's own row are left over from its removal. */
+function groupProgress(
+    heads: readonly StoredRow[],
+    tasks: readonly StoredRow[],
+): ReadonlyMap<string, StoredProgress> {
+    const progress = new Map<string, StoredProgress>(
+        heads.map(({ key, value }) => [key, { head: value, segments: [] }]),
+    );
+    for (const { key, value } of tasks) {
+        const parsed = parseSegmentKey(key);
+        if (parsed !== undefined) {
+            progress.get(parsed.job)?.segments.push({ segment: parsed.segment, value });
+        }
+    }
+    return progress;
+}
--- a/src/pool/ledger.ts
+++ b/src/pool/ledger.ts
@@ -14,7 +14,7 @@
     TransactionStatus,
 } from "../process/rows.js";
 import { decodeLeaseBounds, type LeaseBounds, leaseBoundsKey, leaseBoundsRow } from "./lease-bounds.js";
-import { chainKey, decodeChain, decodeOwner, type Owner, ownerKey, tables } from "./ownership.js";
+import { chainKey, decodeChain, decodeOwner, type Owner, ownerKey } from "./ownership.js";
 
 /** Effects that the flows in this file yield. */
 export type LedgerEffect =
@@ -42,6 +42,8 @@
 /** Result of a batch. */
 export type BatchResult =
     | { readonly kind: "committed"; readonly head: LedgerHead }
+    /** The store will never accept the batch; nothing of it is stored. */
+    | { readonly kind: "invalid"; readonly reason: string }
     /** Another entry has taken over; this one must send no more orders. */
     | { readonly kind: "superseded" };
 
@@ -55,16 +57,12 @@
     }
     | { readonly kind: "lost" };
 
-/** Most items (conditions, puts and removals) that the store accepts in one transaction. */
-export const maxTransactionEntries = 100;
-/** Most rows in a batch; the two conditions and the chain row come on top. */
-export const maxBatchRows = maxTransactionEntries - 4;
 const initialBackoffMs = 20;
 const maxBackoffMs = 250;
 /** Attempts per takeover; after these, the caller's next ownership check tries again. */
 const maxTakeoverAttempts = 4;
 
-/** Commits a batch, retrying until it is known to be committed or ownership is lost. */
+/** Commits a batch, retrying until it is known to be committed, ownership is lost, or the store will never accept it. */
 export function* commitBatch(
     head: LedgerHead,
     puts: readonly RowPut[],
@@ -94,6 +92,8 @@
                     ? { kind: "committed", head: { ...head, batch, chainVersion: found.version } }
                     : { kind: "superseded" };
             }
+            case TransactionStatus.Invalid:
+                return { kind: "invalid", reason: outcome.reason };
             case TransactionStatus.Refused:
             case TransactionStatus.Unknown:
                 yield { kind: "pause", ms: pauseMs };
@@ -194,8 +194,3 @@
         removals: [],
     };
 }
-
-/** Key of a job's progress row. */
-export function progressKey(domain: string, job: string): RowKey {
-    return { table: tables.progress, part: domain, key: job };
-}
--- a/src/pool/ownership.ts
+++ b/src/pool/ownership.ts
@@ -17,6 +17,8 @@
     jobs: "jobs",
     /** Progress of jobs, written only by the owner. */
     progress: "progress",
+    /** Tasks of jobs whose progress is too large for one row. */
+    progressTasks: "progress-tasks",
     /** One row per domain that is rewritten with each batch of progress. */
     chain: "chain",
     /** One row per domain with the bounds on leases that its owners have granted. */
--- a/src/pool/progress-writer.ts
+++ b/src/pool/progress-writer.ts
@@ -2,15 +2,16 @@
  * The rounds of a tenure: each places waiting tasks and stores the progress of jobs in one batch, after which the claimed
  * runs are started and the ends of others acknowledged.
  */
-import { encodeState, type JobPhase } from "../job/index.js";
+import type { JobPhase } from "../job/index.js";
 import { messageOf } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
 import { runFlow } from "../process/flow.js";
 import { readRow, type RowKey, type RowPut } from "../process/rows.js";
 import { sleep } from "../process/timer.js";
 import { raceRepeated } from "../process/transaction-race.js";
+import { Batch, type BatchItem } from "./batch.js";
 import type { LeaseBoundsRecorder } from "./lease-bounds-recorder.js";
-import { commitBatch, type LedgerEffect, maxBatchRows, progressKey } from "./ledger.js";
+import { type BatchResult, commitBatch, type LedgerEffect } from "./ledger.js";
 import type { OwnerState } from "./owner-state.js";
 import type { OwnershipGuard } from "./ownership-guard.js";
 import { ownerKey } from "./ownership.js";
@@ -34,32 +35,40 @@
     readonly ownerState: OwnerState;
 }
 
+/** A job whose progress goes into a batch as a whole. */
+interface TakenJob {
+    readonly entry: JobEntry;
+    readonly phase: JobPhase;
+    /** Workers that have listed the ends which are stored with it. */
+    readonly endsOn: readonly string[];
+}
+
 /** Places tasks and stores the progress of jobs. */
 export class ProgressWriter {
     private readonly batchSize = BatchSize.create();
     private isRoundRunning = false;
     private isRoundRequested = false;
     private readonly extraPuts = new Map<string, RowPut>();
-    /** Progress rows of removed jobs, which are removed with the next batch. */
-    private readonly progressRemovals = new Map<string, RowKey>();
+    /** Rows of removed jobs, which are removed with the next batches. */
+    private readonly removals = new Map<string, RowKey>();
 
     constructor(private readonly ctx: TenureContext, private readonly parts: ProgressWriterParts) {}
 
     /** Whether changes are not stored yet, or a batch is in flight. */
     get hasPendingWork(): boolean {
-        return this.isRoundRunning || this.ctx.jobs.dirtyCount > 0
+        return this.isRoundRunning || this.ctx.jobs.changes.count > 0
             || this.parts.dispatcher.queuedStartCount > 0;
     }
 
     /** Stores a row with the next batch, which is only committed if this entry is still the owner. */
     putWithNextBatch(put: RowPut): void {
-        this.extraPuts.set(`${put.table}/${put.part}/${put.key}`, put);
+        this.extraPuts.set(rowId(put), put);
         this.requestRound();
     }
 
-    /** Schedules the removal of a progress row without a job, with the next batch. */
-    removeProgress(id: string): void {
-        this.progressRemovals.set(id, progressKey(this.domain, id));
+    /** Schedules the removal of rows of progress without a job, with the next batches. */
+    removeProgress(keys: readonly RowKey[]): void {
+        keys.forEach(key => this.removals.set(rowId(key), key));
     }
 
     /** Requests a round, which places tasks and stores progress. */
@@ -96,7 +105,7 @@
 
     private async runRound(): Promise<void> {
         const { jobs } = this.ctx;
-        const { guard, placer, dispatcher, workerMonitor, leaseBounds: recorder, ownerState } = this.parts;
+        const { guard, placer, dispatcher, workerMonitor } = this.parts;
         if (!guard.mayOrder()) {
             if (!await guard.confirm()) {
                 await sleep(this.ctx.options.timer, retryDelayMs);
@@ -104,38 +113,99 @@
                 return;
             }
         }
+        jobs.changes.resume(this.ctx.options.timer.now());
         placer.placeTasks(Math.max(0, this.batchSize.maxStarts - dispatcher.queuedStartCount));
         this.ctx.phases.observe(jobs, this.ctx.workers);
-        const leaseBounds = recorder.takeRow();
-        const extra = [...this.extraPuts.values(), ...leaseBounds === undefined ? [] : [leaseBounds]];
-        const isStoring = jobs.dirtyCount > 0 || extra.length > 0;
-        extra.push(...isStoring ? ownerState.takeRows() : []);
-        this.extraPuts.clear();
-        const batch = jobs.takeDirty(maxBatchRows - extra.length);
-        const removals = [...this.progressRemovals.values()].slice(
-            0,
-            maxBatchRows - extra.length - batch.length,
-        );
-        if (batch.length === 0 && extra.length === 0 && removals.length === 0) {
+        const batch = Batch.create();
+        this.addOwnerRows(batch);
+        const taken = this.addProgress(batch);
+        this.addRemovals(batch);
+        if (batch.isEmpty) {
             return;
         }
-        const acknowledged = jobs.dirtyCount === 0 ? workerMonitor.unacknowledgedEnds() : [];
-        const snapshot = batch.map(entry => ({ entry, phase: entry.state.phase }));
-        const stored = await this.commitRows(
-            [...batch.map(entry => this.progressRow(entry)), ...extra],
-            removals,
-        );
-        if (!stored) {
+        const acknowledged = jobs.changes.count === 0 ? workerMonitor.unacknowledgedEnds() : [];
+        if (!await this.commit(batch.items)) {
             return;
         }
+        taken.forEach(job => this.recordStored(job));
+        const heldBack = jobs.changes.workersWithSuspendedEnds;
+        workerMonitor.acknowledge(acknowledged.filter(({ worker }) => !heldBack.has(worker.id)));
+        dispatcher.startStoredRuns(new Set(taken.map(({ entry }) => entry)));
+        this.isRoundRequested ||= jobs.changes.count > 0 || this.extraPuts.size > 0 || this.removals.size > 0;
+    }
+
+    /** Adds the rows of the owner itself; those that find no room are added to the next batch. */
+    private addOwnerRows(batch: Batch): void {
+        const { leaseBounds: recorder, ownerState } = this.parts;
+        const leaseBounds = recorder.takeRow();
         if (leaseBounds !== undefined) {
-            recorder.confirmStored();
+            batch.add({ puts: [leaseBounds], removals: [], onStored: () => recorder.confirmStored() });
+        }
+        for (const [id, put] of this.extraPuts) {
+            if (!batch.add({ puts: [put], removals: [] })) {
+                return;
+            }
+            this.extraPuts.delete(id);
+        }
+        if (this.ctx.jobs.changes.count > 0 || !batch.isEmpty) {
+            ownerState.takeRows().forEach(put => batch.add({ puts: [put], removals: [] }));
+        }
+    }
+
+    /** Adds the progress of jobs that have changed; returns those of which all had room. */
+    private addProgress(batch: Batch): readonly TakenJob[] {
+        const { jobs } = this.ctx;
+        const taken: TakenJob[] = [];
+        for (const entry of jobs.changes.entries) {
+            const isWhole = entry.progress.addChanges(entry.state, {
+                domain: this.domain,
+                job: entry.job.id,
+                batch,
+                onInvalid: reason => this.suspend(entry, reason),
+            });
+            if (!isWhole) {
+                break;
+            }
+            taken.push({ entry, phase: entry.state.phase, endsOn: [...entry.unstoredEnds] });
+            entry.unstoredEnds.clear();
+            jobs.changes.take(entry);
+        }
+        return taken;
+    }
+
+    private addRemovals(batch: Batch): void {
+        for (const [id, key] of this.removals) {
+            const forget = (): void => void this.removals.delete(id);
+            if (!batch.add({ puts: [], removals: [key], onStored: forget, onInvalid: forget })) {
+                return;
+            }
         }
-        removals.forEach(({ key }) => this.progressRemovals.delete(key));
-        snapshot.forEach(({ entry, phase }) => this.publishPhase(entry, phase));
-        workerMonitor.acknowledge(acknowledged);
-        dispatcher.startStoredRuns(new Set(batch));
-        this.isRoundRequested ||= jobs.dirtyCount > 0 || this.extraPuts.size > 0;
+    }
+
+    private recordStored({ entry, phase, endsOn }: TakenJob): void {
+        if (this.ctx.jobs.changes.isSuspended(entry)) {
+            endsOn.forEach(worker => entry.unstoredEnds.add(worker));
+            return;
+        }
+        this.ctx.jobs.changes.endSuspension(entry);
+        this.publishPhase(entry, phase);
+    }
+
+    /** Suspends a job whose progress the store will not accept as it is; the others go on. */
+    private suspend(entry: JobEntry, reason: string): void {
+        const { jobs, options } = this.ctx;
+        if (jobs.changes.isSuspended(entry)) {
+            return;
+        }
+        jobs.changes.suspend(entry, options.timer.now());
+        this.parts.dispatcher.dropUnstarted(entry);
+        options.log.write(Severity.Error, EventId.JobSuspended, {
+            job: entry.job.id,
+            tasks: entry.state.tasks.length,
+            runs: entry.runCount,
+            suspensions: entry.suspension?.count,
+            reason,
+        });
     }
 
     private publishPhase(entry: JobEntry, phase: JobPhase): void {
@@ -152,31 +222,66 @@
         }
     }
 
-    private progressRow(entry: JobEntry): RowPut {
-        return { ...progressKey(this.domain, entry.job.id), value: encodeState(entry.state) };
+    /**
+     * Commits the items of a batch; false if the tenure has ended. Items that the store will never accept together are stored in
+     * parts, down to the one that it refuses by itself.
+     */
+    private async commit(items: readonly BatchItem[]): Promise<boolean> {
+        const result = await this.commitRows(items);
+        switch (result.kind) {
+            case "committed":
+                items.forEach(({ onStored }) => onStored?.());
+                return this.ctx.isActive;
+            case "superseded":
+                this.parts.guard.supersede(
+                    `store rejected batch ${this.parts.guard.head.batch + 1}: owner or chain row changed`,
+                );
+                return false;
+            case "invalid":
+                this.reportInvalid(items, result.reason);
+                if (items.length === 1) {
+                    items[0]!.onInvalid?.(result.reason);
+                    return this.ctx.isActive;
+                }
+                return await this.commit(items.slice(0, items.length / 2))
+                    && await this.commit(items.slice(items.length / 2));
+        }
+    }
+
+    private reportInvalid(items: readonly BatchItem[], reason: string): void {
+        const puts = items.flatMap(item => item.puts);
+        const sizes = puts.map(({ value }) => Buffer.byteLength(value));
+        const largest = puts[sizes.indexOf(Math.max(...sizes))];
+        this.ctx.options.metrics.count("celerywind_invalid_batches_total");
+        this.ctx.options.log.write(Severity.Error, EventId.BatchInvalid, {
+            reason,
+            items: items.length,
+            rows: puts.length,
+            removals: items.reduce((sum, { removals }) => sum + removals.length, 0),
+            bytes: sizes.reduce((sum, bytes) => sum + bytes, 0),
+            largestBytes: Math.max(0, ...sizes),
+            largest: largest === undefined ? undefined : `${largest.table}/${largest.key}`,
+        });
     }
 
-    private async commitRows(puts: readonly RowPut[], removals: readonly RowKey[]): Promise<boolean> {
+    private async commitRows(items: readonly BatchItem[]): Promise<BatchResult> {
         const { timer, metrics } = this.ctx.options;
         const { guard } = this.parts;
+        const puts = items.flatMap(item => item.puts);
         const sentAt = timer.now();
         const result = await runFlow(
-            commitBatch(guard.head, puts, removals),
+            commitBatch(guard.head, puts, items.flatMap(({ removals }) => removals)),
             effect => this.performLedgerEffect(effect),
         );
         const batchMs = timer.now() - sentAt;
         this.batchSize.record(batchMs);
         metrics.observe("celerywind_batch_ms", batchMs);
         metrics.count("celerywind_batch_rows_total", {}, puts.length);
-        switch (result.kind) {
-            case "committed":
-                guard.head = result.head;
-                guard.recordConfirmed(sentAt);
-                return this.ctx.isActive;
-            case "superseded":
-                guard.supersede(`store rejected batch ${guard.head.batch + 1}: owner or chain row changed`);
-                return false;
+        if (result.kind === "committed") {
+            guard.head = result.head;
+            guard.recordConfirmed(sentAt);
         }
+        return result;
     }
 
     private async performLedgerEffect(effect: LedgerEffect): Promise<unknown> {
@@ -196,3 +301,7 @@
         }
     }
 }
+
+function rowId({ table, part, key }: RowKey): string {
+    return `${table}/${part}/${key}`;
+}
--- a/src/pool/records.ts
+++ b/src/pool/records.ts
@@ -1,6 +1,7 @@
 /** Records of jobs and of their runs at the owner of a domain. */
 import type { AcceptedJob, JobPhase, JobState, StepSpec, TaskState, WorkerLoss } from "../job/index.js";
 import type { Resources } from "../process/resources.js";
+import type { JobProgress } from "./job-progress.js";
 
 /** State of a run's start, as far as the owner knows it. */
 export enum StartStatus {
@@ -99,6 +100,14 @@
     readonly positions: readonly number[];
 }
 
+/** The time for which a job is suspended. */
+export interface JobSuspension {
+    /** Monotonic time at which its progress is offered to the store again, in milliseconds. */
+    readonly until: number;
+    /** Number of suspensions since its progress was last stored. */
+    readonly count: number;
+}
+
 /** A job in the registry. */
 export interface JobEntry {
     readonly job: AcceptedJob;
@@ -108,6 +117,12 @@
     storedPhase: JobPhase;
     /** Whether the state has changed since it was last taken for storing. */
     isDirty: boolean;
+    /** What of the progress is stored. */
+    readonly progress: JobProgress;
+    /** Workers that have listed ends of its runs which are not stored yet. */
+    readonly unstoredEnds: Set<string>;
+    /** Set while the store accepts no progress of the job: no task of it is started. */
+    suspension?: JobSuspension;
     /** Whether a run of the job has ever been claimed. */
     hasStarted: boolean;
     /** Workers on which runs of a task failed, by the task's position. */
--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -53,6 +53,15 @@
         this.sendStarts();
     }
 
+    /** Drops the claimed runs of a job that are not started, since their record cannot be stored. */
+    dropUnstarted(entry: JobEntry): void {
+        for (const record of [...this.ctx.jobs.runs.values()]) {
+            if (record.entry === entry && record.start === StartStatus.Recorded) {
+                this.applyEnd({ record, outcome: RunEnd.Lost, saved: "" });
+            }
+        }
+    }
+
     private sendStarts(): void {
         for (const record of this.queue.takeStartable()) {
             void this.startRun(record);
--- a/src/pool/tenure.ts
+++ b/src/pool/tenure.ts
@@ -5,7 +5,7 @@
 import type { AcceptedJob, JobPhase } from "../job/index.js";
 import { messageOf } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
-import type { RowPut, TransactionOutcome } from "../process/rows.js";
+import type { RowKey, RowPut, TransactionOutcome } from "../process/rows.js";
 import { type Cancel, sleep } from "../process/timer.js";
 import { AdviceCache } from "./advice-cache.js";
 import { DurationEstimator } from "./duration-estimator.js";
@@ -134,7 +134,7 @@
             leaseBounds: this.leaseBounds,
             ownerState: this.ownerState,
         });
-        this.jobRemover = new JobRemover(this, id => this.removeProgress(id));
+        this.jobRemover = new JobRemover(this, keys => this.removeProgress(keys), head.domain);
         this.jobSource = new JobSource(this, head.domain, this);
     }
 
@@ -334,9 +334,9 @@
         this.guard.supersede(cause);
     }
 
-    /** Schedules the removal of a progress row without a job, with the next batch. */
-    removeProgress(id: string): void {
-        this.progress.removeProgress(id);
+    /** Schedules the removal of rows of progress without a job, with the next batches. */
+    removeProgress(keys: readonly RowKey[]): void {
+        this.progress.removeProgress(keys);
     }
 
     private schedulePeriodic(ms: number, fn: () => void): void {
--- a/src/pool/vm-order-log.ts
+++ b/src/pool/vm-order-log.ts
@@ -184,6 +184,7 @@
                 this.loadRow(outcome.rows.find(row => isSameRow(row, this.key)));
                 return false;
             case TransactionStatus.Refused:
+            case TransactionStatus.Invalid:
             case TransactionStatus.Unknown:
                 return false;
         }
--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -59,6 +59,8 @@
     JobCancelled = 2204,
     JobPhaseStored = 2205,
     CancelStored = 2206,
+    BatchInvalid = 2207,
+    JobSuspended = 2208,
     RunClaimed = 2301,
     RunRefused = 2302,
     RunUncertain = 2303,
--- a/src/process/rows.ts
+++ b/src/process/rows.ts
@@ -46,6 +46,8 @@
     Conflict = "conflict",
     /** The store rejected it without applying it. */
     Refused = "refused",
+    /** The store rejects it as it is, whenever it is sent: it exceeds a limit, or writes where it may not. */
+    Invalid = "invalid",
     /** No answer arrived: it may have been applied, or may be applied later while its conditions still hold. */
     Unknown = "unknown",
 }
@@ -55,6 +57,7 @@
     | { readonly kind: TransactionStatus.Committed; readonly version: number }
     | { readonly kind: TransactionStatus.Conflict; readonly rows: readonly StoredRow[] }
     | { readonly kind: TransactionStatus.Refused; readonly reason: string }
+    | { readonly kind: TransactionStatus.Invalid; readonly reason: string }
     | { readonly kind: TransactionStatus.Unknown; readonly reason: string };
 
 /** A range of rows of one part of a table, in key order. */
--- a/src/process/transaction-race.ts
+++ b/src/process/transaction-race.ts
@@ -42,7 +42,7 @@
         this.pendingCount--;
         this.isUncertain ||= outcome.kind === TransactionStatus.Unknown;
         const isConclusive = outcome.kind === TransactionStatus.Committed
-            || outcome.kind === TransactionStatus.Conflict;
+            || outcome.kind === TransactionStatus.Conflict || outcome.kind === TransactionStatus.Invalid;
         if (!this.isSettled && (isConclusive || this.pendingCount === 0)) {
             this.isSettled = true;
             const kind = TransactionStatus.Unknown;
--- a/src/request/job-calls.ts
+++ b/src/request/job-calls.ts
@@ -13,6 +13,7 @@
     progressPhase,
 } from "../pool/index.js";
 import type { Flow } from "../process/flow.js";
+import { isStorable } from "../process/row-limits.js";
 import {
     type RowTransaction,
     type StoredRow,
@@ -26,6 +27,8 @@
     Stopping = "stopping",
     StoreUnavailable = "store-unavailable",
     Overloaded = "overloaded",
+    /** It is larger than what the store keeps of a job. */
+    TooLarge = "too-large",
 }
 
 /** Result of a submission. */
@@ -69,11 +72,19 @@
 const maxRefusedAttempts = 3;
 /** Retry delay to suggest while the store is unavailable; its usual outages last some seconds. */
 const storeRetryAfterMs = 1000;
+/** Retry delay to suggest for what is refused whenever it comes: an hour. */
+const neverMs = 3_600_000;
 
 /** Stores a job in one of `jobParts` parts of the store; one that is stored already is accepted as a repeat. */
 export function* submit(job: AcceptedJob, jobParts: number): Flow<JobCallEffect, SubmitResult> {
-    const result = yield* writeOnce(acceptTransaction(job, jobParts));
+    const tx = acceptTransaction(job, jobParts);
+    if (!tx.puts.every(isStorable)) {
+        return { kind: "refused", reason: RefusalReason.TooLarge, retryAfterMs: neverMs };
+    }
+    const result = yield* writeOnce(tx);
     switch (result.kind) {
+        case "invalid":
+            return { kind: "refused", reason: RefusalReason.TooLarge, retryAfterMs: neverMs };
         case "done":
             return { kind: "accepted", isRepeat: false };
         case "exists":
@@ -104,6 +115,7 @@
         case "done":
         case "exists":
             return { kind: "cancelled" };
+        case "invalid":
         case "refused":
             return refused(RefusalReason.StoreUnavailable, storeRetryAfterMs);
         case "uncertain":
@@ -135,6 +147,8 @@
     | { readonly kind: "done" }
     | { readonly kind: "exists"; readonly row: StoredRow | undefined }
     | { readonly kind: "refused" }
+    /** The store will never accept it. */
+    | { readonly kind: "invalid" }
     | { readonly kind: "uncertain" };
 
 /**
@@ -152,6 +166,8 @@
                 return { kind: "done" };
             case TransactionStatus.Conflict:
                 return { kind: "exists", row: outcome.rows[0] };
+            case TransactionStatus.Invalid:
+                return { kind: "invalid" };
             case TransactionStatus.Refused:
                 refusals++;
                 break;
--- a/standin/site/rows.ts
+++ b/standin/site/rows.ts
@@ -94,6 +94,10 @@
     readonly transactionFaults = new Map<number, TransactionFault>();
     /** Why calls were refused that can never be carried out, such as those beyond a limit of the store. */
     readonly invalidCalls: string[] = [];
+    /** Why a call can never be carried out, beside the limits; a test may replace it. */
+    rejects: (tx: RowTransaction) => string | undefined = () => undefined;
+    /** Bytes of the rows that were written, before they are encoded, by table. */
+    readonly bytesWritten = new Map<string, number>();
     /** Tables that the entries may not write to. */
     readonly readOnlyTables = new Set<string>();
     private readonly tables = new Set<string>();
@@ -170,7 +174,7 @@
             if (reason !== undefined) {
                 this.invalidCalls.push(reason);
                 await sleep(timer, readLatencyMs);
-                return { kind: TransactionStatus.Refused, reason };
+                return { kind: TransactionStatus.Invalid, reason };
             }
             if (!this.rates.admit("write")) {
                 await sleep(timer, readLatencyMs);
@@ -212,6 +216,10 @@
     }
 
     private invalidityOf(tx: RowTransaction): string | undefined {
+        const reason = this.rejects(tx);
+        if (reason !== undefined) {
+            return reason;
+        }
         return hasTooManyTables(new Set([...this.tables, ...tx.puts.map(({ table }) => table)]))
             ? "the store holds no more tables"
             : invalidityOf(tx, this.readOnlyTables);
@@ -267,6 +275,8 @@
         else {
             this.rows.set(key, row);
             this.tables.add(row.table);
+            const bytes = Buffer.byteLength(row.value);
+            this.bytesWritten.set(row.table, (this.bytesWritten.get(row.table) ?? 0) + bytes);
         }
         this.changes.push(row);
     }
--- a/standin/wire/platform.ts
+++ b/standin/wire/platform.ts
@@ -265,6 +265,8 @@
             return [412, { rows: outcome.rows.map(encodeRow), "schema-version": 1, "now-ms": 1 }];
         case TransactionStatus.Refused:
             return [503, {}];
+        case TransactionStatus.Invalid:
+            return [400, {}];
         case TransactionStatus.Unknown:
             return undefined;
     }
