A new owner stores and reports only the waves that no earlier owner has

Cause: WaveReporter took all waves for new ones, since it read their rows and never looked whether they had one; each got a progress row in the first batch, and two status rows with a confirmation of ownership each.

Change: waves with a row of progress are not stored again, and what the status rows say is not reported again; both are read once a tenure.

--- a/src/pool/wave-reporter.ts
+++ b/src/pool/wave-reporter.ts
@@ -48,8 +48,12 @@
         }
         const time = { now: timer.now(), wallMs: tenure.clock.wallMs() };
         if (!this.isRestored) {
-            const page = await readAll(store, { table: waveTable, part: domain });
-            this.tracker.restore(page.rows, time);
+            const [progress, statuses] = await Promise.all([
+                readAll(store, { table: waveTable, part: domain }),
+                this.readStatuses(),
+            ]);
+            this.tracker.restore(progress.rows, time).forEach(wave => this.unstored.delete(wave));
+            this.restoreReports(statuses);
             this.isRestored = true;
         }
         for (const wave of this.unstored) {
@@ -61,6 +65,29 @@
         }
     }
 
+    /** Status rows of waves, by key. */
+    private async readStatuses(): Promise<ReadonlyMap<string, string>> {
+        const { store, waveStatusRow } = this.options;
+        const { table, part } = waveStatusRow(0, false);
+        const { rows } = await readAll(store, { table, part });
+        return new Map(rows.map(({ key, value }) => [key, value]));
+    }
+
+    /** Takes over what earlier owners have reported, so that only the rest is reported. */
+    private restoreReports(statuses: ReadonlyMap<string, string>): void {
+        const { waveStatusRow } = this.options;
+        for (const wave of [...this.startUnreported]) {
+            const finished = waveStatusRow(wave, true);
+            const status = statuses.get(finished.key);
+            if (status !== undefined) {
+                this.startUnreported.delete(wave);
+            }
+            if (status === finished.value) {
+                this.tracker.markReported(wave);
+            }
+        }
+    }
+
     /** Reports a wave as started, unless an earlier owner has stored a status row for it. */
     private async reportStarted(wave: number): Promise<void> {
         const { store, waveStatusRow } = this.options;
--- a/src/pool/wave-tracker.ts
+++ b/src/pool/wave-tracker.ts
@@ -74,8 +74,9 @@
         return added;
     }
 
-    /** Adds the progress that an earlier owner stored, and when an owner first saw each wave. */
-    restore(rows: readonly StoredRow[], { now, wallMs }: WaveTime): void {
+    /** Adds the progress that an earlier owner stored, and when an owner first saw each wave; returns the waves that it has. */
+    restore(rows: readonly StoredRow[], { now, wallMs }: WaveTime): readonly number[] {
+        const restored: number[] = [];
         for (const row of rows) {
             const state = this.waves.get(Number(row.key));
             // A malformed row counts as no progress; the platform itself records which VMs are done.
@@ -86,8 +87,10 @@
                 // Wall clocks may be wrong: the time is limited to what the wave's duration allows.
                 const ageMs = Math.min(state.order.durationMs, Math.max(0, wallMs - firstSeenMs));
                 state.firstSeenAt = Math.min(state.firstSeenAt, now - ageMs);
+                restored.push(Number(row.key));
             }
         }
+        return restored;
     }
 
     /** Row with the progress of a wave. */
