A takeover reads segments of progress only if a job has any

An owner that cannot read the table of progress read the table of segments beside it, and each answer told its peers that the store serves it: nobody took the domain over.

Cause: both tables were read at once in each takeover, to keep the time of a takeover as it was.

Change: segments are read after the progress, and only if a job's row says that it has any; those without a job are looked for after the load.

--- a/src/job/progress-codec.ts
+++ b/src/job/progress-codec.ts
@@ -62,6 +62,12 @@
     return JSON.stringify({ s: phase, o: occurrences, why: reason, g: segmentTasks, t: [foreignTask] });
 }
 
+/** Whether the tasks of a job with this encoded progress are in segments. */
+export function isSegmented(text: string): boolean {
+    // Within a string of the JSON text, the quotation marks would be escaped.
+    return text.includes('"g":');
+}
+
 /** Encodes the tasks of a segment; those without any run are omitted. */
 export function encodeSegment(tasks: readonly TaskState[]): string {
     return JSON.stringify(encodeTasks(tasks.filter(({ run }) => run > 0)));
--- a/src/pool/job-source.ts
+++ b/src/pool/job-source.ts
@@ -1,5 +1,5 @@
 /** Loads the stored jobs of a domain when a tenure begins, and follows the feed of jobs that entries add later. */
-import { type AcceptedJob, decodeState } from "../job/index.js";
+import { type AcceptedJob, decodeState, isSegmented } from "../job/index.js";
 import { messageOf } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
 import { FeedReader } from "../process/feed-reader.js";
@@ -45,16 +45,14 @@
         const { store, timer, log } = this.ctx.options;
         while (this.ctx.isActive) {
             try {
-                const [progress, tasks] = await Promise.all([
-                    readAll(store, { table: tables.progress, part: this.domain }),
-                    readAll(store, { table: tables.progressTasks, part: this.domain }),
-                ]);
+                const progress = await readAll(store, { table: tables.progress, part: this.domain });
+                const segments = progress.rows.some(({ value }) => isSegmented(value))
+                    ? await this.readSegments()
+                    : [];
                 const jobs = await this.readJobs();
-                this.restore(
-                    groupProgress(progress.rows, tasks.rows),
-                    jobs.rows.map(row => this.decode(row)),
-                );
-                this.removeOrphanedProgress([...progress.rows, ...tasks.rows], jobs.rows);
+                this.restore(groupProgress(progress.rows, segments), jobs.rows.map(row => this.decode(row)));
+                this.removeOrphans(progress.rows, jobs.rows, ({ key }) => key);
+                void this.removeOrphanedSegments(jobs.rows);
                 return jobs.version;
             }
             catch (err) {
@@ -144,15 +142,38 @@
     }
 
     /**
-     * Removes progress rows without a job row, which remain when an owner ends between removing the two. The progress
+     * Removes rows of progress without a job row, which remain when an owner ends between removing the two. The progress
      * of a job whose row exists but cannot be decoded is kept.
      */
-    private removeOrphanedProgress(progress: readonly StoredRow[], jobs: readonly StoredRow[]): void {
+    private removeOrphans(
+        progress: readonly StoredRow[],
+        jobs: readonly StoredRow[],
+        jobOf: (row: StoredRow) => string,
+    ): void {
         const jobKeys = new Set(jobs.map(({ key }) => key));
-        const orphaned = progress.filter(({ table, key }) =>
-            !jobKeys.has(table === tables.progressTasks ? parseSegmentKey(key)?.job ?? key : key)
-        );
-        this.sink.removeProgress(orphaned.map(({ table, part, key }) => ({ table, part, key })));
+        const orphans = progress.filter(row => !jobKeys.has(jobOf(row)));
+        this.sink.removeProgress(orphans.map(({ table, part, key }) => ({ table, part, key })));
+    }
+
+    /** Reads the segments apart from the load, which needs them only if a job has any. */
+    private async removeOrphanedSegments(jobs: readonly StoredRow[]): Promise<void> {
+        try {
+            const segments = await this.readSegments();
+            this.removeOrphans(segments, jobs, ({ key }) => parseSegmentKey(key)?.job ?? key);
+        }
+        catch (err) {
+            // The next owner looks again.
+            const fields = { table: tables.progressTasks, err: messageOf(err) };
+            this.ctx.options.log.write(Severity.Warn, EventId.StoreUnavailable, fields);
+        }
+    }
+
+    private async readSegments(): Promise<readonly StoredRow[]> {
+        const { rows } = await readAll(this.ctx.options.store, {
+            table: tables.progressTasks,
+            part: this.domain,
+        });
+        return rows;
     }
 
     /** Decodes a job row; reports one that cannot be used. */
