A job is failed as impossible only by an owner that knows all workers and VMs

Cause: a new owner took the workers that it had listed so far for all there are. Spare VMs, and those that move or are down, are known from the inventory, which it had not read yet.

Evidence: without the verdict the VM arrives and the job runs; with an inventory that is silent for 6 s the job fails long before it could be read.

Change: the verdict needs a reading of the inventory within the tenure, and a list of workers requested 2.5 s or more after the store last failed this entry. An invalid transaction is no failure of the store. JobImpossible (2209) has the inputs and their age. The verdict on tasks under which workers were lost uses the same list.

--- a/src/connection/instrumented-row-store.ts
+++ b/src/connection/instrumented-row-store.ts
@@ -35,6 +35,11 @@
         return this.options.timer.now() - this.lastSuccessAt;
     }
 
+    /** Monotonic time of the last failure other than a conflict, in milliseconds; -Infinity if there was none. */
+    get failedAt(): number {
+        return this.lastFailureAt;
+    }
+
     /** Whether the last call that ended failed, other than by a conflict. */
     get isFailing(): boolean {
         return this.lastFailureAt > this.lastSuccessAt;
@@ -46,11 +51,15 @@
         const { metrics, timer } = this.options;
         metrics.count("celerywind_store_transactions_total", { outcome: outcome.kind });
         metrics.observe("celerywind_store_ms", timer.now() - startedAt, { call: "transact" });
-        if (outcome.kind === TransactionStatus.Committed || outcome.kind === TransactionStatus.Conflict) {
-            this.recordSuccess();
-        }
-        else {
-            this.lastFailureAt = timer.now();
+        switch (outcome.kind) {
+            case TransactionStatus.Committed:
+            case TransactionStatus.Conflict:
+            case TransactionStatus.Invalid:
+                this.recordSuccess();
+                break;
+            case TransactionStatus.Refused:
+            case TransactionStatus.Unknown:
+                this.lastFailureAt = timer.now();
         }
         return outcome;
     }
--- a/src/pool/domain-options.ts
+++ b/src/pool/domain-options.ts
@@ -30,7 +30,7 @@
     readonly strength: number;
     /** Availability zone of this entry's VM; empty if unknown. */
     readonly zone: string;
-    readonly store: RowStore & { readonly ageMs: number };
+    readonly store: RowStore & { readonly ageMs: number; readonly failedAt: number };
     readonly peers: Peers;
     readonly lag: EventLoopLagMonitor;
     /** Sets the peers that this entry keeps links to; called whenever they have changed. */
--- a/src/pool/fleet-controller.ts
+++ b/src/pool/fleet-controller.ts
@@ -160,7 +160,7 @@
         this.listedAt = now;
         try {
             this.inventory = await vms.list();
-            this.options.tenure.workers.recordShapes(this.inventory);
+            this.options.tenure.workers.recordInventory(this.inventory, now);
             this.applyInventory(now);
             this.isInventoryLost = false;
         }
--- a/src/pool/run-monitor.ts
+++ b/src/pool/run-monitor.ts
@@ -242,19 +242,47 @@
         }
     }
 
-    /** Fails a job that can never run: a step exceeds every worker, or the team's limit. */
+    /**
+     * Fails a job that can never run: a step exceeds every worker, or the team's limit. That no worker can run it is known once
+     * this owner has read all workers and the VMs of all pools: until then, one that can may be on its way or in the spare pool.
+     */
     private failImpossibleJob(entry: JobEntry): void {
         const { jobs, workers, options } = this.ctx;
         const cap = options.directory()?.teams.get(entry.job.team)?.cap;
-        for (const step of entry.job.spec.steps) {
+        for (const [index, step] of entry.job.spec.steps.entries()) {
             if (!workers.couldEverRun(step)) {
-                jobs.fail(entry, "no-worker-can-run-it", options.timer.now());
+                if (this.knowsAllShapes) {
+                    this.logImpossible(entry, index);
+                    jobs.fail(entry, "no-worker-can-run-it", options.timer.now());
+                }
             }
             else if (cap !== undefined && exceedsTeamLimit(step, cap)) {
                 jobs.fail(entry, "beyond-team-limit", options.timer.now());
             }
         }
     }
+
+    private get knowsAllShapes(): boolean {
+        return this.ctx.liveness.isListComplete && this.ctx.workers.inventoryReadAt > -Infinity;
+    }
+
+    private logImpossible({ job }: JobEntry, index: number): void {
+        const { workers, liveness, options, ageMs, fence } = this.ctx;
+        const { label, needs } = job.spec.steps[index]!;
+        options.log.write(Severity.Warn, EventId.JobImpossible, {
+            job: job.id,
+            queue: job.queue,
+            step: index,
+            label,
+            ...needs,
+            shapes: workers.shapeCount,
+            workers: workers.byId.size,
+            listAgeMs: Math.round(liveness.listAgeMs),
+            inventoryAgeMs: Math.round(options.timer.now() - workers.inventoryReadAt),
+            tenureMs: Math.round(ageMs),
+            fence,
+        });
+    }
 }
 
 /** The listed workers of a pool, of those alone that have the label if there is one. */
--- a/src/pool/tenure-context.ts
+++ b/src/pool/tenure-context.ts
@@ -43,7 +43,8 @@
     readonly leaseBounds: LeaseBounds;
     /** The suspicion that led to the takeover. */
     readonly suspicion?: OwnerSuspicion;
-    readonly store: RowStore;
+    /** `failedAt`: monotonic time at which it last failed, in milliseconds; it has not failed if that is absent. */
+    readonly store: RowStore & { readonly failedAt?: number };
     readonly roster: Roster;
     readonly calls: WorkerClient;
     readonly adviser: Adviser;
--- a/src/pool/tenure.ts
+++ b/src/pool/tenure.ts
@@ -99,7 +99,7 @@
                 { startedAtMs, until: now + remainingMs },
             ])),
         });
-        this.liveness = WorkerLiveness.create({ workers: this.workers, timer });
+        this.liveness = WorkerLiveness.create({ workers: this.workers, store: options.store, timer });
         this.leaseBounds = LeaseBoundsRecorder.create({
             domain: head.domain,
             fence: head.owner.fence,
--- a/src/pool/worker-liveness.ts
+++ b/src/pool/worker-liveness.ts
@@ -18,19 +18,16 @@
 /** Options of `WorkerLiveness.create`. */
 export interface WorkerLivenessOptions {
     readonly workers: WorkerRegistry;
+    readonly store: { readonly failedAt?: number };
     readonly timer: Timer;
 }
 
-/** Longest pause between two readings of the list during which the store counts as reachable for the workers, too. */
-const maxRosterPauseMs = 1500;
 /** Time within which entries are back in the list that expired while the store was unavailable. */
 const listRecoveryMs = 2500;
 
 /** Judges the incarnations of a domain's workers during one tenure. */
 export class WorkerLiveness {
     private rosterReadAt = -Infinity;
-    /** Monotonic time from which an entry that is missing from the list has ended, in milliseconds. */
-    private isListCompleteAt = Infinity;
 
     private constructor(private readonly options: WorkerLivenessOptions) {}
 
@@ -40,12 +37,20 @@
 
     /** Records a reading of the list that was requested at the monotonic time `requestedAt`. */
     recordRoster(requestedAt: number): void {
-        if (requestedAt - this.rosterReadAt > maxRosterPauseMs) {
-            this.isListCompleteAt = requestedAt + listRecoveryMs;
-        }
         this.rosterReadAt = requestedAt;
     }
 
+    /** Whether a worker that is missing from the list, as last read, does not exist. */
+    get isListComplete(): boolean {
+        const { failedAt = -Infinity } = this.options.store;
+        return this.rosterReadAt > -Infinity && this.rosterReadAt >= failedAt + listRecoveryMs;
+    }
+
+    /** Time since the last reading of the list, in milliseconds; infinite before the first. */
+    get listAgeMs(): number {
+        return this.options.timer.now() - this.rosterReadAt;
+    }
+
     /** What is known now of an incarnation. */
     of({ worker: id, workerStartedAt }: WorkerIncarnation): Liveness {
         const worker = this.options.workers.byId.get(id);
@@ -53,7 +58,7 @@
             return Liveness.Ended;
         }
         if (worker?.isListed !== true) {
-            return this.options.timer.now() >= this.isListCompleteAt ? Liveness.Ended : Liveness.Unknown;
+            return this.isListComplete ? Liveness.Ended : Liveness.Unknown;
         }
         return worker.isReachable || worker.reportedAfter > worker.unreachableAt
             ? Liveness.Alive
--- a/src/pool/worker-registry.ts
+++ b/src/pool/worker-registry.ts
@@ -32,6 +32,8 @@
 export class WorkerRegistry {
     readonly byId = new Map<string, WorkerState>();
     private readonly shapes = WorkerShapes.create();
+    /** Monotonic time of the last reading of the inventory in this tenure, in milliseconds. */
+    inventoryReadAt = -Infinity;
     /** Monotonic time at which the last roster was requested. */
     private lastRosterAt = -Infinity;
     private inheritedLeasesUntil: number;
@@ -56,7 +58,7 @@
      * incarnation.
      */
     update(list: readonly ListedWorker[], requestedAt: number): readonly WorkerState[] {
-        this.recordShapes(list);
+        this.shapes.record(list);
         const reportedAfter = this.lastRosterAt;
         this.lastRosterAt = requestedAt;
         const changed: WorkerState[] = [];
@@ -86,11 +88,22 @@
         return changed;
     }
 
-    /** Records the shapes of workers and of VMs that could become workers, including those in the spare pool. */
+    /** Records shapes of workers, or of VMs that could become workers. */
     recordShapes(shapes: readonly WorkerShape[]): void {
         this.shapes.record(shapes);
     }
 
+    /** Records the shapes of the VMs of all pools, the spare one included, as read at the monotonic time `readAt`. */
+    recordInventory(vms: readonly WorkerShape[], readAt: number): void {
+        this.shapes.record(vms);
+        this.inventoryReadAt = readAt;
+    }
+
+    /** Number of different shapes that have been recorded. */
+    get shapeCount(): number {
+        return this.shapes.count;
+    }
+
     /** Whether any recorded shape could run a task of the step on an empty worker. */
     couldEverRun(step: StepSpec): boolean {
         return this.shapes.couldEverRun(step);
--- a/src/pool/worker-shapes.ts
+++ b/src/pool/worker-shapes.ts
@@ -23,6 +23,10 @@
         return new WorkerShapes();
     }
 
+    get count(): number {
+        return this.shapes.size;
+    }
+
     /** Records shapes of workers, or of VMs that could become workers. */
     record(shapes: readonly WorkerShape[]): void {
         for (const shape of shapes) {
--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -61,6 +61,7 @@
     CancelStored = 2206,
     BatchInvalid = 2207,
     JobSuspended = 2208,
+    JobImpossible = 2209,
     RunClaimed = 2301,
     RunRefused = 2302,
     RunUncertain = 2303,
--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -52,6 +52,8 @@
 export interface VmFaults {
     /** Time for which an order waits on its link, in milliseconds. */
     orderDelayMs: number;
+    /** Whether readings of the inventory receive no answer. */
+    isInventorySilent: boolean;
 }
 
 /** A line of an entry's log. */
@@ -67,6 +69,7 @@
     readonly vm: string;
     readonly rack: string;
     readonly zone: string;
+    readonly kind: string;
     pool: string;
     phase: VmPhase;
     worker: StandinWorker | undefined;
@@ -80,6 +83,8 @@
     readonly vmsPerPool?: number;
     readonly pools?: readonly string[];
     readonly spareVms?: number;
+    /** Kind of the VMs of the spare pool, their first label; that of the others by default. */
+    readonly spareKind?: string;
     readonly capacity?: Resources;
     /** Strengths of the entries' VMs by entry name; 1 for those that are not named. */
     readonly strengths?: Readonly<Record<string, number>>;
@@ -144,6 +149,7 @@
 const impairmentCheckMs = 50;
 const sparePool = "spare";
 const defaultZone = "z";
+const defaultKind = "a";
 /** Table that entries read before each list of workers. */
 export const rosterTable = "roster";
 const operatorTable = "operator";
@@ -274,7 +280,7 @@
     startEntry(name: string): StandinEntry {
         const timer = PausableTimer.create(this.timer);
         const storeFaults = noRowStoreFaults();
-        const vmFaults: VmFaults = { orderDelayMs: 0 };
+        const vmFaults: VmFaults = { orderDelayMs: 0, isInventorySilent: false };
         const log: LoggedEvent[] = [];
         const linkBytesPerMs = this.options.linkBytesPerMs?.[name];
         const link = linkBytesPerMs === undefined ? undefined : SharedLink.create(timer, linkBytesPerMs);
@@ -449,6 +455,7 @@
                 vm: `vm-${this.vms.length}`,
                 rack: `rack-${Math.floor(this.vms.length / 2)}`,
                 zone: zones[this.vms.length % zones.length]!,
+                kind: pool === sparePool ? this.options.spareKind ?? defaultKind : defaultKind,
                 pool,
                 phase: VmPhase.Up,
                 worker: undefined,
@@ -477,6 +484,7 @@
             gangs,
         );
         worker.zone = vm.zone;
+        worker.kind = vm.kind;
         worker.stopDurationMs = this.options.stopDurationMs ?? worker.stopDurationMs;
         worker.guardsCapacity = this.options.guardsCapacity ?? true;
         return worker;
@@ -620,6 +628,10 @@
         return {
             list: async () => {
                 await sleep(timer, callLatencyMs);
+                if (faults.isInventorySilent) {
+                    await sleep(timer, maxOrderMs);
+                    throw new PlatformError("the inventory did not answer");
+                }
                 if (!admit(this.inventoryReads, this.timer.now())) {
                     throw new PlatformError("the inventory refused the call: too many readings");
                 }
@@ -659,13 +671,13 @@
         return result;
     }
 
-    private inventoryOf({ vm, pool, phase, rack, zone, worker }: StandinVm): InventoryVm {
+    private inventoryOf({ vm, pool, phase, rack, zone, kind, worker }: StandinVm): InventoryVm {
         return {
             vm,
             pool,
             phase,
             zone,
-            labels: ["a", rack],
+            labels: [kind, rack],
             capacity: this.options.capacity ?? defaultCapacity,
             worker: worker?.id ?? "",
         };
--- a/standin/site/worker.ts
+++ b/standin/site/worker.ts
@@ -134,6 +134,8 @@
     private highestFence = 0;
     /** Availability zone of its VM. */
     zone = "z";
+    /** Kind of its VM, its first label. */
+    kind = "a";
     private leaseUntil = 0;
     private dueFailures = 0;
     /** Time since when it is dark, in milliseconds; infinite while it is not. */
@@ -188,7 +190,7 @@
             pool: this.pool,
             address: this.id,
             zone: this.zone,
-            labels: ["a", this.rack],
+            labels: [this.kind, this.rack],
             capacity: this.capacity,
             isDraining: this.isDraining,
             remainingMs: 0,
