The state of a worker that answers is set in one place

Behaviour is the same: the tests of lost workers, of tasks that crash their workers and of the recorded load pass.

--- a/src/pool/worker-monitor.ts
+++ b/src/pool/worker-monitor.ts
@@ -10,7 +10,7 @@
 import type { RunDispatcher } from "./run-dispatcher.js";
 import { queryOrder } from "./scheduling/query-order.js";
 import { retryDelayMs, targetOf, type TenureContext } from "./tenure-context.js";
-import { markUnreachable, type WorkerState } from "./worker-registry.js";
+import { markReachable, markUnreachable, type WorkerState } from "./worker-registry.js";
 
 /** Interval of reading the roster while VMs are joining a pool. */
 const fastRosterIntervalMs = 150;
@@ -267,11 +267,7 @@
         }
         worker.reportRequestedAt = Math.max(worker.reportRequestedAt, sentAt);
         worker.reportClockMs = Math.max(worker.reportClockMs, result.clockMs);
-        if (worker.hasAcceptedFence) {
-            worker.unreachableAt = -Infinity;
-        }
-        worker.hasAcceptedFence = true;
-        worker.isReachable = true;
+        markReachable(worker);
         const found = reconcile({
             startedAtMs: worker.startedAtMs,
             running: result.running,
--- a/src/pool/worker-state.ts
+++ b/src/pool/worker-state.ts
@@ -64,6 +64,15 @@
 const slowdownSmoothing = 0.2;
 const noRack = "";
 
+/** Records that the present incarnation of a worker has accepted this owner's fence. */
+export function markReachable(worker: WorkerState): void {
+    if (worker.hasAcceptedFence) {
+        worker.unreachableAt = -Infinity;
+    }
+    worker.hasAcceptedFence = true;
+    worker.isReachable = true;
+}
+
 /** Records that a worker has not answered by the monotonic time `now`, and whether its end was expected then. */
 export function markUnreachable(worker: WorkerState, now: number): void {
     if (worker.isReachable) {
