A conversion to segments that the store has not accepted is made again in one transaction

What would be seen: after a store refused the transaction that replaces the only row of a large job by segments, the job's row without its tasks and the segments would go out one by one. A new owner between two of them would take the missing tasks for ones that never ran, and run them again.

Change: JobProgress knows whether its conversion is stored, and begins again with one row if it is not.

Tests: the new one in test/large-progress.test.ts failed before (17 items in place of 1), 16 pass.

--- a/src/pool/job-progress.ts
+++ b/src/pool/job-progress.ts
@@ -27,8 +27,12 @@
     /** States of the tasks as stored in segments, by position. */
     private readonly tasks: (TaskState | undefined)[] = [];
     private readonly segments = new Set<number>();
+    /** Whether the store has the job's row without its tasks. */
+    private isConversionStored: boolean;
 
-    private constructor(private isSegmented: boolean) {}
+    private constructor(private isSegmented: boolean) {
+        this.isConversionStored = isSegmented;
+    }
 
     /** Progress of a job of which nothing is stored. */
     static create(): JobProgress {
@@ -77,6 +81,7 @@
     forget(): void {
         this.head = undefined;
         this.tasks.length = 0;
+        this.isSegmented = this.isConversionStored;
     }
 
     /** Keys of all rows. */
@@ -95,7 +100,10 @@
             { ...progressKey(domain, job), value: head },
             ...changed.map(segment => this.segmentRow(state, segment, { domain, job })),
         ];
-        if (!batch.add({ puts, removals: [], onInvalid })) {
+        const onStored = (): void => {
+            this.isConversionStored = true;
+        };
+        if (!batch.add({ puts, removals: [], onStored, onInvalid })) {
             return false;
         }
         this.isSegmented = true;
--- a/test/large-progress.test.ts
+++ b/test/large-progress.test.ts
@@ -221,6 +221,24 @@
         expect(write(withTask(state, 70, { phase: TaskPhase.Done }))).toEqual(["j1/1"]);
     });
 
+    // Guards against: a reader that finds the job's row without tasks beside segments that are not all there.
+    test("replaces the only row in one transaction, again if the store has not accepted the first", () => {
+        const state = withRuns(jobWith(1000), Array.from({ length: 1000 }, () => TaskPhase.Claimed));
+        const progress = JobProgress.create();
+        const itemsOf = () => {
+            const batch = Batch.create();
+            progress.addChanges(state, { domain: "d", job: "j1", batch, onInvalid: () => undefined });
+            return batch.items;
+        };
+        expect(itemsOf()).toHaveLength(1);
+        progress.forget();
+        const again = itemsOf();
+        expect(again).toHaveLength(1);
+        again[0]!.onStored?.();
+        progress.forget();
+        expect(itemsOf()).toHaveLength(1 + Math.ceil(1000 / segmentTasks));
+    });
+
     // Guards against: a checkpoint without a stated limit makes a row too large.
     test("leaves out checkpoints that would make a row too large", () => {
         const job = jobWith(segmentTasks);
