A held task is started again once its workers turn out to be alive, also if they do not answer

What would be seen: a task under which three workers were lost, of which the list had not told yet whether they had ended, stayed held for ever once they reported to the list again without answering the owner; its job never ended.

Cause: a loss was taken off the record by an answer alone, while WorkerLiveness takes a report to the list for life, too.

Change: the losses of workers that are alive are taken off before held tasks are decided.

Tests: the new one in test/lost-workers.test.ts failed before ('running' in place of 'succeeded'), 4 pass; the tests of crashing tasks and of the recorded load pass.

--- a/src/pool/run-monitor.ts
+++ b/src/pool/run-monitor.ts
@@ -110,7 +110,12 @@
     private giveUpHeldTasks(now: number): void {
         const { jobs, liveness, options } = this.ctx;
         const undecided: WorkerLoss[] = [];
-        for (const { entry, position } of jobs.losses.heldTasks()) {
+        const held = jobs.losses.heldTasks();
+        // Those that are alive and do not answer are not taken off by an answer.
+        held.flatMap(({ entry, position }) => entry.state.tasks[position]!.lostWorkers)
+            .filter(lost => liveness.of(lost) === Liveness.Alive)
+            .forEach(alive => jobs.losses.forgetWorker(alive));
+        for (const { entry, position } of held) {
             const task = entry.state.tasks[position]!;
             if (!isHeld(entry.job, task)) {
                 continue;
--- a/test/lost-workers.test.ts
+++ b/test/lost-workers.test.ts
@@ -94,4 +94,24 @@
         expect(await phaseOf(site)).toBe("succeeded");
         expect(site.checker.violations).toEqual([]);
     });
+
+    // Guards against: a task that is held for ever, since the workers in question turned out to be alive, but do not answer.
+    test("is started again once the workers that it waits for report to the list", async () => {
+        const site = await createSite();
+        await submit(site, 12_000);
+        const cut: StandinWorker[] = [];
+        for (let i = 0; i < 3; i++) {
+            await until(site, () => recordOf(site)?.start === StartStatus.Confirmed);
+            const worker = site.workers.find(({ id }) => id === recordOf(site)?.worker)!;
+            cut.push(worker);
+            site.partition(worker);
+            worker.faults.isReportStale = true;
+            await until(site, () => recordOf(site)?.worker !== worker.id);
+        }
+        expect(recordOf(site)).toBeUndefined();
+        cut.forEach(({ faults }) => faults.isReportStale = false);
+        await site.timer.advance(15_000);
+        expect(await phaseOf(site)).toBe("succeeded");
+        expect(site.checker.violations).toEqual([]);
+    });
 });
