Workers whose VMs were drained or ordered away are no neighbours of one that a task has ended

Cause: its first start got no answer, as the worker was gone before. Such a loss counts as possible, unless others of the rack are lost with it; a VM of the rack that the owner was draining to move it had left within the same two seconds, and was taken for one. So the bound of five starts became six.

Change: workers that were expected to end are no neighbours, and an accepted order for a VM makes the end of its worker expected. A start without an answer counts for nothing only if the loss has a common cause by the same rule as for runs that had begun: more than one neighbour, or one that had started nothing.

--- a/src/pool/loss-attribution.ts
+++ b/src/pool/loss-attribution.ts
@@ -42,10 +42,11 @@
     if (isWorkerAlive) {
         return LossAttribution.None;
     }
+    const isShared = hasCommonCause(neighbours);
     if (!hasBegun) {
-        return neighbours.length > 0 ? LossAttribution.None : LossAttribution.Possible;
+        return isShared ? LossAttribution.None : LossAttribution.Possible;
     }
-    return hasLikelierCause || hasCommonCause(neighbours) ? LossAttribution.Possible : LossAttribution.Likely;
+    return hasLikelierCause || isShared ? LossAttribution.Possible : LossAttribution.Likely;
 }
 
 /** Whether workers were lost together for a cause that they share: tasks end two at a time by chance, more hardly ever. */
--- a/src/pool/vm-order-dispatcher.ts
+++ b/src/pool/vm-order-dispatcher.ts
@@ -148,6 +148,10 @@
             if (result !== VmOrderResult.Unknown) {
                 this.orderLog.recordAnswered(order.vm);
             }
+            const worker = tenure.workers.byId.get(entry?.worker ?? "");
+            if (result === VmOrderResult.Done && worker !== undefined) {
+                worker.isExpectedToEnd = true;
+            }
             this.recordResult(order, result, listedAt);
         }));
     }
--- a/src/pool/worker-state.ts
+++ b/src/pool/worker-state.ts
@@ -37,7 +37,7 @@
     unreachableAt: number;
     /** Whether it had runs then that may just have begun. */
     hadNewRuns: boolean;
-    /** Whether it was draining, or its VM being drained, when it was last reached. */
+    /** Whether it was draining, or its VM being drained, when it was last reached, or an order has taken its VM away since. */
     isExpectedToEnd: boolean;
     /** Last applied position in its list of ended runs. */
     appliedPosition: number;
@@ -79,7 +79,7 @@
         worker.isReachable = false;
         worker.unreachableAt = now;
         worker.hadNewRuns = [...worker.runs.values()].some(record => !isTested(record, worker.lastHoldAt));
-        worker.isExpectedToEnd = worker.isCordoned || worker.listed.isDraining;
+        worker.isExpectedToEnd ||= worker.isCordoned || worker.listed.isDraining;
     }
 }
 
@@ -91,14 +91,15 @@
 /** Longest time between the moments at which workers were found lost that were lost together: a hold request and its time limit. */
 const lostTogetherMs = 2000;
 
-/** Other workers of a worker's rack that were lost at about the same time. */
+/** Other workers of a worker's rack that were lost at about the same time, but for those that were expected to end. */
 export function lostTogetherWith(
     worker: WorkerState,
     workers: Iterable<WorkerState>,
 ): readonly WorkerState[] {
     const rack = rackLabel(worker);
     return [...workers].filter(other =>
-        other !== worker && rackLabel(other) === rack && other.unreachableAt > -Infinity
+        other !== worker && !other.isExpectedToEnd && rackLabel(other) === rack
+        && other.unreachableAt > -Infinity
         && Math.abs(other.unreachableAt - worker.unreachableAt) <= lostTogetherMs
     );
 }
--- a/test/lost-workers.test.ts
+++ b/test/lost-workers.test.ts
@@ -1,6 +1,8 @@
 /** What the loss of a worker tells of the tasks that were started on it. */
 import { describe, expect, test } from "vitest";
+import { attributeLoss, LossAttribution, type LossEvidence } from "../src/pool/loss-attribution.js";
 import { StartStatus } from "../src/pool/records.js";
+import { lostTogetherWith } from "../src/pool/worker-state.js";
 import { jobOf, StandinSite } from "../standin/site/site.js";
 import type { StandinWorker } from "../standin/site/worker.js";
 
@@ -115,3 +117,54 @@
         expect(site.checker.violations).toEqual([]);
     });
 });
+
+describe("the loss of a worker", () => {
+    const evidence: LossEvidence = {
+        hasBegun: true,
+        hasLikelierCause: false,
+        isWorkerAlive: false,
+        neighbours: [],
+    };
+    const idle = { hadNewRuns: false };
+    const busy = { hadNewRuns: true };
+
+    test.each([
+        ["a run that had begun, alone", {}, LossAttribution.Likely],
+        ["a run beside a likelier cause", { hasLikelierCause: true }, LossAttribution.Possible],
+        [
+            "a run, with a neighbour that had started nothing",
+            { neighbours: [idle] },
+            LossAttribution.Possible,
+        ],
+        ["a run, with a neighbour that had new runs, too", { neighbours: [busy] }, LossAttribution.Likely],
+        ["a run, with most of the rack", { neighbours: [busy, busy] }, LossAttribution.Possible],
+        ["a start without an answer, alone", { hasBegun: false }, LossAttribution.Possible],
+        // Guards against: a task that ends its workers before they answer, beside another, is started six times (BUDGET).
+        [
+            "a start without an answer, with a neighbour that had new runs",
+            { hasBegun: false, neighbours: [busy] },
+            LossAttribution.Possible,
+        ],
+        [
+            "a start without an answer, with most of the rack",
+            { hasBegun: false, neighbours: [busy, busy] },
+            LossAttribution.None,
+        ],
+        ["a run on a worker that is alive", { isWorkerAlive: true }, LossAttribution.None],
+    ])("under %s", (_, change, expected) => {
+        expect(attributeLoss({ ...evidence, ...change })).toBe(expected);
+    });
+
+    // Guards against: workers of VMs that were drained to be moved counted as lost together with one that a task has ended.
+    test("counts no neighbour that was expected to end", async () => {
+        const site = await createSite();
+        const { byId } = site.owner()!.core.domain.tenure!.workers;
+        const [lost, drained] = rackOf(site, site.workers[0]!.id).map(({ id }) => byId.get(id)!);
+        drained!.isCordoned = true;
+        rackOf(site, lost!.id).forEach(worker => site.crash(worker, 60_000));
+        await site.timer.advance(3000);
+        expect([lost!.isReachable, drained!.isReachable]).toEqual([false, false]);
+        expect(lostTogetherWith(lost!, [lost!, drained!])).toEqual([]);
+        expect(lostTogetherWith(drained!, [lost!, drained!])).toEqual([lost]);
+    });
+});
