review: the gravest first; a dropped route in place of the crashed workers

A dropped route leaves what its queue has accepted without a start.

Added: the case of the dropped route with its claim and record; the cases are numbered anew.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,10 +5,10 @@
 cd "$(dirname "$0")/.."
 npx --no-install tsc -p review/lib-2/tsconfig.json
 npx --no-install esbuild \
+    review/lib-2/large-submission.ts \
     review/lib-2/lowered-cap.ts \
-    review/lib-2/crashed-workers.ts \
     review/lib-2/cancel-after-504.ts \
     review/lib-2/late-vm-order.ts \
-    review/lib-2/large-submission.ts \
+    review/lib-2/dropped-route.ts \
     --bundle --platform=node --format=esm --target=node20 --packages=external --log-level=warning \
     --outdir=target/review-2
--- a/review/lib-2/large-submission.ts
+++ b/review/lib-2/large-submission.ts
@@ -20,7 +20,7 @@
 const needs = { cpu: 500, memory: 50, accelerators: 0 };
 const workMs = 300;
 
-const record = Record.create("10");
+const record = Record.create("6");
 const site = await Site.start({
     pool: "bench",
     workers: 6,
--- a/review/lib-2/lowered-cap.ts
+++ b/review/lib-2/lowered-cap.ts
@@ -29,7 +29,7 @@
     };
 }
 
-const record = Record.create("6");
+const record = Record.create("7");
 const site = await Site.start({
     pool: "bench",
     workers: 4,
