review: the scripts end what they started on every way out

Cause: a script that could not start, or was terminated, left its entries; and case 6 asked for one submission after the other, which could take over 120 s.

--- a/review/lib-2/large-submission.ts
+++ b/review/lib-2/large-submission.ts
@@ -69,15 +69,19 @@
 const answer = await largeAnswer;
 await pause(finishMs);
 
-let lost = 0;
-for (const id of accepted) {
-    // Every node is asked, as callers do that repeat a call after no answer.
+/** What the entries show of a submission; every node is asked, as callers do that repeat a call after no answer. */
+async function shownOf(id: string): Promise<{ readonly id: string; readonly shown: readonly string[] }> {
     const replies = await Promise.all(
         entries.map(({ front }) => call({ method: "GET", at: front, host, path: `/open/${id}` })),
     );
     const shown = replies.map(({ status, body }) =>
         body.state ?? (status === 0 ? "no answer" : String(status))
     );
+    return { id, shown };
+}
+
+let lost = 0;
+for (const { id, shown } of await Promise.all(accepted.map(shownOf))) {
     if (!shown.includes("succeeded")) {
         lost++;
         record.add(
--- a/review/lib-2/site.ts
+++ b/review/lib-2/site.ts
@@ -72,6 +72,10 @@
     static async start(options: SiteOptions): Promise<Site> {
         const platform = WirePlatform.create(options);
         const site = new Site(platform, mkdtempSync(join(tmpdir(), "celerywind-review-")));
+        // Nothing outlives the script, however it ends.
+        process.once("exit", () => site.killEntries());
+        process.once("SIGTERM", () => process.exit(2));
+        process.once("SIGINT", () => process.exit(2));
         await platform.start();
         platform.writeOperatorRow("config", options.manifest);
         const net = `127.${10 + Math.floor(Math.random() * 200)}.${1 + Math.floor(Math.random() * 250)}`;
@@ -99,6 +103,12 @@
         rmSync(this.folder, { recursive: true, force: true });
     }
 
+    private killEntries(): void {
+        this.isEnding = true;
+        this.entries.forEach(({ child }) => child.kill("SIGKILL"));
+        rmSync(this.folder, { recursive: true, force: true });
+    }
+
     /** Entries that ended by themselves. */
     get ownEnds(): readonly string[] {
         return this.entries.flatMap(({ name, ownEnds }) => ownEnds.map(end => `${name}: ${end}`));
