Limits of accounts defer accepted jobs and never fail them

Cause: RunMonitor.failImpossibleJob took the limit in force for a lasting one and made a final verdict of it (reason beyond-team-limit). The same view of the lists made other faults: an account that one version of the lists leaves out had no limit at all (24 cores under a limit of 4), and a queue that is left out had 3 attempts, whatever it had before, so that the third failure was final.

Change: JobFeasibility (out of RunMonitor) fails a job only for what cannot change. KnownLists keeps what the lists last said of accounts and queues. 2210 JobBeyondLimit logs need, limit, use and version of the lists.

Why it works: no state of the lists leads to a final phase any more, and no limit can keep a single task waiting for ever.

--- a/src/pool/job-registry.ts
+++ b/src/pool/job-registry.ts
@@ -21,16 +21,15 @@
     type JobState,
     RunEnd,
     type RunResult,
-    type StepSpec,
     TaskPhase,
     type TaskState,
     withTask,
 } from "../job/index.js";
 import { parseTaskName, taskName } from "../job/index.js";
-import { addResources, noResources, type Resources } from "../process/resources.js";
 import { ChangedJobs } from "./changed-jobs.js";
 import { JobProgress } from "./job-progress.js";
 import { type JobEntry, type RunRecord, StartStatus, StopReason } from "./records.js";
+import { TeamUsage } from "./team-usage.js";
 import { WorkerLosses } from "./worker-losses.js";
 
 /** Options of `JobRegistry.accept`. */
@@ -47,7 +46,8 @@
     /** Jobs that have changed since they were last stored. */
     readonly changes = ChangedJobs.create();
     private readonly active = new Set<JobEntry>();
-    private readonly usage = new Map<string, Resources>();
+    /** Resources of the running and claimed runs. */
+    readonly usage = TeamUsage.create();
     /** Workers lost under the tasks of unfinished jobs. */
     readonly losses = WorkerLosses.create((entry, state) => this.updateState(entry, state));
 
@@ -215,11 +215,6 @@
             .flatMap(other => this.runs.get(nameOf(entry, other)) ?? []);
     }
 
-    /** Resources of a team's running and claimed runs. */
-    usageOf(team: string): Resources {
-        return this.usage.get(team) ?? noResources;
-    }
-
     /** Removes a job from the registry. */
     remove(entry: JobEntry): void {
         this.entries.delete(entry.job.id);
@@ -289,18 +284,14 @@
         };
         this.runs.set(record.name, record);
         entry.runCount++;
-        this.addUsage(entry.job.team, record.step, 1);
+        this.usage.add(entry.job.team, record.step, 1);
         return record;
     }
 
     private dropRun(record: RunRecord): void {
         this.runs.delete(record.name);
         record.entry.runCount--;
-        this.addUsage(record.entry.job.team, record.step, -1);
-    }
-
-    private addUsage(team: string, step: StepSpec, times: number): void {
-        this.usage.set(team, addResources(this.usageOf(team), step.needs, times));
+        this.usage.add(record.entry.job.team, record.step, -1);
     }
 
     /** The success of one member completes the whole gang; the other runs are dropped when their own ends arrive. */
--- a/src/pool/plan-starts.ts
+++ b/src/pool/plan-starts.ts
@@ -5,7 +5,7 @@
  * worker has room; a task that needs no less than one that found none is passed over without a look at the workers.
  */
 import { isHeld, type StepSpec, Suspicion, suspicionOf, TaskPhase } from "../job/index.js";
-import { addResources, fitsInto, isWithinLimit, noResources, type Resources } from "../process/resources.js";
+import { addResources, fitsInto, noResources, type Resources } from "../process/resources.js";
 import type { Queue } from "../version/directory.js";
 import type { JobRegistry } from "./job-registry.js";
 import { openSteps } from "./open-steps.js";
@@ -30,10 +30,11 @@
 import type { LateWorkGate } from "./scheduling/late-work.js";
 import { type Reservations, unplacedJobs } from "./scheduling/reservations.js";
 import { expectedRunMs } from "./scheduling/run-ends.js";
+import { isWithinTeamLimit } from "./team-limits.js";
 import { type RankedJob, rankJobs } from "./urgency.js";
 import { reservedResources, type WorkerState } from "./worker-registry.js";
 
-export { exceedsTeamLimit, isAcceptingRuns, isSchedulable, mayFill } from "./pool-rooms.js";
+export { isAcceptingRuns, isSchedulable, mayFill } from "./pool-rooms.js";
 export { type RankedJob, rankJobs } from "./urgency.js";
 
 /** Assignment of a task to a worker. */
@@ -62,6 +63,8 @@
     readonly wallMs: number;
     /** Most placements to make. */
     readonly limit: number;
+    /** Limit of an account; that of the directory by default. */
+    readonly limitOfTeam?: (team: string) => Resources;
     /** Limits the starts of work that is late after a takeover; there is no such limit by default. */
     readonly lateWork?: LateWorkGate | undefined;
 }
@@ -108,7 +111,7 @@
             ranked,
             openTasks: entry => jobs.openTasks(entry),
             freeOf: pool => sumFree(this.rooms.get(pool)?.candidates),
-            placedOf: team => addResources(this.usageOf(team), jobs.usageOf(team), -1),
+            placedOf: team => addResources(this.usageOf(team), jobs.usage.of(team), -1),
         }) ?? ranked;
     }
 
@@ -169,9 +172,8 @@
         tickets: ReadonlyMap<string, string> | undefined,
     ): boolean {
         const { team } = entry.job;
-        const usage = addResources(this.usageOf(team), step.needs);
-        const cap = this.view.directory.teams.get(team)?.cap ?? noResources;
-        if (!isWithinLimit(usage, cap) || this.placements.length >= this.view.limit) {
+        const isWithinCap = step.isGang || this.isWithinCap(team, step.needs, 1);
+        if (!isWithinCap || this.placements.length >= this.view.limit) {
             return false;
         }
         const needs = reservedResources({ step });
@@ -224,7 +226,7 @@
         if (suspicion !== Suspicion.None) {
             Object.assign(candidate, addSuspect(candidate, suspicion));
         }
-        this.usageByTeam.set(team, usage);
+        this.usageByTeam.set(team, addResources(this.usageOf(team), step.needs));
         const { worker } = candidate;
         const ticket = tickets?.get(worker.id);
         this.placements.push({ entry, taskIndex, worker, ...(ticket !== undefined && { ticket }) });
@@ -254,7 +256,7 @@
         }));
         const usage = this.usageOf(entry.job.team);
         const placedBefore = this.placements.length;
-        const isPlaced = allWaiting
+        const isPlaced = allWaiting && this.isWithinCap(entry.job.team, step.needs, members.length)
             && members.every(({ memberIndex }) => this.placeTask(entry, memberIndex, step, room, tickets));
         if (!isPlaced) {
             room.candidates.forEach((candidate, index) => Object.assign(candidate, before[index]));
@@ -265,14 +267,11 @@
     }
 
     private renewReservations(attempted: readonly RankedJob[]): void {
-        const { reservations, jobs, directory, durations, now, wallMs } = this.view;
+        const { reservations, jobs, durations, now, wallMs } = this.view;
         reservations?.renew({
             considered: attempted,
             unplaced: unplacedJobs(attempted, this.placements, jobs).filter(({ entry: { job }, step }) =>
-                isWithinLimit(
-                    addResources(this.usageOf(job.team), step.needs),
-                    directory.teams.get(job.team)?.cap ?? noResources,
-                )
+                this.isWithinCap(job.team, step.needs, 1)
             ),
             workersOf: pool => this.rooms.get(pool)?.candidates ?? [],
             durations,
@@ -281,8 +280,16 @@
         });
     }
 
+    /** Whether the limit of an account lets it start tasks beside what it runs. */
+    private isWithinCap(team: string, needs: Resources, tasks: number): boolean {
+        const { jobs, directory, limitOfTeam } = this.view;
+        const cap = limitOfTeam?.(team) ?? directory.teams.get(team)?.cap ?? noResources;
+        const serviceUsage = jobs.usage.ofServices(team);
+        return isWithinTeamLimit({ usage: this.usageOf(team), serviceUsage, needs, tasks }, cap);
+    }
+
     private usageOf(team: string): Resources {
-        return this.usageByTeam.get(team) ?? this.view.jobs.usageOf(team);
+        return this.usageByTeam.get(team) ?? this.view.jobs.usage.of(team);
     }
 
     private countTasksByWorker(
--- a/src/pool/pool-rooms.ts
+++ b/src/pool/pool-rooms.ts
@@ -1,13 +1,5 @@
 /** The schedulable workers of each pool with their free resources, which a plan of starts uses up. */
-import type { StepSpec } from "../job/index.js";
-import {
-    addResources,
-    componentwiseMax,
-    fitsInto,
-    isWithinLimit,
-    noResources,
-    type Resources,
-} from "../process/resources.js";
+import { componentwiseMax, fitsInto, type Resources } from "../process/resources.js";
 import type { Directory, Pool } from "../version/directory.js";
 import type { DurationEstimator } from "./duration-estimator.js";
 import { countSuspects, type PlacementCandidate } from "./placement.js";
@@ -118,9 +110,3 @@
 export function mayFill(worker: WorkerState, pool: Pool | undefined, now: number): boolean {
     return pool?.guardsCapacity !== false || isCapacityKnown(worker, now);
 }
-
-/** Whether a single task of a step, or all of them for a gang, exceed the team's resource limit. */
-export function exceedsTeamLimit(step: StepSpec, cap: Resources): boolean {
-    const times = step.isGang ? step.tasks : 1;
-    return !isWithinLimit(addResources(noResources, step.needs, times), cap);
-}
--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -24,7 +24,6 @@
 
 /** Time for which nothing is placed on a worker after it refused or did not answer, by cause. */
 const backoffMs = { noRoom: 200, unhealthy: 1000, unanswered: 500 } as const;
-const defaultMaxFailures = 3;
 
 /** Sends the owner's start and stop requests for runs. */
 export class RunDispatcher {
@@ -295,8 +294,9 @@
         }
     }
 
-    private maxFailuresOf(entry: JobEntry): number {
-        return queueOf(this.ctx, entry)?.maxAttempts ?? defaultMaxFailures;
+    private maxFailuresOf({ job }: JobEntry): number {
+        this.ctx.knownLists.record(this.ctx.options.directory());
+        return this.ctx.knownLists.maxAttemptsOf(job.queue);
     }
 }
 
--- a/src/pool/run-monitor.ts
+++ b/src/pool/run-monitor.ts
@@ -10,10 +10,11 @@
 import { EventId, Severity } from "../process/events.js";
 import { componentwiseMax, noResources } from "../process/resources.js";
 import type { AdvisedWorker, AdvisedWorkers, WaitingStep } from "./advice-cache.js";
+import { JobFeasibility } from "./job-feasibility.js";
 import { openSteps } from "./open-steps.js";
 import { planPaceChanges } from "./pacing.js";
-import { exceedsTeamLimit, isSchedulable } from "./plan-starts.js";
-import { type JobEntry, type RunRecord, StartStatus, StopReason } from "./records.js";
+import { isSchedulable } from "./plan-starts.js";
+import { type RunRecord, StartStatus, StopReason } from "./records.js";
 import type { RunDispatcher } from "./run-dispatcher.js";
 import { suspectWorkerPauseMs, targetOf, type TenureContext } from "./tenure-context.js";
 import { Liveness } from "./worker-liveness.js";
@@ -36,8 +37,11 @@
 /** Monitors the runs of a domain. */
 export class RunMonitor {
     private leaseEndLoggedAt = -Infinity;
+    private readonly feasibility: JobFeasibility;
 
-    constructor(private readonly ctx: TenureContext, private readonly dispatcher: RunDispatcher) {}
+    constructor(private readonly ctx: TenureContext, private readonly dispatcher: RunDispatcher) {
+        this.feasibility = new JobFeasibility(ctx);
+    }
 
     /** Checks all runs and active jobs. */
     check(): void {
@@ -53,13 +57,12 @@
             this.checkRun(record, now);
         }
         this.ctx.outliers?.check(this.ctx.workers.byId.values());
+        const directory = this.ctx.options.directory();
         for (const entry of this.ctx.jobs.activeEntries) {
             if (entry.job.spec.schedule !== undefined) {
                 this.ctx.jobs.addDueOccurrences(entry, timer.wall());
             }
-            if (!entry.hasStarted) {
-                this.failImpossibleJob(entry);
-            }
+            this.feasibility.check(entry, directory);
         }
         this.logRunsAwaitingLeaseEnd(now);
         this.requestAdvice();
@@ -246,48 +249,6 @@
             }
         }
     }
-
-    /**
-     * Fails a job that can never run: a step exceeds every worker, or the team's limit. That no worker can run it is known once
-     * this owner has read all workers and the VMs of all pools: until then, one that can may be on its way or in the spare pool.
-     */
-    private failImpossibleJob(entry: JobEntry): void {
-        const { jobs, workers, options } = this.ctx;
-        const cap = options.directory()?.teams.get(entry.job.team)?.cap;
-        for (const [index, step] of entry.job.spec.steps.entries()) {
-            if (!workers.couldEverRun(step)) {
-                if (this.knowsAllShapes) {
-                    this.logImpossible(entry, index);
-                    jobs.fail(entry, "no-worker-can-run-it", options.timer.now());
-                }
-            }
-            else if (cap !== undefined && exceedsTeamLimit(step, cap)) {
-                jobs.fail(entry, "beyond-team-limit", options.timer.now());
-            }
-        }
-    }
-
-    private get knowsAllShapes(): boolean {
-        return this.ctx.liveness.isListComplete && this.ctx.workers.inventoryReadAt > -Infinity;
-    }
-
-    private logImpossible({ job }: JobEntry, index: number): void {
-        const { workers, liveness, options, ageMs, fence } = this.ctx;
-        const { label, needs } = job.spec.steps[index]!;
-        options.log.write(Severity.Warn, EventId.JobImpossible, {
-            job: job.id,
-            queue: job.queue,
-            step: index,
-            label,
-            ...needs,
-            shapes: workers.shapeCount,
-            workers: workers.byId.size,
-            listAgeMs: Math.round(liveness.listAgeMs),
-            inventoryAgeMs: Math.round(options.timer.now() - workers.inventoryReadAt),
-            tenureMs: Math.round(ageMs),
-            fence,
-        });
-    }
 }
 
 /** The listed workers of a pool, of those alone that have the label if there is one. */
--- a/src/pool/task-placer.ts
+++ b/src/pool/task-placer.ts
@@ -50,6 +50,7 @@
     placeTasks(limit: number): void {
         const { options, jobs, workers, durations, advice, clock, fairShares, outliers, reservations } =
             this.ctx;
+        const { knownLists } = this.ctx;
         const directory = options.directory();
         if (directory === undefined || this.isStopped || limit <= 0) {
             return;
@@ -58,6 +59,7 @@
         const now = timer.now();
         this.evacuationLog.report(workers.byId.values(), jobs);
         fairShares?.advance(jobs.runs.values(), workers.byId.values());
+        knownLists.record(directory);
         const placements = planStarts({
             jobs,
             workers: workers.byId.values(),
@@ -72,6 +74,7 @@
             wallMs: clock.wallMs(),
             limit,
             isPacking: options.scheduling.vmPacking,
+            limitOfTeam: team => knownLists.limitOf(team),
             lateWork: this.lateWorkGate(directory),
         });
         for (const { entry, taskIndex: at, worker, ticket } of placements) {
--- a/src/pool/tenure-context.ts
+++ b/src/pool/tenure-context.ts
@@ -8,6 +8,7 @@
 import type { AdviceCache } from "./advice-cache.js";
 import type { DurationEstimator } from "./duration-estimator.js";
 import type { JobRegistry } from "./job-registry.js";
+import type { KnownLists } from "./known-lists.js";
 import type { LeaseBounds } from "./lease-bounds.js";
 import type { LedgerHead } from "./ledger.js";
 import type { Adviser, EvacuatedZones, Roster, WorkerClient, WorkerTarget } from "./ports.js";
@@ -77,6 +78,8 @@
     readonly fairShares: FairShares | undefined;
     /** Outlier detection; undefined while `outlierDetection` is off. */
     readonly outliers: WorkerOutliers | undefined;
+    /** The lists, with what earlier versions said of entries that are left out now. */
+    readonly knownLists: KnownLists;
     /** Workers kept for large jobs; undefined if there are no reservations. */
     readonly reservations: Reservations | undefined;
     readonly fence: number;
--- a/src/pool/tenure.ts
+++ b/src/pool/tenure.ts
@@ -14,6 +14,7 @@
 import { JobRegistry } from "./job-registry.js";
 import { JobRemover } from "./job-remover.js";
 import { JobSource } from "./job-source.js";
+import { KnownLists } from "./known-lists.js";
 import { LeaseBoundsRecorder } from "./lease-bounds-recorder.js";
 import { type EarlierOwner, longestRemainingMs } from "./lease-bounds.js";
 import type { LedgerHead } from "./ledger.js";
@@ -58,6 +59,7 @@
     readonly phases: TakeoverPhases;
     readonly fairShares: FairShares | undefined;
     readonly outliers: WorkerOutliers | undefined;
+    readonly knownLists = KnownLists.create();
     readonly reservations: Reservations | undefined;
     readonly runController: RunDispatcher;
     readonly workerMonitor: WorkerMonitor;
--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -62,6 +62,7 @@
     BatchInvalid = 2207,
     JobSuspended = 2208,
     JobImpossible = 2209,
+    JobBeyondLimit = 2210,
     RunClaimed = 2301,
     RunRefused = 2302,
     RunUncertain = 2303,
