A cancellation that finds no job keeps it from being accepted later

Cause: cancel() answered from the absence of a row that a write under way could still create, and left nothing behind.

Change: the cancellation puts a marker in the job's place, under the condition of the acceptance, and only then answers 410.

Why it works: acceptance and marker are conditional on the absence of one row, so the store carries out one of them, in any order and however late.

The tests that cancel name the submitter now.

--- a/src/pool/job-rows.ts
+++ b/src/pool/job-rows.ts
@@ -1,5 +1,7 @@
-/** Rows that any entry may write about a job: its acceptance, its cancellation, or a marker that it was refused. */
+/** Rows that any entry may write about a job: its acceptance, its cancellation, or a marker that keeps it from being accepted. */
+import { z } from "zod";
 import { type AcceptedJob, decodeJob, decodePhase, encodeJob, JobPhase } from "../job/index.js";
+import { parseJson } from "../process/json.js";
 import type { RefusedRow } from "../process/row-refusals.js";
 import type { RowKey, RowPut, RowRange, RowTransaction, StoredRow } from "../process/rows.js";
 import { tables } from "./ownership.js";
@@ -8,7 +10,7 @@
 export enum JobRowKind {
     Accepted = "accepted",
     Cancelled = "cancelled",
-    /** The job was refused after a write with an unknown outcome, and must never run. */
+    /** A marker in place of a job that was cancelled before it was accepted: a late acceptance finds the place taken. */
     Refused = "refused",
     /** It cannot be used. */
     Malformed = "malformed",
@@ -19,7 +21,7 @@
 export type JobRow =
     | { readonly kind: JobRowKind.Accepted; readonly job: AcceptedJob }
     | { readonly kind: JobRowKind.Cancelled; readonly id: string }
-    | { readonly kind: JobRowKind.Refused; readonly id: string }
+    | ({ readonly kind: JobRowKind.Refused } & MarkerVersion)
     | { readonly kind: JobRowKind.Malformed; readonly refusal: RefusedRow }
     | { readonly kind: JobRowKind.Removed };
 
@@ -66,7 +68,7 @@
         return { kind: JobRowKind.Cancelled, id: row.key.slice(0, -cancelSuffix.length) };
     }
     if (row.value === refusedValue) {
-        return { kind: JobRowKind.Refused, id: row.key };
+        return { kind: JobRowKind.Refused, id: row.key, version: row.version };
     }
     const decoded = decodeJob(row.key, row.value);
     return decoded.kind === "valid"
@@ -79,9 +81,66 @@
     return insertIfAbsent({ ...jobKey(job.id, partCount), value: encodeJob(job) });
 }
 
-/** Transaction that prevents a job from ever running when the outcome of its acceptance is unknown. */
-export function refuseTransaction(id: string, partCount: number): RowTransaction {
-    return insertIfAbsent({ ...jobKey(id, partCount), value: refusedValue });
+/** Queue and client account of a caller; the account is empty on queues that are open to all callers. */
+export interface Submitter {
+    readonly queue: string;
+    readonly team: string;
+}
+
+/** Key of the row that names who cancelled a job that was not accepted. */
+export function refusalKey(id: string, partCount: number): RowKey {
+    return { table: tables.refusals, part: jobPart(id, partCount), key: id };
+}
+
+/** Transaction that prevents a job from being accepted; it fails if the job is accepted already. */
+export function refuseTransaction(
+    id: string,
+    { queue, team }: Submitter,
+    partCount: number,
+): RowTransaction {
+    const { conditions, puts } = insertIfAbsent({ ...jobKey(id, partCount), value: refusedValue });
+    const origin = { ...refusalKey(id, partCount), value: JSON.stringify({ q: queue, t: team }) };
+    return { conditions, puts: [...puts, origin], removals: [] };
+}
+
+/** Transaction that stores a job in place of the marker of another submitter. */
+export function replaceRefusalTransaction(
+    job: AcceptedJob,
+    marker: StoredRow,
+    partCount: number,
+): RowTransaction {
+    const key = jobKey(job.id, partCount);
+    return {
+        conditions: [{ ...key, version: marker.version }],
+        puts: [{ ...key, value: encodeJob(job) }],
+        removals: [refusalKey(job.id, partCount)],
+    };
+}
+
+/** A marker in place of a job, with the version of its row. */
+export interface MarkerVersion {
+    readonly id: string;
+    readonly version: number;
+}
+
+/** Transaction that removes markers that share one part, and who left them, if none has been replaced. */
+export function removeRefusalsTransaction(
+    markers: readonly MarkerVersion[],
+    partCount: number,
+): RowTransaction {
+    return {
+        conditions: markers.map(({ id, version }) => ({ ...jobKey(id, partCount), version })),
+        puts: [],
+        removals: markers.flatMap(({ id }) => [jobKey(id, partCount), refusalKey(id, partCount)]),
+    };
+}
+
+const submitterSchema = z.object({ q: z.string(), t: z.string() });
+
+/** Decodes who left a marker; undefined if the row is absent or malformed. */
+export function decodeSubmitter(row: StoredRow | undefined): Submitter | undefined {
+    const { success, data } = submitterSchema.safeParse(row === undefined ? undefined : parseJson(row.value));
+    return success ? { queue: data.q, team: data.t } : undefined;
 }
 
 /** Transaction that stores a cancellation, conditional on the absence of an earlier one. */
--- a/src/pool/job-source.ts
+++ b/src/pool/job-source.ts
@@ -7,7 +7,7 @@
 import { readAll, readRanges, type RowKey, type StoredRow } from "../process/rows.js";
 import { sleep } from "../process/timer.js";
 import { JobProgress, parseSegmentKey } from "./job-progress.js";
-import { decodeJobRow, jobRanges, type JobRow, JobRowKind } from "./job-rows.js";
+import { decodeJobRow, jobRanges, type JobRow, JobRowKind, type MarkerVersion } from "./job-rows.js";
 import { tables } from "./ownership.js";
 import { retryDelayMs, type TenureContext } from "./tenure-context.js";
 
@@ -15,6 +15,8 @@
 export interface JobSink {
     accept(job: AcceptedJob): void;
     cancel(id: string): void;
+    /** Called for a marker in place of a job that was cancelled before it was accepted. */
+    refuse(marker: MarkerVersion): void;
     /** Called for rows of progress without a job, which can be removed. */
     removeProgress(keys: readonly RowKey[]): void;
 }
@@ -138,6 +140,9 @@
             if (row.kind === JobRowKind.Cancelled) {
                 this.sink.cancel(row.id);
             }
+            else if (row.kind === JobRowKind.Refused) {
+                this.sink.refuse(row);
+            }
         }
     }
 
@@ -195,6 +200,8 @@
                 this.sink.cancel(row.id);
                 return;
             case JobRowKind.Refused:
+                this.sink.refuse(row);
+                return;
             case JobRowKind.Malformed:
             case JobRowKind.Removed:
                 return;
--- a/src/pool/ownership.ts
+++ b/src/pool/ownership.ts
@@ -15,6 +15,8 @@
     cluster: "cluster",
     /** Accepted jobs and cancellations, written by any entry. */
     jobs: "jobs",
+    /** Who cancelled jobs that were not accepted, written by any entry together with the marker in their place. */
+    refusals: "job-refusals",
     /** Progress of jobs, written only by the owner. */
     progress: "progress",
     /** Tasks of jobs whose progress is too large for one row. */
--- a/src/pool/tenure-context.ts
+++ b/src/pool/tenure-context.ts
@@ -1,9 +1,11 @@
 /** State shared by the parts of a tenure: its options, its registries, and its permission to send orders. */
+import { messageOf } from "../process/errors.js";
+import { EventId, Severity } from "../process/events.js";
 import type { Log } from "../process/log.js";
 import type { Metrics } from "../process/metrics.js";
 import type { RowStore } from "../process/rows.js";
 import type { SchedulingSettings } from "../process/site-settings.js";
-import type { Timer } from "../process/timer.js";
+import { sleep, type Timer } from "../process/timer.js";
 import type { Directory, Queue } from "../version/directory.js";
 import type { AdviceCache } from "./advice-cache.js";
 import type { DurationEstimator } from "./duration-estimator.js";
@@ -113,3 +115,24 @@
 export function queueOf({ options }: TenureContext, entry: JobEntry): Queue | undefined {
     return options.directory()?.queues.find(({ name }) => name === entry.job.queue);
 }
+
+/**
+ * Repeats a read that the first start has to wait for, until it is answered or the tenure ends: the zones, since this
+ * entry's feed of them may be late, and what the previous owner has learned.
+ */
+export async function readUntilAnswered(
+    ctx: Pick<TenureContext, "isActive" | "options">,
+    source: string,
+    read: () => Promise<void>,
+): Promise<void> {
+    const { log, timer } = ctx.options;
+    while (ctx.isActive) {
+        try {
+            return await read();
+        }
+        catch (err) {
+            log.write(Severity.Warn, EventId.StoreUnavailable, { source, err: messageOf(err) });
+            await sleep(timer, retryDelayMs);
+        }
+    }
+}
--- a/src/pool/tenure.ts
+++ b/src/pool/tenure.ts
@@ -3,7 +3,6 @@
  * down. All orders to the domain's workers (starting, stopping and pacing runs, renewing leases) originate here.
  */
 import type { AcceptedJob, JobPhase } from "../job/index.js";
-import { messageOf } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
 import type { RowKey, RowPut, TransactionOutcome } from "../process/rows.js";
 import { type Cancel, sleep } from "../process/timer.js";
@@ -13,6 +12,7 @@
 import { FleetHandover } from "./fleet-handover.js";
 import { JobRegistry } from "./job-registry.js";
 import { JobRemover } from "./job-remover.js";
+import type { MarkerVersion } from "./job-rows.js";
 import { JobSource } from "./job-source.js";
 import { KnownLists } from "./known-lists.js";
 import { LeaseBoundsRecorder } from "./lease-bounds-recorder.js";
@@ -31,7 +31,8 @@
 import { TaskPlacer } from "./task-placer.js";
 import { TeamShareLimiter } from "./team-share-limiter.js";
 import { TenureClock } from "./tenure-clock.js";
-import { retryDelayMs, type TenureContext, type TenureOptions } from "./tenure-context.js";
+import { readUntilAnswered, type TenureContext, type TenureOptions } from "./tenure-context.js";
+import { UnacceptedJobs } from "./unaccepted-jobs.js";
 import { WorkerLiveness } from "./worker-liveness.js";
 import { WorkerMonitor } from "./worker-monitor.js";
 import { WorkerOutliers } from "./worker-outliers.js";
@@ -78,8 +79,7 @@
     private isLoaded = false;
     private readonly startedAt: number;
     private readonly cancelTimers: Cancel[] = [];
-    /** Jobs whose cancellation was received before their acceptance. */
-    private readonly cancelsBeforeAcceptance = new Set<string>();
+    private readonly unaccepted: UnacceptedJobs;
 
     private constructor(readonly options: TenureOptions) {
         const { head, timer, times, leaseBounds } = options;
@@ -137,6 +137,7 @@
             ownerState: this.ownerState,
         });
         this.jobRemover = new JobRemover(this, keys => this.removeProgress(keys), head.domain);
+        this.unaccepted = new UnacceptedJobs(this);
         this.jobSource = new JobSource(this, head.domain, this);
     }
 
@@ -176,11 +177,12 @@
     async start(): Promise<void> {
         this.schedulePeriodic(runCheckPeriodMs, () => this.runMonitor.check());
         this.schedulePeriodic(removalPeriodMs, () => void this.jobRemover.removeExpired());
+        this.schedulePeriodic(removalPeriodMs, () => void this.unaccepted.removeExpired());
         this.schedulePeriodic(pacePeriodMs, () => this.runMonitor.adjustPaces());
         const [version] = await Promise.all([
             this.jobSource.load(),
-            this.readUntilAnswered("zones", () => this.options.zones.load()),
-            this.readUntilAnswered("owner-state", () => this.ownerState.load()),
+            readUntilAnswered(this, "zones", () => this.options.zones.load()),
+            readUntilAnswered(this, "owner-state", () => this.ownerState.load()),
         ]);
         if (version === undefined) {
             return;
@@ -201,23 +203,6 @@
         this.requestRound();
     }
 
-    /**
-     * Repeats a read that the first start has to wait for, until it is answered or the tenure ends: the zones, since this
-     * entry's feed of them may be late, and what the previous owner has learned.
-     */
-    private async readUntilAnswered(source: string, read: () => Promise<void>): Promise<void> {
-        const { log, timer } = this.options;
-        while (this.isActive) {
-            try {
-                return await read();
-            }
-            catch (err) {
-                log.write(Severity.Warn, EventId.StoreUnavailable, { source, err: messageOf(err) });
-                await sleep(timer, retryDelayMs);
-            }
-        }
-    }
-
     /** Ends the tenure; no orders are sent afterwards. */
     end(): void {
         this.phases.report();
@@ -252,7 +237,7 @@
         const entry = this.jobs.accept(this.clock.correctReported(job), {
             exceedsTeamShare: this.teamShare.chargeJob(job.team),
         });
-        if (this.cancelsBeforeAcceptance.delete(job.id)) {
+        if (this.unaccepted.recordAcceptance(job.id)) {
             this.jobs.cancel(entry, this.options.timer.now());
         }
         this.requestRound();
@@ -262,7 +247,7 @@
     cancel(id: string): void {
         const entry = this.jobs.entries.get(id);
         if (entry === undefined) {
-            this.cancelsBeforeAcceptance.add(id);
+            this.unaccepted.recordCancellation(id);
             return;
         }
         if (entry.finalAt === undefined) {
@@ -272,6 +257,16 @@
         }
     }
 
+    /** Number of jobs that are remembered as cancelled and not accepted. */
+    get unacceptedCount(): number {
+        return this.unaccepted.count;
+    }
+
+    /** Records a marker in place of a job that was cancelled before it was accepted. */
+    refuse(marker: MarkerVersion): void {
+        this.unaccepted.recordMarker(marker);
+    }
+
     /** Runs on workers that do not answer. They count as lost once the workers' leases have ended. */
     get runsAwaitingLeaseEnd(): readonly RunRecord[] {
         return [...this.workers.byId.values()]
--- a/src/request/job-call-handler.ts
+++ b/src/request/job-call-handler.ts
@@ -1,6 +1,6 @@
 /** Task that handles callers' calls about jobs: finds queue and team, and runs the flows of job-calls.ts. */
 import type { AcceptedJob, JobSpec } from "../job/index.js";
-import { type Domain, jobKey, progressKey } from "../pool/index.js";
+import { type Domain, jobKey, progressKey, refusalKey, type Submitter } from "../pool/index.js";
 import { messageOf } from "../process/errors.js";
 import { EventId, Severity } from "../process/events.js";
 import { runFlow } from "../process/flow.js";
@@ -158,13 +158,20 @@
     }
 
     /** Stores a cancellation and notifies the owner. `limitMs` is the caller's time limit. */
-    async cancel(id: string, limitMs: number): Promise<CancelResult> {
-        const result = await this.runWithDeadline(cancel(id, this.options.jobParts), limitMs);
+    async cancel(id: string, submitter: Submitter, limitMs: number): Promise<CancelResult> {
+        const result = await this.runWithDeadline(cancel(id, submitter, this.options.jobParts), limitMs);
         if (result.kind === "cancelled") {
             this.options.domain.ownerClient.notifyCancelled(id);
         }
         this.options.metrics.count("celerywind_cancellations_total", { result: result.kind });
-        this.options.log.write(Severity.Info, EventId.CancelStored, { job: id, result: result.kind });
+        this.options.log.write(Severity.Info, EventId.CancelStored, {
+            job: id,
+            queue: submitter.queue,
+            team: submitter.team,
+            result: result.kind,
+            reason: result.kind === "refused" ? result.reason : undefined,
+            storeAgeMs: Math.round(this.options.store.ageMs),
+        });
         return result;
     }
 
@@ -207,6 +214,8 @@
                 return this.resolveByDeadline(this.relay.transactByPeers(effect.tx), deadline);
             case "read-job":
                 return this.read(jobKey(effect.id, this.options.jobParts));
+            case "read-refusal":
+                return this.read(refusalKey(effect.id, this.options.jobParts));
             case "read-progress":
                 return this.read(progressKey(domainName, effect.id));
             case "ask-phase":
--- a/src/request/job-calls.ts
+++ b/src/request/job-calls.ts
@@ -8,9 +8,13 @@
     acceptTransaction,
     cancelTransaction,
     decodeJobRow,
+    decodeSubmitter,
     JobRowKind,
     type PhaseAnswer,
     progressPhase,
+    refuseTransaction,
+    replaceRefusalTransaction,
+    type Submitter,
 } from "../pool/index.js";
 import type { Flow } from "../process/flow.js";
 import { isStorable } from "../process/row-limits.js";
@@ -29,6 +33,8 @@
     Overloaded = "overloaded",
     /** It is larger than what the store keeps of a job. */
     TooLarge = "too-large",
+    /** It was cancelled before it was accepted. */
+    Cancelled = "cancelled",
 }
 
 /** Result of a submission. */
@@ -58,6 +64,8 @@
     | { readonly kind: "relay"; readonly tx: RowTransaction }
     | { readonly kind: "read-job"; readonly id: string }
     | { readonly kind: "read-progress"; readonly id: string }
+    /** Reads who left the marker in place of a job. */
+    | { readonly kind: "read-refusal"; readonly id: string }
     | { readonly kind: "ask-phase"; readonly id: string }
     | { readonly kind: "pause"; readonly ms: number }
     /** Returns the time until the caller's deadline, in milliseconds. */
@@ -88,8 +96,8 @@
         case "done":
             return { kind: "accepted", isRepeat: false };
         case "exists":
-            return isRefusedRow(result.row)
-                ? refused(RefusalReason.StoreUnavailable, storeRetryAfterMs)
+            return result.row !== undefined && isRefusedRow(result.row)
+                ? yield* submitOverMarker(job, result.row, jobParts)
                 : { kind: "accepted", isRepeat: true };
         case "refused":
             return refused(RefusalReason.StoreUnavailable, storeRetryAfterMs);
@@ -98,11 +106,54 @@
     }
 }
 
-/** Stores the cancellation of a job, once the store or the owner confirms that the job exists. */
-export function* cancel(id: string, jobParts: number): Flow<JobCallEffect, CancelResult> {
+/**
+ * Settles a submission whose id was cancelled before: the account and queue that cancelled it were told so, and the job never runs.
+ * The marker of another account or queue, which chose the same id, is replaced.
+ */
+function* submitOverMarker(
+    job: AcceptedJob,
+    marker: StoredRow,
+    jobParts: number,
+): Flow<JobCallEffect, SubmitResult> {
+    const origin = (yield { kind: "read-refusal", id: job.id }) as ReadResult;
+    if (origin === undefined) {
+        return refused(RefusalReason.StoreUnavailable, storeRetryAfterMs);
+    }
+    const submitter = decodeSubmitter(origin.row);
+    if (submitter === undefined || submitter.queue === job.queue && submitter.team === job.team) {
+        return refused(RefusalReason.Cancelled, neverMs);
+    }
+    const result = yield* writeOnce(replaceRefusalTransaction(job, marker, jobParts));
+    switch (result.kind) {
+        case "done":
+            return { kind: "accepted", isRepeat: false };
+        case "exists":
+            return isAcceptedRow(result.row)
+                ? { kind: "accepted", isRepeat: true }
+                : refused(RefusalReason.StoreUnavailable, storeRetryAfterMs);
+        case "invalid":
+        case "refused":
+            return refused(RefusalReason.StoreUnavailable, storeRetryAfterMs);
+        case "uncertain":
+            return { kind: "uncertain" };
+    }
+}
+
+/**
+ * Stores the cancellation of a job. If no job is stored, a write of its acceptance may still be under way: a marker takes its
+ * place, and only then the caller is told that there is no such job.
+ */
+export function* cancel(
+    id: string,
+    submitter: Submitter,
+    jobParts: number,
+): Flow<JobCallEffect, CancelResult> {
     const stored = (yield { kind: "read-job", id }) as ReadResult;
     if (stored !== undefined && !isAcceptedRow(stored.row)) {
-        return { kind: "absent" };
+        const prevented = yield* preventAcceptance(id, stored.row, submitter, jobParts);
+        if (prevented !== undefined) {
+            return prevented;
+        }
     }
     if (stored === undefined) {
         const reported = (yield { kind: "ask-phase", id }) as PhaseAnswer;
@@ -123,6 +174,31 @@
     }
 }
 
+/** Puts a marker in the place of a job; undefined if the job turns out to be accepted. */
+function* preventAcceptance(
+    id: string,
+    row: StoredRow | undefined,
+    submitter: Submitter,
+    jobParts: number,
+): Flow<JobCallEffect, CancelResult | undefined> {
+    if (row !== undefined) {
+        // A marker, or a row that no owner can use.
+        return { kind: "absent" };
+    }
+    const result = yield* writeOnce(refuseTransaction(id, submitter, jobParts));
+    switch (result.kind) {
+        case "done":
+            return { kind: "absent" };
+        case "exists":
+            return isAcceptedRow(result.row) ? undefined : { kind: "absent" };
+        case "invalid":
+        case "refused":
+            return refused(RefusalReason.StoreUnavailable, storeRetryAfterMs);
+        case "uncertain":
+            return { kind: "uncertain" };
+    }
+}
+
 /** Finds the phase of a job: as the owner reports it, else from the store. */
 export function* findPhase(id: string): Flow<JobCallEffect, PhaseResult> {
     const reported = (yield { kind: "ask-phase", id }) as PhaseAnswer;
@@ -194,6 +270,6 @@
     return row !== undefined && decodeJobRow(row).kind === JobRowKind.Accepted;
 }
 
-function isRefusedRow(row: StoredRow | undefined): boolean {
-    return row !== undefined && decodeJobRow(row).kind === JobRowKind.Refused;
+function isRefusedRow(row: StoredRow): boolean {
+    return decodeJobRow(row).kind === JobRowKind.Refused;
 }
--- a/src/request/step-jobs-api.ts
+++ b/src/request/step-jobs-api.ts
@@ -116,7 +116,7 @@
             break;
         }
         case "DELETE": {
-            const result = await calls.cancel(id, queue.timeoutMs);
+            const result = await calls.cancel(id, { queue: queue.name, team }, queue.timeoutMs);
             switch (result.kind) {
                 case "cancelled":
                     return sendJson(res, 200, { id, phase: "cancelled" });
--- a/test/odd-store-rows.test.ts
+++ b/test/odd-store-rows.test.ts
@@ -187,7 +187,7 @@
     await site.runUntilSettled(site.submit(entry!, "endless", endless, { workMs: 60_000 }));
     await site.timer.advance(1000);
     expect(await site.runUntilSettled(site.phaseOf(entry!, "endless"))).toBe("running");
-    await site.runUntilSettled(entry!.core.jobCalls.cancel("endless", 3000));
+    await site.runUntilSettled(entry!.core.jobCalls.cancel("endless", { queue: "q", team: "team" }, 3000));
     await site.runUntilSettled(site.submit(entry!, "j1", jobOf({ tasks: 1 })));
     await site.timer.advance(4000);
     expect(await site.runUntilSettled(site.phaseOf(entry!, "j1"))).toBe("succeeded");
--- a/test/site.test.ts
+++ b/test/site.test.ts
@@ -5,6 +5,7 @@
 import { jobOf, type StandinEntry, StandinSite, type StandinSiteOptions } from "../standin/site/site.js";
 
 const lists = { version: 1, queues: [{}] };
+const submitter = { queue: "q", team: "team" };
 
 async function createSite(options: StandinSiteOptions = {}): Promise<StandinSite> {
     const site = StandinSite.create(options);
@@ -92,7 +93,7 @@
         await submitAccepted(site, "j1", { tasks: 3 }, { tasks: 3, after: [0] });
         await site.timer.advance(200);
         const result = await site.runUntilSettled(
-            anotherEntry(site, ownerOf(site)).core.jobCalls.cancel("j1", 3000),
+            anotherEntry(site, ownerOf(site)).core.jobCalls.cancel("j1", submitter, 3000),
         );
         expect(result.kind).toBe("cancelled");
         site.checker.recordCancelled("j1");
@@ -780,7 +781,7 @@
             site.rows.faults.isUnresponsive = false;
             await site.timer.advance(50);
             site.net.partition(entry.name, ownerOf(site).name);
-            const cancelled = await site.runUntilSettled(entry.core.jobCalls.cancel("j1", 3000));
+            const cancelled = await site.runUntilSettled(entry.core.jobCalls.cancel("j1", submitter, 3000));
             expect(cancelled.kind).toBe("cancelled");
             await site.timer.advance(2800);
             expect(
