Progress of a job that was accepted meanwhile is not removed as left over

Cause: JobSource.removeOrphanedSegments reads the segments after the jobs, and took those of a job accepted in between for left over.

The stand-in store can carry out the reads of a table late for it (readDelaysMs).

Change: ProgressWriter removes rows of progress only if the registry knows no such job when the batch is made.

Why it works: the owner alone writes progress, and only of jobs in its registry; so a job that has progress is there.

--- a/src/pool/job-progress.ts
+++ b/src/pool/job-progress.ts
@@ -163,3 +163,8 @@
     const [, job, segment] = /^(.+)\/(\d{1,9})$/.exec(key) ?? [];
     return job === undefined ? undefined : { job, segment: Number(segment) };
 }
+
+/** Job to which a row of progress belongs. */
+export function jobOfProgress({ table, key }: RowKey): string {
+    return table === tables.progressTasks ? parseSegmentKey(key)?.job ?? key : key;
+}
--- a/src/pool/progress-writer.ts
+++ b/src/pool/progress-writer.ts
@@ -10,6 +10,7 @@
 import { sleep } from "../process/timer.js";
 import { raceRepeated } from "../process/transaction-race.js";
 import { Batch, type BatchItem } from "./batch.js";
+import { jobOfProgress } from "./job-progress.js";
 import type { LeaseBoundsRecorder } from "./lease-bounds-recorder.js";
 import { type BatchResult, commitBatch, type LedgerEffect } from "./ledger.js";
 import type { OwnerState } from "./owner-state.js";
@@ -66,7 +67,10 @@
         this.requestRound();
     }
 
-    /** Schedules the removal of rows of progress without a job, with the next batches. */
+    /**
+     * Schedules the removal of rows of progress without a job, with the next batches. Rows of a job that was accepted by then are
+     * kept: they may be newer than what told that there is none.
+     */
     removeProgress(keys: readonly RowKey[]): void {
         keys.forEach(key => this.removals.set(rowId(key), key));
     }
@@ -176,6 +180,10 @@
     private addRemovals(batch: Batch): void {
         for (const [id, key] of this.removals) {
             const forget = (): void => void this.removals.delete(id);
+            if (this.ctx.jobs.entries.has(jobOfProgress(key))) {
+                forget();
+                continue;
+            }
             if (!batch.add({ puts: [], removals: [key], onStored: forget, onInvalid: forget })) {
                 return;
             }
--- a/standin/site/rows.ts
+++ b/standin/site/rows.ts
@@ -80,6 +80,8 @@
 /** The row store of a site. */
 export class StandinRowStore {
     readonly faults = noRowStoreFaults();
+    /** Time by which reads of a table are carried out late, by table, in milliseconds. */
+    readonly readDelaysMs = new Map<string, number>();
     private readonly rows = new Map<string, StoredRow>();
     private changes: StoredRow[] = [];
     private readonly waiters = new Set<FeedWaiter>();
@@ -282,6 +284,10 @@
     }
 
     private async read(range: RowRange, timer: Timer, clientFaults: RowStoreFaults): Promise<RowPage> {
+        const delayMs = this.readDelaysMs.get(range.table);
+        if (delayMs !== undefined) {
+            await sleep(timer, delayMs);
+        }
         await this.simulateReadCall(timer, clientFaults, timer.now() + callTimeoutMs);
         const { table, part, from = "", to, limit = maxPageRows } = range;
         if ([this.faults, clientFaults].some(({ unreadableTables }) => unreadableTables.has(table))) {
--- a/test/large-progress.test.ts
+++ b/test/large-progress.test.ts
@@ -17,7 +17,7 @@
 import { Batch } from "../src/pool/batch.js";
 import { JobProgress } from "../src/pool/job-progress.js";
 import { RefusalReason } from "../src/request/job-calls.js";
-import { jobOf, StandinSite, type StandinSiteOptions } from "../standin/site/site.js";
+import { jobOf, type StandinEntry, StandinSite, type StandinSiteOptions } from "../standin/site/site.js";
 
 /** Name of the domain of a site. */
 const domainName = "main";
@@ -115,6 +115,49 @@
     });
 });
 
+describe("a new owner that looks for progress without a job", () => {
+    // Guards against: segments that are read after the jobs, and taken for left over although their job was accepted in between.
+    test.each([1500, 2500])(
+        "leaves that of a job accepted meanwhile, with a read of %i ms",
+        async delayMs => {
+            const site = await createSite();
+            await submit(site, "small");
+            await site.timer.advance(1000);
+            site.rows.readDelaysMs.set("progress-tasks", delayMs);
+            site.kill(site.owner()!);
+            const isReady = ({ peers, core }: StandinEntry): boolean =>
+                peers.node.isAlive && core.domain.tenure?.isReady === true;
+            while (!site.entries.some(isReady)) {
+                await site.timer.advance(10);
+            }
+            await submit(site, "large", jobOf({ tasks: 1500, needs: small }), 8000);
+            await site.timer.advance(3500);
+            const segments = segmentRows(site);
+            expect(segments.length).toBeGreaterThan(5);
+            expect(segments).toEqual(segments.map((_, number) => number));
+            site.rows.readDelaysMs.clear();
+            site.kill(site.owner()!);
+            await site.timer.advance(25_000);
+            expect(await phaseOf(site, "large")).toBe("succeeded");
+            expect(site.checker.violations).toEqual([]);
+            expect(site.checker.startCount).toBe(1501);
+        },
+    );
+
+    test("removes what a job left that is gone", async () => {
+        const site = await createSite();
+        const left = { table: "progress-tasks", part: domainName, key: "gone/0" };
+        site.rows.write(left, "{}");
+        site.rows.write({ table: "progress", part: domainName, key: "gone" }, "{}");
+        site.kill(site.owner()!);
+        await site.timer.advance(10_000);
+        await submit(site, "next");
+        await site.timer.advance(3000);
+        expect(site.rows.find(left)).toBeUndefined();
+        expect(site.rows.find({ ...left, table: "progress", key: "gone" })).toBeUndefined();
+    });
+});
+
 describe("a job whose progress the store does not accept", () => {
     // Guards against: a call that can never succeed is repeated, and all other work waits behind it.
     test("is suspended alone, and goes on once it is accepted", async () => {
