A change of one task adjusts the counts of its blocks; large jobs are measured in bench/

Cause: each change counted the 64 tasks of its block and the 64 children of each tree again, and counts of ranges made an object for each child.

Change: the counts follow from those before and the change of the one task; a range that is the whole table is read off its root.

--- a/bench/deployed-site.ts
+++ b/bench/deployed-site.ts
@@ -43,7 +43,14 @@
     private constructor(readonly platform: WirePlatform, private readonly folder: string) {}
 
     /** Builds the daemon, and starts the platform and the entries; resolves once all of them are ready. */
-    static async start({ entries, workers }: DeployedSiteOptions): Promise<DeployedSite> {
+    static async start(options: DeployedSiteOptions): Promise<DeployedSite> {
+        const site = await DeployedSite.create(options);
+        await site.startEntries();
+        return site;
+    }
+
+    /** Builds the daemon and starts the platform; `startEntries` starts the entries. */
+    static async create({ entries, workers }: DeployedSiteOptions): Promise<DeployedSite> {
         const platform = WirePlatform.create({ pool, workers });
         const site = new DeployedSite(platform, mkdtempSync(join(tmpdir(), "celerywind-deployed-")));
         const program = join(site.folder, "celerywind-site.js");
@@ -54,7 +61,6 @@
         for (let i = 0; i < entries; i++) {
             await site.addEntry(`e${i}`, program);
         }
-        await site.startEntries();
         return site;
     }
 
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,6 +6,7 @@
 import { background } from "./measures/background.js";
 import { config } from "./measures/config.js";
 import { control } from "./measures/control.js";
+import { largeJobs } from "./measures/large-jobs.js";
 import { latency } from "./measures/latency.js";
 import { overload } from "./measures/overload.js";
 import { owner } from "./measures/owner.js";
@@ -29,6 +30,7 @@
     owner,
     background,
     packing,
+    largeJobs,
 ];
 
 const { values } = parseArgs({
--- a/src/job/progress-codec.ts
+++ b/src/job/progress-codec.ts
@@ -6,7 +6,8 @@
 import { isFinal, JobPhase, type JobState } from "./state.js";
 import { TaskLayout } from "./task-layout.js";
 import { TaskPhase, type TaskState } from "./task-state.js";
-import { blockTasks, TaskSet, TaskTable } from "./task-table.js";
+import { TaskSet, TaskTable } from "./task-table.js";
+import { blockTasks } from "./task-tree.js";
 
 const count = z.int().min(0);
 
