A member row is written on the condition of the row that was read

Cause: Membership.register and the removal of silent members had no condition.

Evidence: the test, in virtual time: the row changes back to the earlier incarnation 4 s after the process that wrote it was killed.

Change: both are conditional on the version of the row as it was read; after a conflict the row in the answer is applied, and the next call goes by it. The line of 1101 MemberRegistered has the version.

Why it works: the row of the present process has another version than the one that the late write names.

--- a/src/pool/membership.ts
+++ b/src/pool/membership.ts
@@ -36,6 +36,8 @@
 /** Members of the site, by entry name. */
 export class Membership {
     private readonly members = new Map<string, MemberRow>();
+    /** Versions of the member rows; those of entries without a row are absent or 0. */
+    private readonly versions = new Map<string, number>();
     private readonly lastSeenAt = new Map<string, number>();
     private isLeaving = false;
     private readonly refusals: RowRefusals;
@@ -80,6 +82,7 @@
     async load(): Promise<number> {
         const page = await readAll(this.options.store, { table: tables.cluster, part: memberPart });
         this.members.clear();
+        this.versions.clear();
         page.rows.forEach(row => this.applyRow(row));
         await this.register();
         return page.version;
@@ -87,6 +90,7 @@
 
     /** Applies a member row read from the store. */
     applyRow(row: StoredRow): void {
+        this.versions.set(row.key, row.isRemoved ? 0 : row.version);
         const member = decodeMember(row, this.refusals);
         if (member === undefined) {
             this.members.delete(row.key);
@@ -140,7 +144,10 @@
         }
     }
 
-    /** Registers this entry, unless its row is present or it is leaving. */
+    /**
+     * Registers this entry, unless its row is present or it is leaving. The write is conditional on the row that was read: one of
+     * an earlier process of this entry that is carried out late leaves the row of the present one alone.
+     */
     async register(): Promise<void> {
         const { entry, incarnation, peerUrl, strength, zone, store, log } = this.options;
         if (this.isLeaving || this.incarnationOf(entry) === incarnation) {
@@ -148,16 +155,36 @@
         }
         const member: MemberRow = { incarnation, url: peerUrl, strength, zone };
         const puts = [{ ...memberKey(entry), value: JSON.stringify(member) }];
-        const outcome = await store.transact({ conditions: [], puts, removals: [] });
-        log.write(Severity.Info, EventId.MemberRegistered, { entry, incarnation, outcome: outcome.kind });
-        if (outcome.kind === TransactionStatus.Committed) {
-            this.members.set(entry, member);
+        const version = this.versions.get(entry) ?? 0;
+        const conditions = [{ ...memberKey(entry), version }];
+        const outcome = await store.transact({ conditions, puts, removals: [] });
+        log.write(Severity.Info, EventId.MemberRegistered, {
+            entry,
+            incarnation,
+            outcome: outcome.kind,
+            rowVersion: version,
+        });
+        switch (outcome.kind) {
+            case TransactionStatus.Committed:
+                this.versions.set(entry, outcome.version);
+                this.members.set(entry, member);
+                return;
+            case TransactionStatus.Conflict:
+                // The next call of this method goes by the row as it is now.
+                outcome.rows.forEach(row => this.applyRow(row));
+                return;
+            case TransactionStatus.Refused:
+            case TransactionStatus.Invalid:
+            case TransactionStatus.Unknown:
+                return;
         }
     }
 
     private async remove(entry: string): Promise<void> {
         const { store, log } = this.options;
-        const outcome = await store.transact({ conditions: [], puts: [], removals: [memberKey(entry)] });
+        const key = memberKey(entry);
+        const conditions = [{ ...key, version: this.versions.get(entry) ?? 0 }];
+        const outcome = await store.transact({ conditions, puts: [], removals: [key] });
         log.write(Severity.Info, EventId.MemberGone, { entry, outcome: outcome.kind });
     }
 }
--- /dev/null
+++ b/test/late-views.test.ts
@@ -0,0 +1,27 @@
+/** Writes that are carried out late and readings that were requested early: neither undoes what came between. */
+import { expect, test } from "vitest";
+import { memberKey } from "../src/pool/member-rows.js";
+import { StandinSite } from "../standin/site/site.js";
+
+// Guards against: the row of a process that has ended, written late, in place of that of the process that runs.
+test("a late registration of an earlier process leaves the member row of the present one alone", async () => {
+    const site = StandinSite.create();
+    await site.start({ version: 1, queues: [{}] });
+    const { name } = site.entries[0]!;
+    site.kill(site.entries[0]!);
+    site.rows.faults.delayedCommitShare = 1;
+    site.rows.faults.commitDelayMs = 4000;
+    const earlier = site.startEntry(name);
+    await site.timer.advance(300);
+    site.kill(earlier);
+    site.rows.faults.delayedCommitShare = 0;
+    site.startEntry(name);
+    await site.timer.advance(1500);
+    const rowOf = () => site.rows.find(memberKey(name));
+    const registered = rowOf();
+    expect(registered?.value).toContain(`${name}#5`);
+    for (let ms = 0; ms < 6000; ms += 50) {
+        await site.timer.advance(50);
+        expect(rowOf()).toEqual(registered);
+    }
+});
