An inventory requested before a wave was known excludes none of its VMs

Cause: FleetController.applyInventory excluded each VM that one reading lacked, whenever that was requested.

Change: WaveTracker.excludeMissing leaves waves alone that were first seen after the request of the reading.

Why it works: a VM of a wave was there when the wave was ordered, so a later reading that lacks it shows that it is gone.

--- a/src/pool/fleet-controller.ts
+++ b/src/pool/fleet-controller.ts
@@ -183,9 +183,7 @@
                 this.waves.tracker.recordReturn(wave, vm);
             }
         }
-        for (const { wave, vms } of this.options.waves()) {
-            vms.filter(vm => !phases.has(vm)).forEach(vm => this.waves.tracker.exclude(wave, vm));
-        }
+        this.waves.tracker.excludeMissing(vm => phases.has(vm), readAt);
     }
 
     private planActions(now: number): readonly FleetAction[] {
--- a/src/pool/wave-tracker.ts
+++ b/src/pool/wave-tracker.ts
@@ -174,6 +174,18 @@
         this.waves.get(wave)?.inProgress.delete(vm);
     }
 
+    /**
+     * Excludes the VMs of all waves that the inventory does not show. One that was requested at the monotonic time `readAt`, before
+     * a wave was known, tells nothing of its VMs, which may have come since.
+     */
+    excludeMissing(isListed: (vm: string) => boolean, readAt: number): void {
+        for (const [wave, { order, firstSeenAt }] of this.waves) {
+            if (readAt >= firstSeenAt) {
+                order.vms.filter(vm => !isListed(vm)).forEach(vm => this.exclude(wave, vm));
+            }
+        }
+    }
+
     /** VMs in maintenance, with the monotonic time of their orders. */
     inProgress(): readonly { readonly wave: number; readonly vm: string; readonly since: number }[] {
         return [...this.waves].flatMap(([wave, { inProgress }]) =>
