Tests: the new paths with a death, a slow read or a late write at each step

Cancellations of unanswered submissions with slow reads of jobs and of markers, lost answers, a late write of the marker, the death of the owner, and of the entry that handles them after 0 to 36 ms; a job of 1,200 tasks in segments under six seeds of deaths, slow reads, lost answers and late writes. No code changed.

--- a/test/cancelled-submissions.test.ts
+++ b/test/cancelled-submissions.test.ts
@@ -177,3 +177,54 @@
     await site.timer.advance(keptMs + 10_000);
     expect(tenure!.unacceptedCount).toBe(0);
 });
+
+describe("a cancellation that is disturbed at one of its steps", () => {
+    /** What goes wrong while the cancellation is handled. */
+    const disturbances = {
+        "slow reads of jobs": (site: StandinSite) => void site.rows.readDelaysMs.set("jobs", 1500),
+        "slow reads of markers": (site: StandinSite) => void site.rows.readDelaysMs.set("job-refusals", 1500),
+        "lost answers": (site: StandinSite) => void (site.rows.faults.lostAnswerShare = 1),
+        "a late write of the marker": (site: StandinSite) => void (site.rows.faults.delayedCommitShare = 1),
+        "the death of the owner": (site: StandinSite) => site.kill(site.owner()!),
+    };
+
+    test.each(Object.keys(disturbances) as (keyof typeof disturbances)[])(
+        "by %s binds what comes later once it is answered",
+        async name => {
+            const site = await createSite();
+            const others = site.entries.filter(entry => entry !== site.owner());
+            const [first, second] = others as [StandinEntry, StandinEntry];
+            await submitLate(site, first, 6000);
+            disturbances[name](site);
+            const answer = second.core.jobCalls.cancel(id, submitter, 3000);
+            await site.timer.advance(3500);
+            site.rows.readDelaysMs.clear();
+            site.rows.faults.lostAnswerShare = 0;
+            site.rows.faults.delayedCommitShare = 0;
+            const { kind } = await site.runUntilSettled(answer);
+            const settled = kind === "absent" ? kind : (await cancel(site, second)).kind;
+            expect(["absent", "cancelled"]).toContain(settled);
+            await site.timer.advance(3000);
+            const started = site.checker.startCount;
+            await site.timer.advance(20_000);
+            expect(site.checker.startCount).toBe(started);
+            expect(["absent", "cancelled"]).toContain(await phaseOf(site, second));
+            expect(site.checker.violations).toEqual([]);
+        },
+    );
+
+    test("by the death of the entry that handles it leaves the job to the next cancellation", async () => {
+        for (let diesAfterMs = 0; diesAfterMs < 40; diesAfterMs += 4) {
+            const site = await createSite();
+            const others = site.entries.filter(entry => entry !== site.owner());
+            const [first, second] = others as [StandinEntry, StandinEntry];
+            await submitLate(site, first, 6000);
+            void second.core.jobCalls.cancel(id, submitter, 3000);
+            await site.timer.advance(diesAfterMs);
+            site.kill(second);
+            expect((await cancel(site, first)).kind).toBe("absent");
+            await site.timer.advance(15_000);
+            expect(site.checker.startCount).toBe(0);
+        }
+    });
+});
--- a/test/large-progress.test.ts
+++ b/test/large-progress.test.ts
@@ -16,6 +16,7 @@
 } from "../src/job/index.js";
 import { Batch } from "../src/pool/batch.js";
 import { JobProgress } from "../src/pool/job-progress.js";
+import { Random } from "../src/process/random.js";
 import { RefusalReason } from "../src/request/job-calls.js";
 import { jobOf, type StandinEntry, StandinSite, type StandinSiteOptions } from "../standin/site/site.js";
 
@@ -290,3 +291,31 @@
         expect(encodeSegment(large, 0).length).toBeLessThan(65_536);
     });
 });
+
+describe("a job of thousands of tasks beside faults", () => {
+    // Plays the path of segments with deaths of owners, slow reads, lost answers and late writes, at times of their own.
+    test.each([1, 2, 3, 4, 5, 6])("is done once, whatever fails meanwhile (seed %i)", async seed => {
+        const random = Random.create(seed);
+        const site = await createSite({ seed, entries: 5 });
+        await submit(site, "large", jobOf({ tasks: 1200, needs: small }), 1500);
+        for (let i = 0; i < 3; i++) {
+            site.rows.readDelaysMs.set("progress-tasks", random.int(1200));
+            site.rows.readDelaysMs.set("progress", random.int(600));
+            site.rows.faults.lostAnswerShare = random.chance(0.5) ? 0.2 : 0;
+            site.rows.faults.delayedCommitShare = random.chance(0.5) ? 0.2 : 0;
+            site.rows.faults.commitDelayMs = 1000 + random.int(2000);
+            await site.timer.advance(200 + random.int(2500));
+            const owner = site.owner();
+            if (owner?.peers.node.isAlive === true && i < 2) {
+                site.kill(owner);
+            }
+            await site.timer.advance(random.int(3000));
+        }
+        site.rows.readDelaysMs.clear();
+        site.rows.faults.lostAnswerShare = 0;
+        site.rows.faults.delayedCommitShare = 0;
+        await site.timer.advance(40_000);
+        expect(await phaseOf(site, "large")).toBe("succeeded");
+        expect(site.checker.violations).toEqual([]);
+    });
+});
