Nodes and tasks of the table are built field by field

Cause looked for: a start of a task cost 25 us in a job of 10 tasks, on 2.4 us: an object literal that spreads another one (`{ ...place, phase, ... }`) takes 10 us here, and was made for each task that had not run, each open step and each changed node.

Change: fields are written out, and the change of a tally is the difference of two.

What recorded loads start, and the comparison of the table with a list, are as before: 40 of 40 tests of the four files pass.

--- a/src/job/open-tasks.ts
+++ b/src/job/open-tasks.ts
@@ -27,7 +27,8 @@
             ? ready
             : { occurrence, steps: readySteps(job, state, occurrence) };
         if (ready.steps.has(index)) {
-            yield { occurrence, index, ...range, count: tasks.count(TaskSet.Open, range) };
+            const { from: first, to } = range;
+            yield { occurrence, index, from: first, to, count: tasks.count(TaskSet.Open, range) };
         }
         from = tasks.first(TaskSet.Open, { from: range.to, to: tasks.length });
     }
--- a/src/job/task-table.ts
+++ b/src/job/task-table.ts
@@ -14,6 +14,7 @@
     blockTasks,
     changedIn,
     countIn,
+    emptyTally,
     fillTo,
     findIn,
     type Item,
@@ -22,8 +23,8 @@
     replaceAt,
     sumOf,
     type Tally,
-    tallyChange,
     tallyOf,
+    tallyOfItem,
     type Tree,
     treeOf,
 } from "./task-tree.js";
@@ -110,9 +111,9 @@
     with(position: number, task: TaskState): TaskTable {
         const { steps } = this.layout;
         const item = itemOf(task);
-        const change = tallyChange(this.itemAt(position), item, steps);
+        const change = addTally(tallyOfItem(item, steps), tallyOfItem(this.itemAt(position), steps), -1);
         const replace = (node: Node | undefined, level: number, offset: number): Node => {
-            const tally = addTally(node, change);
+            const tally = addTally(node ?? emptyTally, change);
             if (level === 0) {
                 return blockOf(replaceAt((node as Block | undefined)?.items, offset, item), tally);
             }
@@ -195,8 +196,12 @@
     }
 
     private taskOf(position: number, doneRun: number | undefined): TaskState {
+        // Field by field, here and in the nodes: a literal that spreads another object is many times as slow.
+        const { occurrence, step, index } = this.layout.placeOf(position);
         return {
-            ...this.layout.placeOf(position),
+            occurrence,
+            step,
+            index,
             phase: doneRun === undefined ? TaskPhase.Waiting : TaskPhase.Done,
             run: doneRun ?? 0,
             worker: "",
--- a/src/job/task-tree.ts
+++ b/src/job/task-tree.ts
@@ -33,6 +33,7 @@
 export type Node = Block | Tree;
 
 export const emptyTally: Tally = { notOpen: 0, claimed: 0, done: 0, begun: 0, withLosses: 0 };
+const doneTally: Tally = { notOpen: 1, claimed: 0, done: 1, begun: 1, withLosses: 0 };
 /** Trees of which all children are the same one, by that child: the tasks of finished occurrences share them. */
 const uniformTrees = new WeakMap<Node, Tree>();
 /** Blocks of tasks that are all done in the same run, by its number. */
@@ -64,10 +65,12 @@
     const [run] = items;
     const isShared = tally.done === blockTasks && typeof run === "number" && run < maxSharedRuns
         && items.every(item => item === run);
+    const { notOpen, claimed, done, begun, withLosses } = tally;
+    const block = { items, notOpen, claimed, done, begun, withLosses };
     if (!isShared) {
-        return { items, ...tally };
+        return block;
     }
-    const shared = doneBlocks.get(run) ?? { items, ...tally };
+    const shared = doneBlocks.get(run) ?? block;
     doneBlocks.set(run, shared);
     return shared;
 }
@@ -76,41 +79,49 @@
     const [first] = children;
     const isUniform = tally.done === blockTasks ** (level + 1) && first !== undefined
         && children.every(child => child === first);
-    const tree = (isUniform ? uniformTrees.get(first) : undefined) ?? { children, ...tally };
-    if (isUniform) {
-        uniformTrees.set(first, tree);
+    const { notOpen, claimed, done, begun, withLosses } = tally;
+    const tree = { children, notOpen, claimed, done, begun, withLosses };
+    if (!isUniform) {
+        return tree;
     }
-    return tree;
+    const shared = uniformTrees.get(first) ?? tree;
+    uniformTrees.set(first, shared);
+    return shared;
 }
 
 export function tallyOf(steps: TaskLayout["steps"], items: readonly Item[]): Tally {
-    return items.reduce<Tally>((sum, item) => addTally(sum, tallyChange(undefined, item, steps)), emptyTally);
+    return items.reduce<Tally>((sum, item) => addTally(sum, tallyOfItem(item, steps)), emptyTally);
 }
 
 export function sumOf(nodes: readonly (Node | undefined)[]): Tally {
-    return nodes.reduce<Tally>((sum, node) => node === undefined ? sum : addTally(sum, node), emptyTally);
+    return nodes.reduce<Tally>((sum, node) => addTally(sum, node ?? emptyTally), emptyTally);
 }
 
-export function addTally(a: Tally | undefined, b: Tally): Tally {
-    return a === undefined ? b : {
-        notOpen: a.notOpen + b.notOpen,
-        claimed: a.claimed + b.claimed,
-        done: a.done + b.done,
-        begun: a.begun + b.begun,
-        withLosses: a.withLosses + b.withLosses,
+/** Sum of `a` and `times` times `b`. */
+export function addTally(a: Tally, b: Tally, times = 1): Tally {
+    return {
+        notOpen: a.notOpen + times * b.notOpen,
+        claimed: a.claimed + times * b.claimed,
+        done: a.done + times * b.done,
+        begun: a.begun + times * b.begun,
+        withLosses: a.withLosses + times * b.withLosses,
     };
 }
 
-/** What the tally of a node gains when a task changes. */
-export function tallyChange(before: Item, after: Item, steps: TaskLayout["steps"]): Tally {
-    const change = (counted: keyof Tally): number =>
-        (isCounted(after, counted, steps) ? 1 : 0) - (isCounted(before, counted, steps) ? 1 : 0);
+export function tallyOfItem(item: Item, steps: TaskLayout["steps"]): Tally {
+    if (item === undefined) {
+        return emptyTally;
+    }
+    if (typeof item === "number") {
+        return doneTally;
+    }
+    const { phase, step, lostWorkers } = item;
     return {
-        notOpen: change("notOpen"),
-        claimed: change("claimed"),
-        done: change("done"),
-        begun: change("begun"),
-        withLosses: change("withLosses"),
+        notOpen: phase !== TaskPhase.Waiting || isHeldTask(item, steps[step]!) ? 1 : 0,
+        claimed: phase === TaskPhase.Claimed ? 1 : 0,
+        done: phase === TaskPhase.Done ? 1 : 0,
+        begun: 1,
+        withLosses: lostWorkers.length > 0 ? 1 : 0,
     };
 }
 
--- a/src/pool/open-steps.ts
+++ b/src/pool/open-steps.ts
@@ -25,8 +25,10 @@
 }
 
 function findOpenSteps({ job, state }: JobEntry): readonly OpenStep[] {
-    return [...findOpenTasks(job, state)].map(open => {
-        const step = job.spec.steps[open.index]!;
-        return { ...open, step, needs: reservedResources({ step }) };
-    });
+    const found: OpenStep[] = [];
+    for (const { occurrence, index, from, to, count } of findOpenTasks(job, state)) {
+        const step = job.spec.steps[index]!;
+        found.push({ occurrence, index, from, to, count, step, needs: reservedResources({ step }) });
+    }
+    return found;
 }
