Log: which incarnation of a worker has answered an order, and the lease bound behind a lost run

Callers saw tasks that run twice after workers had started again under their ids; the log named neither the incarnation that an order was meant for, nor that of the answer, nor the bound on the leases that a loss was concluded from, so that the three hypotheses could not be told apart. Event 2412 WorkerAnsweredAsOther (and celerywind_foreign_answers_total) is written for an answer whose start time, or clock where it gives none, does not fit the incarnation that the order was meant for; 2304 RunEnded has meantFor, born and leasesEndInMs, 2402 WorkerUnreachable has born. No decision is changed.

--- a/src/pool/lease.ts
+++ b/src/pool/lease.ts
@@ -38,11 +38,16 @@
         }
     }
 
+    /** Lowest value that the worker's clock can have at `now`; an answer with a lower one is of another incarnation. */
+    leastClockMs(now: number): number {
+        // The clock may be behind its last reading and the time since then if it runs slow.
+        return this.isClockKnown ? this.clockMs + (now - this.clockReadAt) * (1 - maxClockDrift) : 0;
+    }
+
     /** Returns the expiry, on the worker's clock, to put into an order sent at `now`. */
     grant(leaseMs: number, now: number): number {
-        // The worker's clock may be behind this estimate if it runs slow, which would make the lease longer than `leaseMs`.
-        const leastElapsedMs = (now - this.clockReadAt) * (1 - maxClockDrift);
-        const until = Math.ceil(this.clockMs + leastElapsedMs + leaseMs);
+        // Counted from the lowest value of the clock, from which the lease is never longer than `leaseMs`.
+        const until = Math.ceil(this.leastClockMs(now) + leaseMs);
         this.grantedUntil = Math.max(this.grantedUntil, until);
         return until;
     }
--- a/src/pool/ports.ts
+++ b/src/pool/ports.ts
@@ -68,7 +68,8 @@
 
 /** Result of a start request. */
 export type StartResult =
-    | { readonly kind: "started"; readonly clockMs: number }
+    /** `startedAtMs`: start of the incarnation that has answered, as Unix time in milliseconds, if the answer gives it. */
+    | { readonly kind: "started"; readonly clockMs: number; readonly startedAtMs?: number }
     | { readonly kind: "refused"; readonly reason: WorkerRefusal; readonly clockMs?: number }
     /** The run may have started, or may start later. */
     | { readonly kind: "unknown"; readonly reason: string };
--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -1,6 +1,12 @@
 /** Starts and stops runs on workers, and applies their ends. */
 import { RunEnd, TaskPhase } from "../job/index.js";
 import { EventId, Severity } from "../process/events.js";
+import {
+    intendedIncarnation,
+    isForeignAnswer,
+    OrderKind,
+    recordForeignAnswer,
+} from "./foreign-answers.js";
 import { isAcceptingRuns, mayFill } from "./plan-starts.js";
 import { type EndedRun, type StartRequest, type StartResult, WorkerRefusal } from "./ports.js";
 import type { ConfirmedEnd } from "./reconcile.js";
@@ -125,6 +131,9 @@
             worker: worker.id,
             how: outcome,
             start: record.start,
+            meantFor: record.workerIncarnation,
+            born: worker.startedAtMs,
+            leasesEndInMs: worker.isReachable ? undefined : Math.round(worker.lease.latestEnd() - now),
             stop: record.stopReason,
             ageMs: Math.round(now - record.startedAt),
             phase: record.entry.state.phase,
@@ -186,11 +195,15 @@
         };
         record.start = StartStatus.Sent;
         const sentAt = timer.now();
+        const meantFor = intendedIncarnation(worker, sentAt);
         this.queue.recordSent();
         const result = await calls.start(targetOf(worker), order);
         this.queue.recordEnded({ ms: timer.now() - sentAt, isAnswered: isAnswer(result) });
         this.sendQueuedStarts();
         if (this.ctx.isActive && this.ctx.jobs.runs.get(record.name) === record) {
+            if (result.kind === "started" && isForeignAnswer(meantFor, result)) {
+                recordForeignAnswer(this.ctx, worker, OrderKind.Start, meantFor, result);
+            }
             this.applyStartResult(record, worker, result);
         }
     }
--- a/src/pool/worker-monitor.ts
+++ b/src/pool/worker-monitor.ts
@@ -3,6 +3,12 @@
 import { EventId, Severity } from "../process/events.js";
 import { sleep } from "../process/timer.js";
 import { untilSettledMs } from "./disruption-budget.js";
+import {
+    intendedIncarnation,
+    isForeignAnswer,
+    OrderKind,
+    recordForeignAnswer,
+} from "./foreign-answers.js";
 import { maxClockDrift, maxLeaseDurationMs } from "./lease.js";
 import { openSteps } from "./open-steps.js";
 import { type HoldResult, type Roster, WorkerRefusal } from "./ports.js";
@@ -218,6 +224,7 @@
     private async sendHold(worker: WorkerState): Promise<HoldResult> {
         const { timer, times, calls, metrics } = this.ctx.options;
         const sentAt = timer.now();
+        const meantFor = intendedIncarnation(worker, sentAt);
         // An unreachable worker gets no new lease; otherwise its runs could never be declared lost.
         const renews = worker.hasAcceptedFence && worker.isReachable && worker.lease.isClockKnown
             && !worker.isLeaseBlocked;
@@ -229,6 +236,9 @@
         });
         metrics.count("celerywind_holds_total", { result: result.kind });
         if (result.kind === "held" && this.ctx.isActive) {
+            if (isForeignAnswer(meantFor, result)) {
+                recordForeignAnswer(this.ctx, worker, OrderKind.Hold, meantFor, result);
+            }
             this.applyHoldResult(worker, result, sentAt);
         }
         return result;
@@ -341,6 +351,7 @@
             this.ctx.options.log.write(severity, EventId.WorkerUnreachable, {
                 isLeaving: worker.isCordoned,
                 worker: worker.id,
+                born: worker.startedAtMs,
                 reason,
                 runs: worker.runs.size,
                 leasesEndInMs: Math.round(worker.lease.latestEnd() - this.ctx.options.timer.now()),
--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -85,6 +85,7 @@
     AdviceReceived = 2407,
     StepNotAllowed = 2408,
     WorkerVerdictChanged = 2410,
+    WorkerAnsweredAsOther = 2412,
     DirectoryAdopted = 2501,
     DirectoryRejected = 2502,
     DirectoryPulled = 2503,
