Virtual site: workers restart under their ids while calls for them are held

Cause: no fault of the stand-in delivered an order that was sent to one incarnation of a worker to the next one, so no test showed what such an order does there.

Change: StandinSite.restart keeps the calls that arrive while a worker is down and delivers them to the new incarnation, also those whose senders have given up; pending long polls are lost until the senders' time limits. The list of workers shows the new incarnation 0.3 to 1 s later. Calls to workers are a module of their own (standin/site/worker-calls.ts), with an optional delay of answers. StandinWorker reports every acknowledged end to the checker: before, an acknowledgement beyond the list hid those of the ends up to its position.

--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -4,12 +4,9 @@
 import {
     type InventoryVm,
     type Roster,
-    type StartResult,
     type VmClient,
     VmOrderResult,
     VmPhase,
-    type WorkerClient,
-    type WorkerTarget,
 } from "../../src/pool/ports.js";
 import { PlatformError } from "../../src/process/errors.js";
 import { EventId, type Severity } from "../../src/process/events.js";
@@ -35,6 +32,7 @@
 import { admit } from "./row-limits.js";
 import { noRowStoreFaults, type RowStoreFaults, StandinRowStore } from "./rows.js";
 import { type ArrivedOrder, VmHolderChecker } from "./vm-holders.js";
+import { WorkerCalls } from "./worker-calls.js";
 import { GangTracker, StandinWorker, type TaskProfile } from "./worker.js";
 
 /** One entry process of the site. */
@@ -133,10 +131,12 @@
 }
 
 const callLatencyMs = 1;
-const callTimeoutMs = 200;
 /** Time from the start of a deadly task to the crash of its worker, and from there to its VM's next worker. */
 const crashDelayMs = 10;
 const crashDownMs = 3000;
+/** Time from the start of an incarnation until the list of workers shows it, as heartbeats are sent at intervals. */
+const shortestListDelayMs = 300;
+const longestListDelayMs = 1000;
 /** Time after which an entry gives up an order for a VM. */
 const maxOrderMs = 1500;
 const vmMoveMs = 1500;
@@ -173,6 +173,7 @@
     /** Checks who orders the VMs. */
     readonly vmHolders: VmHolderChecker;
     readonly adviser: StandinAdviser;
+    readonly workerCalls: WorkerCalls;
     private readonly gangs = new GangTracker();
     private readonly inventoryReads = RateWindow.create(inventoryReadsPerS);
     private readonly vmOrders = RateWindow.create(vmOrdersPerS);
@@ -200,6 +201,13 @@
             this.timer.now() - this.lastImpairedAt < impairmentReachMs;
         this.timer.every(impairmentCheckMs, () => this.watchFaults());
         this.net = VirtualNetwork.create(this.timer, 1);
+        this.workerCalls = WorkerCalls.create({
+            timer: this.timer,
+            findWorker: id => this.workers.find(worker => worker.id === id && worker.isAlive),
+            isCutOff: (worker, entry) =>
+                this.partitionedWorkers.has(worker) || (this.soleEntries.get(worker) ?? entry) !== entry,
+            carryOutLate: order => this.checker.availability.carryOutLate(order),
+        });
     }
 
     /** Builds a site; `start` starts its entries. */
@@ -402,6 +410,31 @@
         });
     }
 
+    /**
+     * Restarts a worker under its id: its runs are gone, and it answers no call. Calls that arrive while it is down wait for the
+     * next incarnation, which is there after `downMs` and takes the former one's place in the list `listDelayMs` later.
+     */
+    restart(
+        worker: StandinWorker,
+        downMs: number,
+        listDelayMs = shortestListDelayMs + this.random.int(longestListDelayMs - shortestListDelayMs),
+    ): void {
+        this.lastImpairedAt = this.timer.now();
+        this.checker.recordCrash(worker);
+        worker.vanish();
+        this.workerCalls.holdCalls(worker);
+        const vm = this.vms.find(candidate => candidate.worker === worker);
+        this.timer.after(downMs, () => {
+            worker.terminate();
+            const next = vm?.worker === worker ? this.createWorker(vm, worker.id) : undefined;
+            if (vm !== undefined && next !== undefined) {
+                vm.worker = next;
+                next.keepListed(worker.listed, listDelayMs);
+            }
+            this.workerCalls.release(worker.id, next);
+        });
+    }
+
     /** Crashes the worker of a deadly task shortly after its start; its VM has a worker of another id some seconds later. */
     private crashSoon(worker: StandinWorker): void {
         this.timer.after(crashDelayMs, () => {
@@ -533,7 +566,7 @@
                     return this.workers.filter(({ isListed }) => isListed).map(({ listed }) => listed);
                 },
             },
-            workerClient: this.workerClientFor(entry, timer),
+            workerClient: this.workerCalls.clientFor(entry, timer),
             adviser: this.adviser.clientFor(entry, timer),
             vmClient: this.vmClientFor(timer, vmFaults),
             operatorTable: {
@@ -546,84 +579,6 @@
         };
     }
 
-    private workerClientFor(entry: string, timer: Timer): WorkerClient {
-        const isCutOff = (worker: StandinWorker): boolean =>
-            this.partitionedWorkers.has(worker.id)
-            || (this.soleEntries.get(worker.id) ?? entry) !== entry;
-        const call = async <T>(
-            target: WorkerTarget,
-            isCommand: boolean,
-            carryOut: (worker: StandinWorker, answer: (result: T) => void) => void,
-            failure: (reason: string) => T,
-        ): Promise<T> => {
-            await sleep(timer, callLatencyMs);
-            const worker = this.workers.find(({ id, isAlive }) => id === target.worker && isAlive);
-            if (worker?.faults.rejectsCalls === true) {
-                throw new Error("Invalid URL");
-            }
-            if (
-                worker === undefined || worker.faults.isUnreachable || isCutOff(worker)
-            ) {
-                await sleep(timer, callTimeoutMs);
-                return failure("timeout");
-            }
-            const { commandDelayMs } = worker.faults;
-            if (isCommand && commandDelayMs > 0) {
-                this.timer.after(commandDelayMs, () => {
-                    const current = this.workers.find(({ id, isAlive }) => id === target.worker && isAlive);
-                    if (current !== undefined) {
-                        this.checker.availability.carryOutLate(() => carryOut(current, () => undefined));
-                    }
-                });
-                await sleep(timer, callTimeoutMs);
-                return failure("timeout");
-            }
-            if (isCommand && worker.faults.losesAnswers) {
-                carryOut(worker, () => undefined);
-                await sleep(timer, callTimeoutMs);
-                return failure("timeout");
-            }
-            return new Promise(resolve => {
-                carryOut(worker, result => {
-                    timer.after(
-                        callLatencyMs,
-                        () =>
-                            resolve(
-                                isCutOff(worker) || !worker.isAlive || worker.faults.isUnreachable
-                                    ? failure("timeout")
-                                    : result,
-                            ),
-                    );
-                });
-            });
-        };
-        return {
-            start: (target, request) =>
-                call<StartResult>(
-                    target,
-                    true,
-                    (worker, answer) => answer(worker.start(request)),
-                    reason => ({ kind: "unknown", reason }),
-                ),
-            stop: (target, task, run, fence) =>
-                call(
-                    target,
-                    true,
-                    (worker, answer) => answer(worker.stop(task, run, fence)),
-                    reason => ({ kind: "failed", reason }),
-                ),
-            hold: (target, request) =>
-                call(
-                    target,
-                    false,
-                    (worker, answer) => worker.hold(request, answer),
-                    reason => ({ kind: "unknown", reason }),
-                ),
-            pace: () => Promise.resolve({ kind: "done" }),
-            retain: () => undefined,
-        };
-    }
-
     private vmClientFor(timer: Timer, faults: VmFaults): VmClient {
         return {
             list: async () => {
--- a/standin/site/worker.ts
+++ b/standin/site/worker.ts
@@ -130,6 +130,8 @@
     stopDurationMs = defaultStopDurationMs;
     private readonly capacities: { readonly until: number; readonly capacity: Resources }[] = [];
     private lastListed: ListedWorker | undefined;
+    /** Entry of the former incarnation, and the time until which it is listed. */
+    private former: { readonly listed: ListedWorker; readonly untilMs: number } | undefined;
     private nextReport = 1;
     private highestFence = 0;
     /** Availability zone of its VM. */
@@ -141,7 +143,6 @@
     /** Time since when it is dark, in milliseconds; infinite while it is not. */
     private darkSince = Infinity;
     private nextEndPosition = 1;
-    private acknowledgedPosition = 0;
     private readonly startedAtMonotonicMs: number;
     private readonly runs = new Map<string, Run>();
     private readonly settledRuns = new Map<string, number>();
@@ -182,6 +183,9 @@
 
     /** Entry in the list of workers, with the next report number. */
     get listed(): ListedWorker {
+        if (this.former !== undefined && this.timer.now() < this.former.untilMs) {
+            return this.former.listed;
+        }
         if (this.faults.isReportStale && this.lastListed !== undefined) {
             return this.lastListed;
         }
@@ -205,6 +209,17 @@
         return this.isAlive && this.timer.now() - this.darkSince < listingExpiryMs;
     }
 
+    /** Lists the entry of the former incarnation for `ms` milliseconds, until the first heartbeat of this one. */
+    keepListed(listed: ListedWorker, ms: number): void {
+        this.former = { listed, untilMs: this.timer.now() + ms };
+    }
+
+    /** Ends as `goDark` does; moreover, the hold requests that wait are never answered, not even after `terminate`. */
+    vanish(): void {
+        this.holdWaiters.clear();
+        this.goDark();
+    }
+
     /** Loses its power: its runs are gone, it answers no call, not even those that wait, and stays listed for a while. */
     goDark(): void {
         this.runs.forEach(({ task, run }) => this.events.onRunEnded(this, task, run, "gone"));
@@ -337,11 +352,10 @@
 
     private acknowledge(position: number): void {
         for (const end of this.unacknowledgedEnds) {
-            if (end.position <= position && end.position > this.acknowledgedPosition) {
+            if (end.position <= position) {
                 this.events.onEndAcknowledged(this, end.task, end.run, end.outcome);
             }
         }
-        this.acknowledgedPosition = Math.max(this.acknowledgedPosition, position);
         this.unacknowledgedEnds = this.unacknowledgedEnds.filter(end => end.position > position);
     }
 
--- /dev/null
+++ b/test/reborn-workers.test.ts
@@ -0,0 +1,314 @@
+/** Workers that start again under their ids while calls for their former incarnations are on the way. */
+import { describe, expect, test } from "vitest";
+import type { JobSpec } from "../src/job/index.js";
+import { Random } from "../src/process/random.js";
+import { jobOf, type StandinEntry, StandinSite } from "../standin/site/site.js";
+import { CallKind } from "../standin/site/worker-calls.js";
+import type { StandinWorker } from "../standin/site/worker.js";
+
+const lists = { version: 1, queues: [{}] };
+const longMs = 12_000;
+const shortMs = 60;
+/** Time that a worker stays cut off: longer than any lease. */
+const cutMs = 7000;
+const cores = 8;
+const capacity = { cpu: cores * 1000, memory: 128_000, accelerators: 0 };
+
+function availableEntry(site: StandinSite): StandinEntry | undefined {
+    return site.entries.find(({ peers, core }) => peers.node.isAlive && core.lists.directory !== undefined);
+}
+
+/** The entry that owns the domain, unless its process was killed. */
+function liveOwner(site: StandinSite): StandinEntry | undefined {
+    return site.entries.find(({ peers, core }) => peers.node.isAlive && core.domain.tenure !== undefined);
+}
+
+/** Kills the owner; its VM has a new process 1.5 s later. */
+function killOwner(site: StandinSite): void {
+    const owner = liveOwner(site);
+    if (owner !== undefined) {
+        site.kill(owner);
+        site.timer.after(1500, () => void site.startEntry(owner.name));
+    }
+}
+
+function cutOff(site: StandinSite, worker: StandinWorker, ms = cutMs): void {
+    site.partition(worker);
+    site.timer.after(ms, () => site.heal(worker));
+}
+
+describe("an order for the former incarnation of a worker", () => {
+    /** Time for which a worker is down; starts that are sent meanwhile are answered within their time limit. */
+    const downMs = 150;
+    /** Time by which the former incarnation's clock is ahead of the new one's: more than the longest lease. */
+    const ageMs = 10_000;
+    /** Late enough that the list does not tell the owner of the new incarnation first. */
+    const listDelayMs = 3000;
+    /** Time in which the answers to starts have arrived at the owner. */
+    const answerMs = 20;
+    /** More tasks than two workers take, and few enough that the runs of a lost worker can start elsewhere. */
+    const job = jobOf({ tasks: 2 * cores + 4 });
+
+    async function createSite(): Promise<StandinSite> {
+        const site = StandinSite.create({ vmsPerPool: 3, capacity });
+        await site.start(lists);
+        await site.timer.advance(ageMs);
+        return site;
+    }
+
+    async function submit(site: StandinSite, id: string, spec: JobSpec, workMs: number): Promise<void> {
+        const result = await site.runUntilSettled(site.submit(availableEntry(site)!, id, spec, { workMs }));
+        expect(result.kind).toBe("accepted");
+    }
+
+    /** Advances time until a condition holds; fails after 10 s. */
+    async function until(site: StandinSite, holds: () => boolean): Promise<void> {
+        for (let ms = 0; !holds(); ms++) {
+            expect(ms).toBeLessThan(10_000);
+            await site.timer.advance(1);
+        }
+    }
+
+    function present(site: StandinSite, id: string): StandinWorker {
+        return site.workers.find(worker => worker.id === id)!;
+    }
+
+    function hasStrayed(site: StandinSite, kind: CallKind): boolean {
+        return site.workerCalls.strayCalls.some(call => call.kind === kind);
+    }
+
+    function workerAtOwner(site: StandinSite, id: string) {
+        return liveOwner(site)?.core.domain.tenure?.workers.byId.get(id);
+    }
+
+    /**
+     * Restarts a worker that has just listed the end of a short task, so that the next hold request reaches the new incarnation;
+     * then starts tasks, once the answer has told the owner of it.
+     */
+    async function restartBeforeHold(site: StandinSite): Promise<string> {
+        await submit(site, "short", jobOf({}), shortMs);
+        await until(site, () => site.workers.some(({ running }) => running.size > 0));
+        const worker = site.workers.find(({ running }) => running.size > 0)!;
+        await until(site, () => worker.running.size === 0);
+        await site.timer.advance(1);
+        site.restart(worker, downMs, listDelayMs);
+        await site.timer.advance(downMs + 1);
+        expect(hasStrayed(site, CallKind.Hold)).toBe(true);
+        const { startedAtMs } = present(site, worker.id);
+        await until(site, () => workerAtOwner(site, worker.id)?.startedAtMs === startedAtMs);
+        await submit(site, "j1", job, longMs);
+        await until(site, () => present(site, worker.id).running.size > 0);
+        return worker.id;
+    }
+
+    /** Restarts a worker while tasks are started on all of them, so that starts reach its new incarnation. */
+    async function restartBeforeStarts(site: StandinSite, workMs = longMs): Promise<string> {
+        const worker = site.workers[0]!;
+        site.restart(worker, downMs, listDelayMs);
+        const submitted = site.submit(availableEntry(site)!, "j1", job, { workMs });
+        await site.timer.advance(downMs + 5);
+        expect((await submitted).kind).toBe("accepted");
+        expect(hasStrayed(site, CallKind.Start)).toBe(true);
+        expect(present(site, worker.id).running.size).toBeGreaterThan(0);
+        return worker.id;
+    }
+
+    /** Kills the owner and waits until a worker has answered the next one. */
+    async function changeOwner(site: StandinSite, worker: string): Promise<void> {
+        killOwner(site);
+        await until(site, () => workerAtOwner(site, worker)?.hasAcceptedFence === true);
+    }
+
+    /** Cuts the new incarnation off while it has runs, which the owner then starts elsewhere. */
+    async function expectSoundAfterCut(site: StandinSite, worker: string): Promise<void> {
+        await site.timer.advance(answerMs);
+        expect(present(site, worker).running.size).toBeGreaterThan(0);
+        cutOff(site, present(site, worker));
+        await site.timer.advance(45_000);
+        expect(site.checker.violations).toEqual([]);
+        expect(await site.runUntilSettled(site.phaseOf(availableEntry(site)!, "j1"))).toBe("succeeded");
+    }
+
+    // Guards against: a hold whose lease end, far ahead of the new clock, gives later runs a longer lease than was granted.
+    test("extends no lease beyond what the owner waits for, when it is a hold", async () => {
+        const site = await createSite();
+        const worker = await restartBeforeHold(site);
+        await expectSoundAfterCut(site, worker);
+    });
+
+    // Guards against: a start that the new incarnation answers, with a lease that the owner computes on the former one's clock.
+    test("extends no lease beyond what the owner waits for, when it is a start", async () => {
+        const site = await createSite();
+        const worker = await restartBeforeStarts(site);
+        await expectSoundAfterCut(site, worker);
+    });
+
+    // Guards against: a next owner that waits for an ordinary lease after the answer, while a hold has given a longer one.
+    test("extends no lease beyond what the next owner waits for, when it is a hold", async () => {
+        const site = await createSite();
+        const worker = await restartBeforeHold(site);
+        await changeOwner(site, worker);
+        await expectSoundAfterCut(site, worker);
+    });
+
+    // Guards against: a next owner that waits for an ordinary lease after the answer, while a start has given a longer one.
+    test("extends no lease beyond what the next owner waits for, when it is a start", async () => {
+        const site = await createSite();
+        const worker = await restartBeforeStarts(site);
+        await changeOwner(site, worker);
+        await expectSoundAfterCut(site, worker);
+    });
+
+    // Guards against: an acknowledgement of the former incarnation's ends that makes the new one forget ends not seen yet.
+    test("acknowledges no end that the owner has not stored", async () => {
+        const site = await createSite();
+        for (let i = 0; i < 3; i++) {
+            await submit(site, `earlier-${i}`, job, shortMs);
+            await site.timer.advance(1000);
+        }
+        expect(site.checker.successes.length).toBe(3 * job.steps[0]!.tasks);
+        await restartBeforeStarts(site, shortMs);
+        await site.timer.advance(20_000);
+        expect(site.checker.violations).toEqual([]);
+        expect(await site.runUntilSettled(site.phaseOf(availableEntry(site)!, "j1"))).toBe("succeeded");
+    });
+});
+
+/** What follows the return of the workers of a zone. */
+interface Aftermath {
+    /** Shortest and longest time from a worker's return until it is cut off, in milliseconds. */
+    readonly cutAfterMs: readonly [number, number];
+    /** Whether the owner is killed in between. */
+    readonly killsOwner: boolean;
+    /** Whether answers overtake each other, and commands from before the restart are carried out after it. */
+    readonly hasLateCalls: boolean;
+    /** Seeds that have shown a task that ran twice, or again after its success. */
+    readonly seeds: readonly number[];
+}
+
+const plain: Aftermath = { cutAfterMs: [200, 2200], killsOwner: false, hasLateCalls: false, seeds: [1, 15] };
+const aftermaths: Readonly<Record<string, Aftermath>> = {
+    "cut off": plain,
+    "cut off after the owner was killed": { ...plain, killsOwner: true, seeds: [5, 16] },
+    "cut off at once": { ...plain, cutAfterMs: [20, 150], seeds: [1, 2] },
+    "cut off, and calls are late": { ...plain, hasLateCalls: true, seeds: [1] },
+};
+
+/** Time after which the workers' clocks are ahead of new ones by more than the longest lease. */
+const warmUpMs = 5000;
+const faultsMs = 40_000;
+/** Shortest time between two strikes: each is over by then. */
+const shortestGapMs = 9000;
+/** Time in which all jobs end after the faults: leases, and two runs of the longest tasks. */
+const settleMs = 45_000;
+const settleStepMs = 1500;
+
+/** A site on which the workers of one zone after the other restart under their ids while jobs are submitted. */
+class RebornScenario {
+    private readonly random: Random;
+    private readonly site: StandinSite;
+    private readonly zones: readonly string[];
+    private readonly accepted: string[] = [];
+
+    private constructor(seed: number, private readonly aftermath: Aftermath) {
+        this.random = Random.createFromSmallSeed(seed);
+        this.zones = ["z1", "z2", "z3"].slice(0, 2 + this.random.int(2));
+        this.site = StandinSite.create({
+            seed,
+            vmsPerPool: 8 + this.random.int(5),
+            workerZones: this.zones,
+            capacity,
+        });
+    }
+
+    static create(seed: number, aftermath: Aftermath): RebornScenario {
+        return new RebornScenario(seed, aftermath);
+    }
+
+    /** Plays the scenario; returns the violations, and the jobs that have ended otherwise than they should. */
+    async play(): Promise<readonly string[]> {
+        const { site, random } = this;
+        await site.start(lists);
+        await site.timer.advance(warmUpMs);
+        if (this.aftermath.hasLateCalls) {
+            site.workerCalls.answerDelayMs = () => random.chance(0.2) ? random.int(200) : 0;
+        }
+        const endsAt = site.timer.now() + faultsMs;
+        let strikesAt = site.timer.now() + random.int(2000);
+        for (let job = 0; site.timer.now() < endsAt; job++) {
+            void this.submit(`j${job}`);
+            if (site.timer.now() >= strikesAt) {
+                this.strike(random.pick(this.zones));
+                strikesAt += shortestGapMs + random.int(4000);
+            }
+            await site.timer.advance(100 + random.int(600));
+        }
+        return [...await this.settle(), ...site.checker.violations];
+    }
+
+    /** Waits until the accepted jobs have ended; returns those that have not, or not as they should. */
+    private async settle(): Promise<readonly string[]> {
+        const { site } = this;
+        let open: readonly string[] = this.accepted;
+        const phases = new Map<string, string>();
+        for (let ms = 0; open.length > 0 && ms < settleMs; ms += settleStepMs) {
+            await site.timer.advance(settleStepMs);
+            if (site.workers.every(({ running }) => running.size === 0)) {
+                for (const id of open) {
+                    phases.set(id, await site.runUntilSettled(site.phaseOf(availableEntry(site)!, id)));
+                }
+                open = open.filter(id => !this.hasEndedAsExpected(id, phases.get(id)));
+            }
+        }
+        return open.map(id => `${id} is ${phases.get(id)}`);
+    }
+
+    private hasEndedAsExpected(job: string, phase: string | undefined): boolean {
+        const mayFail = this.site.checker.tasksThatMayBeGivenUp(job).length > 0;
+        return phase === "succeeded" || (mayFail && phase === "failed");
+    }
+
+    private async submit(id: string): Promise<void> {
+        const { site, random } = this;
+        const isLong = random.chance(0.4);
+        const workMs = isLong ? longMs : shortMs + random.int(900);
+        const spec = jobOf({ tasks: 1 + random.int(isLong ? 3 : 6), estimateMs: workMs });
+        const entry = availableEntry(site);
+        const result = entry === undefined ? undefined : await site.submit(entry, id, spec, { workMs });
+        if (result?.kind === "accepted") {
+            this.accepted.push(id);
+        }
+    }
+
+    private strike(zone: string): void {
+        const { site, random, aftermath: { cutAfterMs: [leastMs, mostMs], killsOwner, hasLateCalls } } = this;
+        const downMs = 100 + random.int(500);
+        const cutAfterMs = leastMs + random.int(mostMs - leastMs);
+        const lastsMs = 4000 + random.int(2000);
+        for (const worker of site.workers.filter(candidate => candidate.zone === zone)) {
+            const delayMs = random.int(50);
+            worker.faults.commandDelayMs = hasLateCalls && random.chance(0.3) ? 200 + random.int(1000) : 0;
+            site.timer.after(delayMs, () => site.restart(worker, downMs));
+            site.timer.after(delayMs + downMs + cutAfterMs, () => cutOff(site, worker, lastsMs));
+        }
+        if (killsOwner) {
+            site.timer.after(downMs + random.int(cutAfterMs), () => killOwner(site));
+        }
+    }
+}
+
+describe("workers that restart under their ids while calls are on the way to them", () => {
+    const seeds = Number(process.env["REBORN_SEEDS"] ?? "1");
+    const firstSeed = Number(process.env["REBORN_FIRST_SEED"] ?? "101");
+    const isDefault = process.env["REBORN_FIRST_SEED"] === undefined;
+    const cases = Object.entries(aftermaths).flatMap(([name, aftermath]) =>
+        [
+            ...(isDefault ? aftermath.seeds : []),
+            ...Array.from({ length: seeds }, (_, i) => firstSeed + i),
+        ].map(seed => [name, seed, aftermath] as const)
+    );
+    // Guards against: tasks that run twice, or are lost, after orders for former incarnations have reached new ones.
+    test.each(cases)("run no task twice when they are %s, seed %i", async (_, seed, aftermath) => {
+        expect(await RebornScenario.create(seed, aftermath).play()).toEqual([]);
+    });
+});
