The end of a run counts whichever incarnation of its worker lists it

What callers could see: a task started once more than its queue's attempts allow (BUDGET), a worker counted as lost though its present incarnation had carried the run out, and a run that goes on although its stop was confirmed by the incarnation before. Cause: an end was matched by the incarnation that the run was claimed for. A start order that the present incarnation has carried out, or one of an earlier owner, is on record under the former one; its end did not match, and the run then counted as lost. A confirmed stop was kept although another incarnation reports the run. Evidence: test/reconcile-incarnations.test.ts, two of three cases failed on. Runs of a task are numbered across owners, so that an end with task and number is that run's. The record follows the incarnation that reports the run.

--- a/src/pool/hold-answers.ts
+++ b/src/pool/hold-answers.ts
@@ -134,7 +134,11 @@
     ): void {
         record.lastReading = reading;
         // A start order may have been carried out by a later incarnation than the one that it was meant for.
-        record.workerIncarnation = worker.startedAtMs;
+        if (record.workerIncarnation !== worker.startedAtMs) {
+            record.workerIncarnation = worker.startedAtMs;
+            // It was confirmed by the former incarnation, if at all.
+            delete record.stopConfirmedAt;
+        }
         if (record.start !== StartStatus.Confirmed) {
             record.start = StartStatus.Confirmed;
             record.startedAt = now;
--- a/src/pool/reconcile.ts
+++ b/src/pool/reconcile.ts
@@ -56,7 +56,8 @@
     for (const end of view.ended) {
         lastPosition = Math.max(lastPosition, end.position);
         const record = records.get(end.task);
-        if (record !== undefined && record.run === end.run && matchesIncarnation(record, startedAtMs)) {
+        // Runs are numbered, so that this is the end of the recorded run, whichever incarnation it was meant for.
+        if (record !== undefined && record.run === end.run) {
             matched.add(record);
             ended.push({ record, outcome: end.outcome, saved: end.saved });
         }
@@ -88,15 +89,6 @@
     return { ended, running, orphans, lateSuccesses, lastPosition };
 }
 
-/**
- * Whether a run can belong to the incarnation that responded. A start request without an answer may have been
- * executed by a later incarnation than the one it was sent to.
- */
-function matchesIncarnation(record: RunRecord, startedAtMs: number): boolean {
-    return record.workerIncarnation === startedAtMs || record.start === StartStatus.Uncertain
-        || record.start === StartStatus.Sent;
-}
-
 /** Whether a run that is missing from the response certainly does not exist and cannot start later. */
 function isConfirmedAbsent(record: RunRecord, { sentAt, fence }: ReconcileInput): boolean {
     switch (record.start) {
