A worker gets no runs until the list shows its present incarnation

What callers could see: a run on a worker that lacks a required label or belongs to another pool by now (ROUTE), or beyond its capacity (LIMIT): a new incarnation may be of another kind, even at the same address. Cause: an incarnation that the owner knew from an answer got runs by the capacity, labels and pool in the list's entry of the former one. A run is started only where the listed entry is that of the incarnation that has accepted the owner's token.

--- a/src/pool/pool-rooms.ts
+++ b/src/pool/pool-rooms.ts
@@ -102,7 +102,9 @@
 
 /** Whether a worker may start runs at all, including those that were placed on it before, for which its VM is not moved. */
 export function isAcceptingRuns(worker: WorkerState): boolean {
-    return worker.isListed && worker.hasAcceptedFence && worker.isReachable && !worker.listed.isDraining
+    // Only the entry of the present incarnation tells its capacity and labels.
+    return worker.isListed && worker.listed.startedAtMs === worker.startedAtMs && worker.hasAcceptedFence
+        && worker.isReachable && !worker.listed.isDraining
         && !worker.isLeaseBlocked;
 }
 
--- a/test/reconcile-incarnations.test.ts
+++ b/test/reconcile-incarnations.test.ts
@@ -1,14 +1,32 @@
-/** What a worker's answer tells of runs that were meant for another incarnation of it. */
+/** What a worker's answer tells of runs that were meant for another incarnation of it, or do not fit one answer. */
 import { describe, expect, test } from "vitest";
 import { claimTask, initialState, RunEnd } from "../src/job/index.js";
 import { JobRegistry } from "../src/pool/job-registry.js";
+import { isAcceptingRuns } from "../src/pool/plan-starts.js";
+import type { ListedWorker } from "../src/pool/ports.js";
 import { reconcile } from "../src/pool/reconcile.js";
 import { type RunRecord, StartStatus } from "../src/pool/records.js";
+import { WorkerRegistry } from "../src/pool/worker-registry.js";
 import { jobOf } from "../standin/site/site.js";
 
 const formerMs = 10;
 const presentMs = 20;
 
+function listed(startedAtMs: number): ListedWorker {
+    return {
+        id: "w-1",
+        pool: "bench",
+        address: "w-1",
+        zone: "z",
+        labels: [],
+        capacity: { cpu: 4000, memory: 4000, accelerators: 0 },
+        isDraining: false,
+        remainingMs: 0,
+        startedAtMs,
+        report: 1,
+    };
+}
+
 /** Claimed runs of tasks that were meant for the former incarnation. */
 function recordsOf(tasks: number, start: StartStatus): ReadonlyMap<string, RunRecord> {
     const jobs = JobRegistry.create();
@@ -50,3 +68,17 @@
         },
     );
 });
+
+describe("a worker whose present incarnation is not listed yet", () => {
+    // Guards against: starts by the labels, pool and capacity of the former incarnation (ROUTE, LIMIT).
+    test("gets no runs", () => {
+        const workers = WorkerRegistry.create({ inheritedLeasesUntil: -Infinity });
+        workers.update([listed(formerMs)], 0);
+        const worker = workers.byId.get("w-1")!;
+        workers.updateIncarnation(worker, presentMs);
+        Object.assign(worker, { hasAcceptedFence: true, isReachable: true });
+        expect(isAcceptingRuns(worker)).toBe(false);
+        workers.update([listed(presentMs)], 1000);
+        expect(isAcceptingRuns(worker)).toBe(true);
+    });
+});
