A run whose end is on the next page of a worker's ends is not taken as lost

What callers could see: a task that ran again after its `done` (TWICE), once a worker had listed 500 ends that were applied and not yet stored. Cause: the limit of a page was compared with the ends that were new to the owner, so that a full page of applied ends counted as a complete answer, and each run that it did not name as absent. Evidence: the new case of test/reconcile-incarnations.test.ts failed before. The limit is compared with all ends of the answer.

--- a/src/pool/hold-answers.ts
+++ b/src/pool/hold-answers.ts
@@ -82,11 +82,13 @@
         worker.reportRequestedAt = Math.max(worker.reportRequestedAt, sentAt);
         worker.reportClockMs = Math.max(worker.reportClockMs, answer.clockMs);
         markReachable(worker);
+        const ended = answer.ended.filter(end => end.position > worker.appliedPosition);
         const found = reconcile({
             startedAtMs: worker.startedAtMs,
             fence,
             running: answer.running,
-            ended: answer.ended.filter(end => end.position > worker.appliedPosition),
+            ended,
+            appliedCount: answer.ended.length - ended.length,
             lastPosition: worker.appliedPosition,
             sentAt,
             records: worker.runs,
--- a/src/pool/reconcile.ts
+++ b/src/pool/reconcile.ts
@@ -34,7 +34,10 @@
     /** Fencing token of the request, below which the worker rejects orders from then on. */
     readonly fence: number;
     readonly running: readonly RunningRun[];
+    /** Ends that were not applied before this response. */
     readonly ended: readonly EndedRun[];
+    /** Number of ends in the response that were applied before. */
+    readonly appliedCount: number;
     /** Last position applied before this response. */
     readonly lastPosition: number;
     /** Monotonic time at which the request was sent. Starts and stops confirmed by then must show in the response. */
@@ -77,7 +80,7 @@
             orphans.push(report);
         }
     }
-    if (view.ended.length < maxEndsPerResponse) {
+    if (view.ended.length + view.appliedCount < maxEndsPerResponse) {
         for (const record of records.values()) {
             if (!matched.has(record) && isConfirmedAbsent(record, view)) {
                 const hasWorkerEnded = record.workerIncarnation !== startedAtMs;
--- a/test/reconcile-incarnations.test.ts
+++ b/test/reconcile-incarnations.test.ts
@@ -4,7 +4,7 @@
 import { JobRegistry } from "../src/pool/job-registry.js";
 import { isAcceptingRuns } from "../src/pool/plan-starts.js";
 import type { ListedWorker } from "../src/pool/ports.js";
-import { reconcile } from "../src/pool/reconcile.js";
+import { maxEndsPerResponse, reconcile } from "../src/pool/reconcile.js";
 import { type RunRecord, StartStatus } from "../src/pool/records.js";
 import { WorkerRegistry } from "../src/pool/worker-registry.js";
 import { jobOf } from "../standin/site/site.js";
@@ -46,6 +46,7 @@
     running: [],
     lastPosition: 0,
     sentAt: 100,
+    appliedCount: 0,
 };
 
 describe("an end that the present incarnation of a worker lists", () => {
@@ -69,6 +70,21 @@
     );
 });
 
+describe("a run that a full page of ends does not name", () => {
+    // Guards against: a run whose end is on the next page counts as lost while all ends of this one are applied already (TWICE).
+    test("is not taken as lost when all ends of the page have been applied before", () => {
+        const records = recordsOf(1, StartStatus.Confirmed);
+        const found = reconcile({
+            ...answer,
+            startedAtMs: formerMs,
+            ended: [],
+            appliedCount: maxEndsPerResponse,
+            records,
+        });
+        expect(found.ended).toEqual([]);
+    });
+});
+
 describe("a worker whose present incarnation is not listed yet", () => {
     // Guards against: starts by the labels, pool and capacity of the former incarnation (ROUTE, LIMIT).
     test("gets no runs", () => {
