Requests to a worker whose incarnation is in doubt acknowledge no ends

What callers could see: a task that ran again after its `done` (TWICE): ends of a new incarnation that have positions up to those acknowledged to the former one were forgotten unread. Cause: probes, and holds of workers that do not answer or have not accepted the owner's token yet, carried the former incarnation's acknowledged position. Only a hold that renews leases acknowledges ends; the next one of an incarnation that answers does.

--- a/src/pool/worker-monitor.ts
+++ b/src/pool/worker-monitor.ts
@@ -52,7 +52,7 @@
     /** Requests a worker's runs without waiting, in addition to the hold request that is pending there. */
     probe(worker: WorkerState): void {
         const sent = this.describeHold(worker);
-        const order = { fence: sent.fence, acknowledged: worker.storedPosition, waitMs: 0 };
+        const order = { fence: sent.fence, acknowledged: 0, waitMs: 0 };
         void this.ctx.options.calls.hold(targetOf(worker), order).then(result => {
             if (result.kind !== "held" || !this.ctx.isActive) {
                 return;
@@ -246,7 +246,8 @@
             && !worker.isLeaseBlocked;
         const result = await calls.hold(targetOf(worker), {
             fence: sent.fence,
-            acknowledged: worker.storedPosition,
+            // The ends of another incarnation that may be there have other positions.
+            acknowledged: renews ? worker.storedPosition : 0,
             waitMs: renews ? this.waitMsFor(worker) : 0,
             ...(renews && { leaseUntil: worker.lease.grant(times.leaseMs, sent.sentAt) }),
         });
--- a/test/reborn-workers.test.ts
+++ b/test/reborn-workers.test.ts
@@ -1,5 +1,5 @@
 /** Workers that start again under their ids while calls for their former incarnations are on the way. */
-import { describe, expect, test } from "vitest";
+import { describe, expect, test, vi } from "vitest";
 import type { JobSpec } from "../src/job/index.js";
 import { Random } from "../src/process/random.js";
 import { jobOf, type StandinEntry, StandinSite } from "../standin/site/site.js";
@@ -172,6 +172,22 @@
         expect(site.checker.violations).toEqual([]);
         expect(await site.runUntilSettled(site.phaseOf(availableEntry(site)!, "j1"))).toBe("succeeded");
     });
+
+    // Guards against: a request to a worker that may have started again makes it forget ends that nobody has read.
+    test("acknowledges no end while the owner can't tell which incarnation is there", async () => {
+        const site = await createSite();
+        await submit(site, "short", job, shortMs);
+        await site.timer.advance(1000);
+        const worker = site.workers[0]!;
+        const hold = vi.spyOn(worker, "hold");
+        worker.faults.isUnreachable = true;
+        await site.timer.advance(4000);
+        worker.faults.isUnreachable = false;
+        await site.timer.advance(2000);
+        const requests = hold.mock.calls.map(([request]) => request);
+        expect(requests.some(({ acknowledged }) => acknowledged > 0)).toBe(true);
+        expect(requests.filter(({ waitMs, acknowledged }) => waitMs === 0 && acknowledged > 0)).toEqual([]);
+    });
 });
 
 /** What follows the return of the workers of a zone. */
