--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -1,17 +1,9 @@
 /** Starts and stops runs on workers, and applies their ends. */
 import { RunEnd, TaskPhase } from "../job/index.js";
 import { EventId, Severity } from "../process/events.js";
-import {
-    type AnsweringIncarnation,
-    type IntendedIncarnation,
-    intendedIncarnation,
-    isForeignAnswer,
-    OrderKind,
-    recordForeignAnswer,
-} from "./foreign-answers.js";
-import type { LeaseClock } from "./lease.js";
+import { intendedIncarnation } from "./foreign-answers.js";
 import { isAcceptingRuns, mayFill } from "./plan-starts.js";
-import { type EndedRun, type StartRequest, type StartResult, WorkerRefusal } from "./ports.js";
+import type { EndedRun, StartRequest } from "./ports.js";
 import type { ConfirmedEnd } from "./reconcile.js";
 import {
     isTested,
@@ -22,36 +14,30 @@
     StopReason,
     taskOf,
 } from "./records.js";
-import { recordForeignStart, recordStartSent, recordStartUncertain } from "./run-leases.js";
+import { recordStartSent } from "./run-leases.js";
 import { attributeEnd } from "./run-losses.js";
 import { updateStatistics } from "./run-statistics.js";
 import { RunStopper } from "./run-stopper.js";
 import { StartQueue } from "./start-queue.js";
-import { TakeoverPhase } from "./takeover-phases.js";
+import { isAnswer, StartResults } from "./start-results.js";
 import { queueOf, targetOf, type TenureContext } from "./tenure-context.js";
 import { Liveness } from "./worker-liveness.js";
-import { markUnreachable, type WorkerState } from "./worker-registry.js";
-
-/** Time for which nothing is placed on a worker after it refused or did not answer, by cause. */
-const backoffMs = { noRoom: 200, unhealthy: 1000, unanswered: 500 } as const;
-
-/** What the owner knew of a worker when it sent a start order. */
-interface SentStart {
-    readonly lease: LeaseClock;
-    readonly meantFor: IntendedIncarnation;
-}
+import type { WorkerState } from "./worker-registry.js";
 
 /** Sends the owner's start and stop requests for runs. */
 export class RunDispatcher {
     private readonly queue: StartQueue;
     private readonly stopper: RunStopper;
+    private readonly startResults: StartResults;
 
-    constructor(
-        private readonly ctx: TenureContext,
-        private readonly probeWorker: (worker: WorkerState) => void,
-    ) {
+    constructor(private readonly ctx: TenureContext, probeWorker: (worker: WorkerState) => void) {
         this.queue = StartQueue.create(ctx.options);
         this.stopper = new RunStopper(ctx, probeWorker);
+        this.startResults = new StartResults(ctx, {
+            probeWorker,
+            applyEnd: end => this.applyEnd(end),
+            sendStop: record => this.sendStop(record),
+        });
     }
 
     /** Number of claimed runs that are not started yet. */
@@ -214,7 +200,7 @@
         this.queue.recordEnded({ ms: timer.now() - sentAt, isAnswered: isAnswer(result) });
         this.sendQueuedStarts();
         if (this.ctx.isActive && this.ctx.jobs.runs.get(record.name) === record) {
-            this.applyStartResult(record, worker, result, sent);
+            this.startResults.apply(record, worker, result, sent);
         }
     }
 
@@ -240,127 +226,8 @@
         return isEvacuated;
     }
 
-    private applyStartResult(
-        record: RunRecord,
-        worker: WorkerState,
-        result: StartResult,
-        { lease, meantFor }: SentStart,
-    ): void {
-        const { timer, metrics, log } = this.ctx.options;
-        const now = timer.now();
-        switch (result.kind) {
-            case "started":
-                if (isForeignAnswer(meantFor, result, now)) {
-                    this.applyForeignStart(record, worker, result, meantFor);
-                    return;
-                }
-                // The answer may be that of a former incarnation by now, whose clock says nothing of the present one.
-                lease.recordClock(result.clockMs, now);
-                if (record.start === StartStatus.Sent) {
-                    record.start = StartStatus.Confirmed;
-                    record.startedAt = now;
-                    record.progressedAt = now;
-                }
-                metrics.count("celerywind_runs_started_total");
-                this.ctx.phases.reach(TakeoverPhase.FirstStart);
-                metrics.observe(
-                    "celerywind_first_start_ms",
-                    this.ctx.clock.wallMs() - record.entry.job.acceptedAtMs,
-                    { queue: record.entry.job.queue },
-                );
-                this.sendStop(record);
-                return;
-            case "refused":
-                log.write(Severity.Warn, EventId.RunRefused, {
-                    task: record.name,
-                    run: record.run,
-                    worker: worker.id,
-                    reason: result.reason,
-                });
-                metrics.count("celerywind_runs_refused_total", { reason: result.reason });
-                if (record.startFence === worker.fence) {
-                    this.backOffAfterRefusal(worker, result.reason);
-                }
-                if (result.reason === WorkerRefusal.TicketInvalid) {
-                    this.ctx.advice.invalidateStep(record);
-                }
-                this.applyEnd({ record, outcome: RunEnd.Lost, saved: "" });
-                return;
-            case "unknown":
-                log.write(Severity.Warn, EventId.RunUncertain, {
-                    task: record.name,
-                    run: record.run,
-                    worker: worker.id,
-                    reason: result.reason,
-                });
-                metrics.count("celerywind_runs_uncertain_total");
-                worker.backoffUntil = now + backoffMs.unanswered;
-                if (record.start === StartStatus.Sent) {
-                    recordStartUncertain(record, worker);
-                    record.stopReason ??= StopReason.StartUncertain;
-                    this.sendStop(record);
-                }
-        }
-    }
-
-    /**
-     * Applies the answer of another incarnation than the one that the start was meant for: the run is there, under a lease that
-     * is bound by the platform's longest one only. The worker's next report tells which incarnation that is.
-     */
-    private applyForeignStart(
-        record: RunRecord,
-        worker: WorkerState,
-        answer: AnsweringIncarnation,
-        meantFor: IntendedIncarnation,
-    ): void {
-        const { timer, times } = this.ctx.options;
-        recordForeignAnswer(this.ctx, worker, OrderKind.Start, meantFor, answer);
-        if (record.start === StartStatus.Sent) {
-            recordForeignStart(record, worker, timer.now(), times);
-            this.probeWorker(worker);
-        }
-    }
-
-    private backOffAfterRefusal(worker: WorkerState, reason: WorkerRefusal): void {
-        const now = this.ctx.options.timer.now();
-        switch (reason) {
-            case WorkerRefusal.Fenced:
-                void this.ctx.confirm();
-                worker.backoffUntil = now + backoffMs.unanswered;
-                return;
-            case WorkerRefusal.NoCapacity:
-                worker.backoffUntil = now + backoffMs.noRoom;
-                return;
-            case WorkerRefusal.Unhealthy:
-                worker.backoffUntil = now + backoffMs.unhealthy;
-                return;
-            case WorkerRefusal.WrongIncarnation:
-            case WorkerRefusal.NotSent:
-                markUnreachable(worker, now);
-                worker.backoffUntil = now + backoffMs.unanswered;
-                return;
-            case WorkerRefusal.Superseded:
-            case WorkerRefusal.LeaseExpired:
-            case WorkerRefusal.Malformed:
-            case WorkerRefusal.TicketInvalid:
-                worker.backoffUntil = now + backoffMs.noRoom;
-        }
-    }
-
     private maxFailuresOf({ job }: JobEntry): number {
         this.ctx.knownLists.record(this.ctx.options.directory());
         return this.ctx.knownLists.maxAttemptsOf(job.queue);
     }
 }
-
-/** Whether a result shows that the worker has answered. */
-function isAnswer(result: StartResult): boolean {
-    switch (result.kind) {
-        case "started":
-            return true;
-        case "refused":
-            return result.reason !== WorkerRefusal.NotSent;
-        case "unknown":
-            return false;
-    }
-}
