No row of lease bounds is written while no order may have met another incarnation

Cause: a worker was named whose bound exceeded the usual one, which the owner's own grants do by up to 1.02 ms, as they are rounded up. Only bounds that orders for another incarnation may have set count now, so no margin is needed. A row inherited from an entry that records none is replaced by the first one.

--- a/src/pool/lease-bounds-recorder.ts
+++ b/src/pool/lease-bounds-recorder.ts
@@ -63,7 +63,9 @@
         }));
         this.startedAt = now;
         this.recordedAt = now;
-        this.hasNamedAny = inherited.owners.length > 0 || inherited.workers.length > 0;
+        // A row of an entry that records no raised bounds has to be replaced, too.
+        this.hasNamedAny = inherited.owners.length > 0 || inherited.workers.length > 0
+            || inherited.raised === undefined;
     }
 
     static create(options: LeaseBoundsRecorderOptions): LeaseBoundsRecorder {
@@ -148,7 +150,10 @@
         const usualMs = longestRemainingMs({ owners: remainingOwners, raised: [] }, times);
         return [...workers.byId.values()]
             .filter(worker => worker.runs.size > 0)
-            .map(worker => ({ worker: worker.id, remainingMs: boundOf(worker, now).remainingMs }))
+            .map(({ id, lease, uncertainUntil }) => ({
+                worker: id,
+                remainingMs: Math.max(lease.raisedUntil, uncertainUntil) - now,
+            }))
             .filter(({ remainingMs }) => remainingMs > usualMs);
     }
 
--- a/src/pool/lease.ts
+++ b/src/pool/lease.ts
@@ -17,7 +17,7 @@
     private clockReadAt = -Infinity;
     private grantedUntil = 0;
 
-    private constructor(private inheritedUntil: number, private raisedUntil: number) {}
+    private constructor(private inheritedUntil: number, private raised: number) {}
 
     /**
      * `inheritedUntil`: local time by which all leases granted by earlier owners have expired. `raisedUntil`: local time by which
@@ -65,7 +65,12 @@
         const ownBound = this.grantedUntil === 0
             ? -Infinity
             : this.clockReadAt + remainingMs / (1 - maxClockDrift) + clockRoundingMs;
-        return Math.max(ownBound, this.inheritedUntil, this.raisedUntil);
+        return Math.max(ownBound, this.inheritedUntil, this.raised);
+    }
+
+    /** Local time by which the leases have expired that orders for another incarnation may have set. */
+    get raisedUntil(): number {
+        return this.raised;
     }
 
     /** Lowers the bound on leases of earlier owners, once the previous owner is known to send no more orders. */
@@ -82,7 +87,7 @@
     applyFirstFence(clockMs: number, now: number, { leaseMs, longestLeaseMs }: LeaseDurations): void {
         this.recordClock(clockMs, now);
         this.tightenInheritedBound(now + maxLeaseDurationMs(leaseMs));
-        this.raisedUntil = clockMs < maxOrderDelayMs ? now + maxLeaseDurationMs(longestLeaseMs) : -Infinity;
+        this.raised = clockMs < maxOrderDelayMs ? now + maxLeaseDurationMs(longestLeaseMs) : -Infinity;
     }
 }
 
