A run whose start is not confirmed is bound by the last order that may have set its lease

Change: the bound counts from the last order with a lease; it is dropped when the list shows that the incarnation that the start was meant for has outlived it, or no longer has the worker of a service. Acknowledgements are repeated only until a hold that carried them is answered, so that hardly any order can make another incarnation forget ends; a restart is probed once.

--- a/src/pool/records.ts
+++ b/src/pool/records.ts
@@ -41,11 +41,10 @@
     start: StartStatus;
     /** Fencing token of its start order; undefined unless this owner has sent one. */
     startFence?: number;
-    /**
-     * Monotonic time by which any lease has ended that the start order may have set at an incarnation of the worker that is not
-     * known, in milliseconds; undefined unless this owner has sent one.
-     */
-    unknownLeaseUntil?: number;
+    /** Monotonic time at which this owner has sent the start order, in milliseconds; undefined unless it has. */
+    startSentAt?: number;
+    /** Monotonic time at which another incarnation than the one that it was meant for has confirmed it, in milliseconds. */
+    foreignAnswerAt?: number;
     /** Ticket of the placement adviser for its start; undefined if its queue needs none. */
     ticket?: string;
     /** Monotonic time of the claim, in milliseconds. */
--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -193,7 +193,7 @@
             ...(record.ticket !== undefined && { ticket: record.ticket }),
         };
         const sentAt = timer.now();
-        recordStartSent(record, worker, sentAt, times);
+        recordStartSent(record, worker, sentAt);
         const sent = { lease: worker.lease, meantFor: intendedIncarnation(worker, sentAt) };
         this.queue.recordSent();
         const result = await calls.start(targetOf(worker), order);
--- a/src/pool/run-monitor.ts
+++ b/src/pool/run-monitor.ts
@@ -86,11 +86,15 @@
 
     /** Ends the runs of workers whose leases have ended without an answer. */
     private endRunsOnLostWorkers(now: number): void {
+        const evidence = {
+            times: this.ctx.options.times,
+            isListComplete: this.ctx.liveness.isListComplete,
+        };
         for (const worker of this.ctx.workers.byId.values()) {
             if (!worker.isReachable && worker.runs.size > 0 && now >= worker.lease.latestEnd()) {
                 const lost = [...worker.runs.values()].filter(record =>
                     record.start !== StartStatus.Recorded && !mayStartLate(record, worker)
-                    && now >= leaseEndOf(record, worker, this.ctx.options.times)
+                    && now >= leaseEndOf(record, worker, evidence)
                 );
                 this.dispatcher.applyEnds(
                     lost.map(record => ({ record, outcome: RunEnd.WorkerLost, saved: "" })),
--- a/src/pool/start-results.ts
+++ b/src/pool/start-results.ts
@@ -37,6 +37,9 @@
 
 /** Applies the results of start orders during one tenure. */
 export class StartResults {
+    /** Fencing tokens under which workers were probed since another incarnation had answered a start. */
+    private readonly probedFences = new WeakMap<WorkerState, number>();
+
     constructor(private readonly ctx: TenureContext, private readonly actions: StartResultActions) {}
 
     /** Applies the result of a start order. */
@@ -46,7 +49,7 @@
         result: StartResult,
         { lease, meantFor }: SentStart,
     ): void {
-        const { timer, metrics, log } = this.ctx.options;
+        const { timer, times, metrics, log } = this.ctx.options;
         const now = timer.now();
         switch (result.kind) {
             case "started":
@@ -96,7 +99,7 @@
                 metrics.count("celerywind_runs_uncertain_total");
                 worker.backoffUntil = now + backoffMs.unanswered;
                 if (record.start === StartStatus.Sent) {
-                    recordStartUncertain(record, worker);
+                    recordStartUncertain(record, worker, times);
                     record.stopReason ??= StopReason.StartUncertain;
                     this.actions.sendStop(record);
                 }
@@ -117,7 +120,12 @@
         recordForeignAnswer(this.ctx, worker, OrderKind.Start, meantFor, answer);
         if (record.start === StartStatus.Sent) {
             recordForeignStart(record, worker, timer.now(), times);
-            this.actions.probeWorker(worker);
+            // Stores the longer bound for the next owner.
+            this.ctx.requestRound();
+            if (this.probedFences.get(worker) !== worker.fence) {
+                this.probedFences.set(worker, worker.fence);
+                this.actions.probeWorker(worker);
+            }
         }
     }
 
--- a/src/pool/worker-monitor.ts
+++ b/src/pool/worker-monitor.ts
@@ -33,6 +33,8 @@
     private readonly polledWorkers = new Set<string>();
     private readonly storeWaiters: (() => void)[] = [];
     private readonly answers: HoldAnswers;
+    /** Fencing tokens under which workers were probed since a new incarnation was known. */
+    private readonly probedFences = new WeakMap<WorkerState, number>();
     private fastPollUntil = -Infinity;
 
     constructor(private readonly ctx: TenureContext, private readonly dispatcher: RunDispatcher) {
@@ -59,8 +61,7 @@
             }
             this.answers.apply(worker, result, sent);
             if (worker.fence !== sent.fence) {
-                // The answer tells of another incarnation; the one to the next request tells what that has.
-                this.probe(worker);
+                this.probeNewIncarnation(worker);
                 return;
             }
             [...worker.runs.values()].filter(({ step }) => step.isService)
@@ -68,6 +69,14 @@
         });
     }
 
+    /** Probes a worker whose present incarnation is known from an answer, once: its own answer tells what it has. */
+    private probeNewIncarnation(worker: WorkerState): void {
+        if (this.probedFences.get(worker) !== worker.fence) {
+            this.probedFences.set(worker, worker.fence);
+            this.probe(worker);
+        }
+    }
+
     private describeHold(worker: WorkerState): SentHold {
         const sentAt = this.ctx.options.timer.now();
         return { sentAt, fence: worker.fence, meantFor: intendedIncarnation(worker, sentAt) };
@@ -141,7 +150,7 @@
                 }
                 else if (restarted.has(worker) && this.ctx.mayOrder()) {
                     // The hold request that is pending was meant for the former incarnation.
-                    this.probe(worker);
+                    this.probeNewIncarnation(worker);
                 }
             }
             if (worker.listed.isDraining) {
@@ -244,16 +253,25 @@
         // An unreachable worker gets no new lease; otherwise its runs could never be declared lost.
         const renews = worker.hasAcceptedFence && worker.isReachable && worker.lease.isClockKnown
             && !worker.isLeaseBlocked;
+        if (renews) {
+            worker.leaseSentAt = sent.sentAt;
+        }
+        // Sent until it is answered, and only to a worker that answers: another incarnation's ends have other positions.
+        const acknowledged = renews && worker.storedPosition > worker.acknowledgedPosition
+            ? worker.storedPosition
+            : 0;
         const result = await calls.hold(targetOf(worker), {
             fence: sent.fence,
-            // The ends of another incarnation that may be there have other positions.
-            acknowledged: renews ? worker.storedPosition : 0,
+            acknowledged,
             waitMs: renews ? this.waitMsFor(worker) : 0,
             ...(renews && { leaseUntil: worker.lease.grant(times.leaseMs, sent.sentAt) }),
         });
         metrics.count("celerywind_holds_total", { result: result.kind });
         if (result.kind === "held" && this.ctx.isActive) {
             this.answers.apply(worker, result, sent);
+            if (worker.fence === sent.fence) {
+                worker.acknowledgedPosition = Math.max(worker.acknowledgedPosition, acknowledged);
+            }
         }
         return result;
     }
--- a/src/pool/worker-registry.ts
+++ b/src/pool/worker-registry.ts
@@ -181,6 +181,7 @@
         worker.reportClockMs = 0;
         worker.appliedPosition = 0;
         worker.storedPosition = 0;
+        worker.acknowledgedPosition = 0;
         worker.consecutiveFailures = 0;
         worker.slowdownFactor = 1;
     }
@@ -268,6 +269,8 @@
             hasOrphans: false,
             startedAtMs: listed.startedAtMs,
             uncertainUntil: -Infinity,
+            leaseSentAt: -Infinity,
+            acknowledgedPosition: 0,
             fence: this.firstFence,
             lease: LeaseClock.create(this.inheritedBoundOf(listed), this.raisedUntil.get(listed.id)),
             isLeaseBlocked: this.blockedIncarnations.has(incarnationKey(listed)),
--- a/src/pool/worker-state.ts
+++ b/src/pool/worker-state.ts
@@ -25,6 +25,10 @@
      * milliseconds; -Infinity once an incarnation has accepted a higher fence than theirs.
      */
     uncertainUntil: number;
+    /** Monotonic time at which the last order with a lease was sent, to any incarnation, in milliseconds. */
+    leaseSentAt: number;
+    /** Highest position that an answered hold request has acknowledged to this incarnation. */
+    acknowledgedPosition: number;
     /** Fencing token of the orders to this incarnation, above that of all orders to its former ones. */
     fence: number;
     /** Whether stored bounds promise the next owner that this incarnation is granted no lease. */
--- a/standin/site/worker.ts
+++ b/standin/site/worker.ts
@@ -229,6 +229,11 @@
         this.faults.isReportStale = true;
     }
 
+    /** Sends no more reports to the list, which drops its entry after a while; its runs go on. */
+    stopReporting(): void {
+        this.darkSince = this.timer.now();
+    }
+
     get clockMs(): number {
         return Math.floor((this.timer.now() - this.startedAtMonotonicMs) * clockRate);
     }
--- a/test/reborn-workers.test.ts
+++ b/test/reborn-workers.test.ts
@@ -1,6 +1,7 @@
 /** Workers that start again under their ids while calls for their former incarnations are on the way. */
 import { describe, expect, test, vi } from "vitest";
 import type { JobSpec } from "../src/job/index.js";
+import { leaseBoundsKey } from "../src/pool/lease-bounds.js";
 import { Random } from "../src/process/random.js";
 import { jobOf, type StandinEntry, StandinSite } from "../standin/site/site.js";
 import { CallKind } from "../standin/site/worker-calls.js";
@@ -190,6 +191,67 @@
     });
 });
 
+describe("an owner that can't tell which incarnation has carried out a start", () => {
+    const capacityOf = { vmsPerPool: 3, capacity };
+
+    // Guards against: a service that is missing beyond the users' 7 s because its worker was lost with an unanswered start.
+    test.each([1, 2, 3])(
+        "starts a service again within 7 s if the worker never returns, seed %i",
+        async seed => {
+            const site = StandinSite.create({ ...capacityOf, seed });
+            await site.start(lists);
+            await site.timer.advance(10_000);
+            site.darken(site.workers[0]!, 600_000);
+            const spec = jobOf({ tasks: 2 * cores, isService: true });
+            void site.submit(availableEntry(site)!, "j1", spec, { workMs: longMs });
+            await site.timer.advance(7000);
+            expect(site.workers.reduce((sum, { running }) => sum + running.size, 0)).toBe(2 * cores);
+            expect(site.checker.violations).toEqual([]);
+        },
+    );
+
+    // Guards against: a lease that a later misdelivered order extends beyond the bound of the run that an earlier one has started.
+    test.each([[500, 1], [1000, 1], [1900, 1], [500, 2], [1000, 2], [1900, 2]])(
+        "waits for all orders that may have extended its lease (late by %i ms, cut off after %i ms)",
+        async (lateMs, cutAfterMs) => {
+            const site = StandinSite.create(capacityOf);
+            await site.start(lists);
+            await site.timer.advance(10_000);
+            const worker = site.workers[0]!;
+            worker.faults.commandDelayMs = lateMs;
+            void site.submit(availableEntry(site)!, "a", jobOf({ tasks: 3 }), { workMs: 2 * longMs });
+            await site.timer.advance(60);
+            worker.faults.commandDelayMs = 0;
+            site.restart(worker, 100, 60_000);
+            void site.submit(availableEntry(site)!, "b", jobOf({ tasks: cores }), { workMs: 2 * longMs });
+            await site.timer.advance(100 + cutAfterMs);
+            const next = site.workers.find(({ id }) => id === worker.id)!;
+            // Cut off from the store, too, so that the list never shows it.
+            next.faults.isReportStale = true;
+            next.stopReporting();
+            cutOff(site, next, 20_000);
+            await site.timer.advance(30_000);
+            expect(site.checker.violations).toEqual([]);
+        },
+    );
+
+    // Guards against: rows of lease bounds, in each batch or alone, while no worker has started again.
+    test("stores no bounds while all workers answer", async () => {
+        const site = StandinSite.create({ vmsPerPool: 12, capacity });
+        await site.start(lists);
+        await site.timer.advance(30_000);
+        const key = leaseBoundsKey("main");
+        const versionBefore = site.rows.find(key)?.version;
+        for (let job = 0; job < 40; job++) {
+            void site.submit(availableEntry(site)!, `j${job}`, jobOf({}), {
+                workMs: job % 4 === 0 ? longMs : shortMs,
+            });
+            await site.timer.advance(250);
+        }
+        expect(site.rows.find(key)?.version).toBe(versionBefore);
+    });
+});
+
 /** What follows the return of the workers of a zone. */
 interface Aftermath {
     /** Shortest and longest time from a worker's return until it is cut off, in milliseconds. */
