Wire stand-in and soak: workers restart under their ids while calls for them are held

Cause: as for the virtual site, no fault of the wire stand-in delivered an order that was sent to one incarnation of a worker to the next one.

Change: WirePlatform.restartSilently keeps connections open; calls that wait at the former incarnation are never answered, and those that arrive while the worker is down are delivered to the new one, also when their senders have given up. A new strike of the soak (workers-restart) restarts the workers of a zone and cuts them off up to 2.2 s later.

--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -42,6 +42,8 @@
     WorkerFails = "worker-fails",
     /** Everything on a worker stands still. */
     WorkerHangs = "worker-hangs",
+    /** The workers of a zone restart under their ids within some 100 ms and are cut off soon after. */
+    WorkersRestart = "workers-restart",
     /** A new version of the operator's lists. */
     Lists = "lists",
 }
@@ -55,6 +57,15 @@
     /** Number of the entry or worker, taken modulo how many there are; -1 means all, where all can be meant. */
     readonly at: number;
     readonly link: LinkMode;
+    /** Course of the restart; only with `WorkersRestart`. */
+    readonly restart?: RestartTimes;
+}
+
+/** Course of a restart and the cut that follows it, which lasts until the end of the fault. */
+export interface RestartTimes {
+    readonly downMs: number;
+    /** Time from the return until the cut, in milliseconds. */
+    readonly cutAfterMs: number;
 }
 
 /** Options of `planFaults`. */
@@ -69,6 +80,8 @@
 }
 
 const plannedKinds = [FaultKind.Term, FaultKind.TermAll, FaultKind.Hup, FaultKind.Lists];
+/** Kinds of the faults that are drawn one by one; restarts have a sequence of their own. */
+const drawnKinds = Object.values(FaultKind).filter(kind => kind !== FaultKind.WorkersRestart);
 const harms = [LinkMode.Delayed, LinkMode.Reset, LinkMode.Silent, LinkMode.OneWay];
 const shortestMs = 200;
 const meanLengthMs = 1800;
@@ -79,6 +92,15 @@
 const mostInSeries = 4;
 const allShare = 0.4;
 const targets = 64;
+/** Added to a round's seed, so that its other faults stay those of earlier versions. */
+const restartSeedOffset = 4;
+const meanRestartGapMs = 3000;
+const shortestDownMs = 100;
+const longestDownMs = 600;
+const longestCutDelayMs = 2200;
+/** Longer than a lease that the owner grants, so that it declares the runs lost. */
+const shortestCutMs = 4000;
+const longestCutMs = 6000;
 
 /** Whether a kind of fault is planned work, around which no request may be lost. */
 export function isPlanned(kind: FaultKind): boolean {
@@ -88,8 +110,8 @@
 /** Faults in order of their start. */
 export function planFaults({ seed, lengthMs, meanGapMs, isPlannedOnly }: PlanOptions): readonly Fault[] {
     const random = Random.createFromSmallSeed(seed);
-    const kinds = isPlannedOnly ? plannedKinds : Object.values(FaultKind);
-    const faults: Fault[] = [];
+    const kinds = isPlannedOnly ? plannedKinds : drawnKinds;
+    const faults: Fault[] = isPlannedOnly ? [] : planRestarts(seed, lengthMs);
     for (let at = random.exponential(meanGapMs); at < lengthMs; at += random.exponential(meanGapMs)) {
         const kind = random.pick(kinds);
         const count = random.chance(seriesShare) ? 2 + random.int(mostInSeries - 1) : 1;
@@ -105,3 +127,28 @@
     }
     return faults.filter(({ atMs }) => atMs < lengthMs).sort((a, b) => a.atMs - b.atMs);
 }
+
+/** Restarts one after the other, each of which is over within the traffic. */
+function planRestarts(seed: number, lengthMs: number): Fault[] {
+    const random = Random.createFromSmallSeed(seed + restartSeedOffset);
+    const faults: Fault[] = [];
+    let at = random.exponential(meanRestartGapMs);
+    while (at + longestDownMs + longestCutDelayMs + longestCutMs < lengthMs) {
+        const restart = {
+            downMs: shortestDownMs + random.int(longestDownMs - shortestDownMs),
+            cutAfterMs: random.int(longestCutDelayMs),
+        };
+        const cutMs = shortestCutMs + random.int(longestCutMs - shortestCutMs);
+        const forMs = restart.downMs + restart.cutAfterMs + cutMs;
+        faults.push({
+            kind: FaultKind.WorkersRestart,
+            atMs: Math.floor(at),
+            forMs,
+            at: random.int(targets),
+            link: LinkMode.Silent,
+            restart,
+        });
+        at += forMs + random.exponential(meanRestartGapMs);
+    }
+    return faults;
+}
--- a/soak/strike.ts
+++ b/soak/strike.ts
@@ -86,7 +86,24 @@
                 () => void (worker.incarnation.faults.isHung = true),
                 () => void (worker.incarnation.faults.isHung = false),
             );
+        case FaultKind.WorkersRestart:
+            return restartZone(fault, scene);
         case FaultKind.Lists:
             return writeLists();
     }
 }
+
+/** Restarts the workers of a zone under their ids, and cuts them off when they are back. */
+function restartZone({ at, forMs, link, restart }: Fault, { platform, workerLinks, after }: Scene): void {
+    const { workers } = platform;
+    const { zone } = workers[at % workers.length]!.incarnation;
+    const { downMs, cutAfterMs } = restart!;
+    for (const [number, worker] of workers.entries()) {
+        if (worker.incarnation.zone === zone) {
+            const workerLink = workerLinks[number]!;
+            platform.restartSilently(worker, downMs);
+            after(downMs + cutAfterMs, () => workerLink.set(link));
+            after(forMs, () => workerLink.set(LinkMode.Open));
+        }
+    }
+}
--- a/standin/wire/platform.ts
+++ b/standin/wire/platform.ts
@@ -153,7 +153,7 @@
 
     /** Writes the row of a worker that is alive to the list of workers. */
     sendHeartbeat(worker: WireWorker): void {
-        if (worker.incarnation.isAlive) {
+        if (worker.incarnation.isAlive && !worker.isDown) {
             this.rows.write(
                 { table: "servers", part: "", key: worker.id },
                 JSON.stringify(worker.registrationRow()),
@@ -182,6 +182,23 @@
         this.sendHeartbeat(worker);
     }
 
+    /**
+     * Restarts a worker under its id after `downMs`. Calls that arrive meanwhile are delivered to the new incarnation, which the
+     * list shows from its first heartbeat on.
+     */
+    restartSilently(worker: WireWorker, downMs: number): void {
+        if (!worker.incarnation.isAlive || worker.isDown) {
+            return;
+        }
+        this.checker.recordCrash(worker.incarnation);
+        worker.goDown();
+        this.timer.after(downMs, () => {
+            if (worker.isDown) {
+                worker.restart();
+            }
+        });
+    }
+
     private maintainVm(body: Record<string, unknown>): Answer {
         const machine = String(body["machine"]);
         const wave = this.waves.get(Number(body["wave"]));
--- a/standin/wire/worker.ts
+++ b/standin/wire/worker.ts
@@ -1,4 +1,4 @@
-/** A worker that serves the platform protocol over HTTP. After a crash it keeps its id and address. */
+/** A worker that serves the platform protocol over HTTP. After a crash or a restart it keeps its id and address. */
 import type { IncomingMessage, Server } from "node:http";
 import { type HoldRequest, type HoldResult, type StartRequest, WorkerRefusal } from "../../src/pool/ports.js";
 import type { StandinWorker } from "../site/worker.js";
@@ -29,6 +29,8 @@
     server!: Server;
     /** Address in the list of workers; a test may set it to that of a proxy that injects network faults. */
     listedAddress = "";
+    /** Resumes the calls that wait for the next incarnation; undefined unless it is down for a restart. */
+    private heldCalls: (() => void)[] | undefined;
 
     private constructor(private readonly options: WireWorkerOptions) {
         this.incarnation = options.createIncarnation();
@@ -50,16 +52,51 @@
         return this.options.id;
     }
 
+    /** Whether it is down for a restart. */
+    get isDown(): boolean {
+        return this.heldCalls !== undefined;
+    }
+
     /** Ends the incarnation and its runs; calls receive no response until `restart`. */
     crash(): void {
         this.incarnation.terminate();
         this.server.closeAllConnections();
+        this.resumeCalls();
+    }
+
+    /**
+     * Ends the incarnation and its runs without a trace: connections stay open, calls that wait there are never answered, and
+     * those that arrive until `restart` wait for the next incarnation.
+     */
+    goDown(): void {
+        this.incarnation.vanish();
+        this.heldCalls ??= [];
     }
 
-    /** Starts the next incarnation, which keeps no state of the one before. */
+    /** Starts the next incarnation, which keeps no state of the one before and receives the calls that wait for it. */
     restart(): void {
         this.incarnation.terminate();
         this.incarnation = this.options.createIncarnation();
+        this.resumeCalls();
+    }
+
+    private resumeCalls(): void {
+        const held = this.heldCalls ?? [];
+        this.heldCalls = undefined;
+        held.forEach(resume => resume());
+    }
+
+    /** The incarnation that receives a call that has arrived, once it is not down; undefined if it has crashed. */
+    private async receiver(): Promise<StandinWorker | undefined> {
+        await new Promise<void>(resolve => {
+            if (this.heldCalls === undefined) {
+                resolve();
+            }
+            else {
+                this.heldCalls.push(resolve);
+            }
+        });
+        return this.incarnation.isAlive ? this.incarnation : undefined;
     }
 
     /** The row in the list of workers. */
@@ -87,9 +124,9 @@
         return { "clock-ms": this.incarnation.clockMs };
     }
 
-    private start(body: Record<string, unknown>, req: IncomingMessage): Answer {
-        const { incarnation } = this;
-        if (!incarnation.isAlive) {
+    private async start(body: Record<string, unknown>, req: IncomingMessage): Promise<Answer> {
+        const incarnation = await this.receiver();
+        if (incarnation === undefined) {
             return undefined;
         }
         if (req.headers["celerywind-target-instance"] !== this.id) {
@@ -109,11 +146,12 @@
             : [200, this.clockFields];
     }
 
-    private stop(body: Record<string, unknown>): Answer {
-        if (!this.incarnation.isAlive) {
+    private async stop(body: Record<string, unknown>): Promise<Answer> {
+        const incarnation = await this.receiver();
+        if (incarnation === undefined) {
             return undefined;
         }
-        const { kind } = this.incarnation.stop(
+        const { kind } = incarnation.stop(
             String(body["task"]),
             Number(body["run"]),
             Number(body["fence"]),
@@ -122,8 +160,8 @@
     }
 
     private async hold(body: Record<string, unknown>): Promise<Answer> {
-        const { incarnation } = this;
-        if (!incarnation.isAlive) {
+        const incarnation = await this.receiver();
+        if (incarnation === undefined) {
             return undefined;
         }
         const until = body["deadline-ms"];
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -162,6 +162,24 @@
         expect(new Set(firstFaultTimes).size).toBe(4);
         expect([1, 2, 3, 4].every(seed => plan(seed).length > 5)).toBe(true);
     });
+
+    // Guards against: a restart whose cut outlasts the traffic, or one in a round whose calls are judged without excuse.
+    test("restart workers under their ids within the traffic, but not among planned work", () => {
+        const lengthMs = 15_000;
+        const seeds = Array.from({ length: 100 }, (_, seed) => seed);
+        const restartsOf = (isPlannedOnly: boolean) =>
+            seeds.map(seed =>
+                planFaults({ seed, lengthMs, meanGapMs: 900, isPlannedOnly })
+                    .filter(({ kind }) => kind === FaultKind.WorkersRestart)
+            );
+        expect(restartsOf(true).flat()).toEqual([]);
+        const plans = restartsOf(false);
+        expect(plans.filter(plan => plan.length > 0).length).toBeGreaterThan(70);
+        for (const { atMs, forMs, restart } of plans.flat()) {
+            expect(atMs + forMs).toBeLessThan(lengthMs);
+            expect(forMs).toBeGreaterThanOrEqual(restart!.downMs + restart!.cutAfterMs + 4000);
+        }
+    });
 });
 
 describe("the evacuations of a round", () => {
