Soak: a service is handed in as the workers of a zone restart, and is cancelled when their cut ends

Change: the strike hands in a service of tasks that most workers get (two each at most), and begins 3 s into the traffic at the earliest, when the clocks of the former incarnations are ahead by more.

--- a/soak/jobs.ts
+++ b/soak/jobs.ts
@@ -38,6 +38,7 @@
             "estimate-ms": step.estimateMs,
             after: step.after,
             "long-running": step.isService,
+            "max-per-server": step.perWorker,
         })),
     });
 }
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -94,7 +94,9 @@
 const targets = 64;
 /** Added to a round's seed, so that its other faults stay those of earlier versions. */
 const restartSeedOffset = 4;
-const meanRestartGapMs = 3000;
+/** Earliest restart: leases on the clocks of former incarnations are then far ahead of the clocks of new ones. */
+const firstRestartMs = 3000;
+const meanRestartGapMs = 1500;
 const shortestDownMs = 100;
 const longestDownMs = 600;
 const longestCutDelayMs = 2200;
@@ -132,7 +134,7 @@
 function planRestarts(seed: number, lengthMs: number): Fault[] {
     const random = Random.createFromSmallSeed(seed + restartSeedOffset);
     const faults: Fault[] = [];
-    let at = random.exponential(meanRestartGapMs);
+    let at = firstRestartMs + random.exponential(meanRestartGapMs);
     while (at + longestDownMs + longestCutDelayMs + longestCutMs < lengthMs) {
         const restart = {
             downMs: shortestDownMs + random.int(longestDownMs - shortestDownMs),
--- a/soak/round.ts
+++ b/soak/round.ts
@@ -2,6 +2,7 @@
 import { mkdirSync } from "node:fs";
 import { join } from "node:path";
 import { setTimeout as pause } from "node:timers/promises";
+import type { JobSpec } from "../src/job/index.js";
 import { Random } from "../src/process/random.js";
 import { jobOf } from "../standin/site/site.js";
 import { WirePlatform } from "../standin/wire/platform.js";
@@ -51,6 +52,12 @@
 const serviceShare = 0.08;
 const longestWorkMs = 1500;
 const waveSeconds = 20;
+const taskNeeds = { cpu: 500, memory: 10, accelerators: 0 };
+/** Number of the first service that a strike hands in, above those of the other jobs of a round. */
+const firstServiceNumber = 90_000;
+const servicePerWorker = 2;
+/** Share of the places that such a service takes; the others are for tasks of workers that are cut off. */
+const serviceFill = 0.7;
 
 /** Plays a round. */
 export async function playRound(options: RoundOptions): Promise<RoundResult> {
@@ -72,6 +79,7 @@
     private readonly evacuations: readonly Evacuation[];
     private callers!: CallerPool;
     private listsVersion = 1;
+    private handedServices = 0;
     private startedAt = 0;
 
     private constructor(private readonly options: Required<RoundOptions>) {
@@ -201,8 +209,45 @@
         await Promise.race([Promise.all(this.pending), this.failed()]);
     }
 
+    /** Hands in a service whose tasks run on more than half of the workers, and cancels it after `lastsMs`. */
+    private async handInService(lastsMs: number): Promise<void> {
+        const { platform, options: { seed, workers } } = this;
+        const job: Handed = {
+            id: idOf(seed * 100_000 + firstServiceNumber + this.handedServices++),
+            isService: true,
+            acceptance: Acceptance.Unknown,
+            acceptedAt: 0,
+            isCancelled: false,
+        };
+        const tasks = Math.ceil(servicePerWorker * workers * serviceFill);
+        const spec = jobOf({ tasks, isService: true, perWorker: servicePerWorker, needs: taskNeeds });
+        platform.expectJob(job.id, spec);
+        await this.handIn(job, spec);
+        await pause(lastsMs);
+        await this.cancel(job);
+    }
+
+    private async handIn(job: Handed, spec: JobSpec): Promise<void> {
+        this.handed.push(job);
+        job.acceptance = await this.callers.handIn(job.id, encodeJob(spec));
+        job.acceptedAt = performance.now();
+        if (job.acceptance === Acceptance.Refused) {
+            this.platform.checker.recordRefused(job.id);
+        }
+    }
+
+    /** Cancels a job if it was accepted. */
+    private async cancel(job: Handed): Promise<void> {
+        if (job.acceptance === Acceptance.Accepted) {
+            job.isCancelled = true;
+            if (await this.callers.cancel(job.id)) {
+                this.platform.checker.recordCancelled(job.id);
+            }
+        }
+    }
+
     private async follow(number: number): Promise<void> {
-        const { random, platform, callers } = this;
+        const { random, platform } = this;
         const isService = random.chance(serviceShare);
         const steps = isService || random.chance(0.5)
             ? [{ tasks: 1 + random.int(4), isService }]
@@ -215,23 +260,15 @@
             isCancelled: false,
         };
         const spec = jobOf(
-            ...steps.map(step => ({ ...step, needs: { cpu: 500, memory: 10, accelerators: 0 } })),
+            ...steps.map(step => ({ ...step, needs: taskNeeds })),
         );
         const wantsCancel = random.chance(cancelShare);
         const cancelAfterMs = random.fraction() * longestWorkMs;
         platform.expectJob(job.id, spec, { workMs: 50 + random.int(longestWorkMs) });
-        this.handed.push(job);
-        job.acceptance = await callers.handIn(job.id, encodeJob(spec));
-        job.acceptedAt = performance.now();
-        if (job.acceptance === Acceptance.Refused) {
-            platform.checker.recordRefused(job.id);
-        }
+        await this.handIn(job, spec);
         if (job.acceptance === Acceptance.Accepted && wantsCancel) {
             await pause(cancelAfterMs);
-            job.isCancelled = true;
-            if (await callers.cancel(job.id)) {
-                platform.checker.recordCancelled(job.id);
-            }
+            await this.cancel(job);
         }
     }
 
@@ -294,6 +331,7 @@
             workerLinks,
             lengthMs,
             writeLists: () => this.writeLists(),
+            handInService: lastsMs => void this.pending.push(this.handInService(lastsMs)),
             after: (delayMs, act) => this.after(delayMs, act),
         };
     }
--- a/soak/strike.ts
+++ b/soak/strike.ts
@@ -14,6 +14,8 @@
     readonly lengthMs: number;
     /** Puts a new version of the operator's lists in force. */
     readonly writeLists: () => void;
+    /** Hands in a service whose tasks spread over most workers, and cancels it after `lastsMs`. */
+    readonly handInService: (lastsMs: number) => void;
     /** Does something later, unless the round has ended by then. */
     readonly after: (delayMs: number, act: () => void) => void;
 }
@@ -93,11 +95,18 @@
     }
 }
 
-/** Restarts the workers of a zone under their ids, and cuts them off when they are back. */
-function restartZone({ at, forMs, link, restart }: Fault, { platform, workerLinks, after }: Scene): void {
+/**
+ * Restarts the workers of a zone under their ids, and cuts them off when they are back. A service is handed in at the same time, so
+ * that starts of tasks that last until the end of the cut are sent while the workers are down.
+ */
+function restartZone(
+    { at, forMs, link, restart }: Fault,
+    { platform, workerLinks, handInService, after }: Scene,
+): void {
     const { workers } = platform;
     const { zone } = workers[at % workers.length]!.incarnation;
     const { downMs, cutAfterMs } = restart!;
+    handInService(forMs);
     for (const [number, worker] of workers.entries()) {
         if (worker.incarnation.zone === zone) {
             const workerLink = workerLinks[number]!;
