--- a/soak/entry-process.ts
+++ b/soak/entry-process.ts
@@ -9,6 +9,8 @@
     readonly name: string;
     /** The built daemon. */
     readonly program: string;
+    /** Name of the program's build; empty by default. */
+    readonly build?: string;
     /** Options of the runtime; none by default. */
     readonly nodeArgs?: readonly string[];
     /** Folder for settings and logs. */
@@ -47,14 +49,21 @@
     private isWanted = true;
     /** Whether the process stood still at any time since it was asked to stop. */
     private wasPaused = false;
-    private isPaused = false;
+    private isStandingStill = false;
     /** Why the next end is expected. */
     private expected: Expected | undefined;
     private starts = 0;
+    private program: string;
+    private currentBuild: string;
+    private buildOfNext: string;
     /** Resolves when the process has ended and its end was reported. */
     private closed: Promise<void> = Promise.resolve();
 
-    private constructor(private readonly options: EntryProcessOptions) {}
+    private constructor(private readonly options: EntryProcessOptions) {
+        this.program = options.program;
+        this.buildOfNext = options.build ?? "";
+        this.currentBuild = this.buildOfNext;
+    }
 
     static create(options: EntryProcessOptions): EntryProcess {
         return new EntryProcess(options);
@@ -68,12 +77,49 @@
         return this.child !== undefined;
     }
 
+    /** Whether the process stands still. */
+    get isPaused(): boolean {
+        return this.isStandingStill;
+    }
+
+    /** Whether the process was asked to stop and still runs. */
+    get isStopping(): boolean {
+        return this.expected === "term";
+    }
+
+    /** Number of the process that runs, counted from 1; undefined while there is none. */
+    get lifetime(): number | undefined {
+        return this.child === undefined ? undefined : this.starts;
+    }
+
+    /** Build that the process runs, or that the last one ran. */
+    get build(): string {
+        return this.currentBuild;
+    }
+
+    /** Build that the next process runs. */
+    get nextBuild(): string {
+        return this.buildOfNext;
+    }
+
+    /** Files with the output of each process. */
+    get logFiles(): readonly string[] {
+        return Array.from({ length: this.starts }, (_, i) => this.logFile(i + 1));
+    }
+
+    /** Lets the next process run another program. */
+    replaceProgram(program: string, build: string): void {
+        this.program = program;
+        this.buildOfNext = build;
+    }
+
     /** Starts the process, again and again until `end`. */
     start(): void {
-        const { name, folder, program, nodeArgs = [] } = this.options;
+        const { program, options: { name, folder, nodeArgs = [] } } = this;
+        this.currentBuild = this.buildOfNext;
         const file = join(folder, `${name}.jsonc`);
         writeFileSync(file, JSON.stringify(this.settings(), undefined, 4));
-        const log = createWriteStream(join(folder, `${name}.${++this.starts}.log`));
+        const log = createWriteStream(this.logFile(++this.starts));
         const child = spawn(process.execPath, [...nodeArgs, program], {
             env: { CELERYWIND_SETTINGS: file, PATH: process.env["PATH"] },
             stdio: ["ignore", "pipe", "pipe"],
@@ -97,7 +143,7 @@
             })
         );
         this.child = child;
-        this.isPaused = false;
+        this.isStandingStill = false;
     }
 
     kill(): void {
@@ -114,7 +160,7 @@
             return;
         }
         this.expected = handlesSignals(child) ? "term" : this.noteTooEarly(child);
-        this.wasPaused = this.isPaused;
+        this.wasPaused = this.isStandingStill;
         child.kill("SIGTERM");
         setTimeout(() => {
             if (this.child !== child) {
@@ -128,13 +174,13 @@
     }
 
     pause(): void {
-        this.isPaused = true;
+        this.isStandingStill = true;
         this.wasPaused = true;
         this.child?.kill("SIGSTOP");
     }
 
     resume(): void {
-        this.isPaused = false;
+        this.isStandingStill = false;
         this.child?.kill("SIGCONT");
     }
 
@@ -192,6 +238,10 @@
         return "too-early";
     }
 
+    private logFile(start: number): string {
+        return join(this.options.folder, `${this.name}.${start}.log`);
+    }
+
     private settings(): unknown {
         const { name, ports, advertise, store, inventory } = this.options;
         const at = (port: number): string => `${host}:${port}`;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -14,9 +14,15 @@
         rounds: { type: "string", default: "5" },
         /** Rounds at a time. */
         jobs: { type: "string", default: "1" },
-        entries: { type: "string", default: "3" },
+        /** 3 by default, 4 with `--old`. */
+        entries: { type: "string" },
         workers: { type: "string", default: "5" },
-        seconds: { type: "string", default: "15" },
+        /** 15 by default, 40 with `--old`. */
+        seconds: { type: "string" },
+        /** Another build of the daemon, for rounds with handovers between the builds; none by default. */
+        old: { type: "string" },
+        /** The build under test, if it is not the one of this checkout. */
+        program: { type: "string" },
         /** Plays the seeds that failed once instead. */
         kept: { type: "boolean", default: false },
         /** Every so many rounds, one has only planned work. */
@@ -26,7 +32,8 @@
     },
 });
 
-const program = fileURLToPath(new URL("../target/celerywind-site.js", import.meta.url));
+const { old } = values;
+const program = values.program ?? fileURLToPath(new URL("../target/celerywind-site.js", import.meta.url));
 const seeds = values.kept ? keptSeeds() : rangeOf(Number(values.seed), Number(values.rounds));
 const left = [...seeds];
 let failed = 0;
@@ -48,10 +55,11 @@
             seed,
             program,
             folder: roundFolder(values.folder, seed),
-            entries: Number(values.entries),
+            entries: Number(values.entries ?? (old === undefined ? 3 : 4)),
             workers: Number(values.workers),
-            lengthMs: Number(values.seconds) * 1000,
+            lengthMs: 1000 * Number(values.seconds ?? (old === undefined ? 15 : 40)),
             isPlannedOnly,
+            ...(old !== undefined && { oldProgram: old, jobsPerSecond: 3 }),
         });
         failed += result.breaches.length > 0 ? 1 : 0;
         report(seed, result);
@@ -59,14 +67,15 @@
 }
 
 function report(seed: number, result: RoundResult): void {
-    const { breaches, faults, evacuations, calls, accepted, starts } = result;
+    const { breaches, faults, evacuations, calls, accepted, starts, owners } = result;
     const verdict = breaches.length === 0 ? "ok" : "BROKEN";
     console.log(
         `seed ${seed}: ${verdict} (${faults.length} faults, ${calls} calls, ${accepted} jobs, ${starts} runs)`,
     );
+    owners.forEach(line => console.log(`    ${line}`));
     if (breaches.length > 0) {
-        faults.forEach(({ atMs, forMs, kind, at, link }) =>
-            console.log(`    ${atMs} ms: ${kind} at ${at} for ${forMs} ms (${link})`)
+        faults.forEach(({ atMs, forMs, kind, at, link, target }) =>
+            console.log(`    ${atMs} ms: ${kind} at ${target ?? at} for ${forMs} ms (${link})`)
         );
         evacuations.forEach(({ zone, atMs, forMs }) =>
             console.log(`    ${atMs} ms: zone ${zone} evacuated for ${forMs} ms`)
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -46,6 +46,14 @@
     Lists = "lists",
 }
 
+/** Whom a fault strikes, other than by its number; for rounds with two builds of the daemon. */
+export enum FaultTarget {
+    /** Every entry that runs the build of the present owner. */
+    OwnerBuild = "owner-build",
+    /** An entry that starts again with the other build. */
+    Switched = "switched",
+}
+
 /** One fault. */
 export interface Fault {
     readonly kind: FaultKind;
@@ -55,6 +63,7 @@
     /** Number of the entry or worker, taken modulo how many there are; -1 means all, where all can be meant. */
     readonly at: number;
     readonly link: LinkMode;
+    readonly target?: FaultTarget;
 }
 
 /** Options of `planFaults`. */
--- a/soak/round.ts
+++ b/soak/round.ts
@@ -13,6 +13,7 @@
 import { type Fault, planFaults } from "./plan.js";
 import { createSite, type Site } from "./site.js";
 import { type Scene, strike } from "./strike.js";
+import { Build, planUpgrade, Upgrade } from "./upgrade.js";
 import { type Evacuation, planEvacuations, zones } from "./zones.js";
 
 /** Options of `playRound`. */
@@ -32,8 +33,15 @@
     readonly isPlannedOnly?: boolean;
     /** Time within which every entry must be ready, in milliseconds. */
     readonly readyMs?: number;
+    /**
+     * Another build of the daemon, which every other entry runs at first. Handovers between the builds then take the place
+     * of the faults, and tasks take several seconds.
+     */
+    readonly oldProgram?: string;
 }
 
+type CompleteOptions = Required<Omit<RoundOptions, "oldProgram">> & Pick<RoundOptions, "oldProgram">;
+
 /** What a round showed. */
 export interface RoundResult {
     readonly breaches: readonly string[];
@@ -42,16 +50,27 @@
     readonly calls: number;
     readonly accepted: number;
     readonly starts: number;
+    /** Owners of the site and their fencing tokens; empty in a round with one build. */
+    readonly owners: readonly string[];
 }
 
-/** Time after the last fault in which everything accepted must be done: recovery and the jobs' own work. */
-const finishMs = 14_000;
 const pollMs = 250;
 const cancelShare = 0.15;
 const serviceShare = 0.08;
-const longestWorkMs = 1500;
 const waveSeconds = 20;
 
+/** Work of the tasks in a round. */
+interface Pace {
+    readonly shortestWorkMs: number;
+    readonly extraWorkMs: number;
+    /** Time after the last fault in which everything accepted must be done: recovery and the jobs' own work. */
+    readonly finishMs: number;
+}
+
+const pace: Pace = { shortestWorkMs: 50, extraWorkMs: 1500, finishMs: 14_000 };
+/** Tasks of several seconds are under way at each handover; two steps of them may start again after the last one. */
+const upgradePace: Pace = { shortestWorkMs: 2000, extraWorkMs: 4000, finishMs: 40_000 };
+
 /** Plays a round. */
 export async function playRound(options: RoundOptions): Promise<RoundResult> {
     return Round.create(options).play();
@@ -70,15 +89,23 @@
     private readonly failure = new AbortController();
     private readonly faults: readonly Fault[];
     private readonly evacuations: readonly Evacuation[];
+    private readonly pace: Pace;
+    private readonly upgrade: Upgrade | undefined;
     private callers!: CallerPool;
     private listsVersion = 1;
     private startedAt = 0;
 
-    private constructor(private readonly options: Required<RoundOptions>) {
-        const { seed, workers, lengthMs, meanGapMs, isPlannedOnly } = options;
+    private constructor(private readonly options: CompleteOptions) {
+        const { seed, workers, lengthMs, meanGapMs, isPlannedOnly, program, oldProgram } = options;
         this.random = Random.createFromSmallSeed(seed + 1);
         this.platform = WirePlatform.create({ pool: "bench", workers, seed, zones });
-        this.faults = planFaults({ seed, lengthMs, meanGapMs, isPlannedOnly });
+        this.pace = oldProgram === undefined ? pace : upgradePace;
+        this.upgrade = oldProgram === undefined
+            ? undefined
+            : Upgrade.create({ [Build.Old]: oldProgram, [Build.New]: program }, this.platform, seed);
+        this.faults = oldProgram === undefined
+            ? planFaults({ seed, lengthMs, meanGapMs, isPlannedOnly })
+            : planUpgrade({ seed, lengthMs, isPlannedOnly });
         this.evacuations = planEvacuations(seed, lengthMs);
     }
 
@@ -100,13 +127,14 @@
             this.startedAt = performance.now();
             await this.start();
             this.startedAt = performance.now();
-            this.faults.forEach(fault => this.after(fault.atMs, () => strike(fault, this.scene())));
+            this.faults.forEach(fault => this.after(fault.atMs, () => this.strike(fault)));
             for (const { zone, atMs, forMs } of this.evacuations) {
                 this.after(atMs, () => this.platform.evacuate(zone));
                 this.after(atMs + forMs, () => this.platform.restore(zone));
             }
             await this.hand();
             await this.settle();
+            this.upgrade?.unwatch();
             await this.stop();
         }
         catch (err) {
@@ -116,6 +144,7 @@
         }
         finally {
             this.timers.forEach(clearTimeout);
+            this.upgrade?.unwatch();
             await Promise.all(this.sites.map(({ process }) => process.end()));
             await this.callers.close();
             [
@@ -137,17 +166,23 @@
             acceptedAt,
         });
         return {
-            breaches: [...this.breaches, ...checker.violations, ...judged],
+            breaches: [
+                ...this.breaches,
+                ...checker.violations,
+                ...judged,
+                ...this.upgrade?.breaches(this.faults, this.startedAt) ?? [],
+            ],
             faults: this.faults,
             evacuations: this.evacuations,
             calls: this.callers.records.length,
             accepted: acceptedAt.size,
             starts: checker.startCount,
+            owners: this.upgrade?.summary(this.startedAt) ?? [],
         };
     }
 
     private async start(): Promise<void> {
-        const { platform, options: { entries, program, folder, readyMs } } = this;
+        const { platform, upgrade, options: { entries, folder, readyMs } } = this;
         mkdirSync(folder, { recursive: true });
         await platform.start();
         this.writeLists();
@@ -160,10 +195,12 @@
         for (let i = 0; i < entries; i++) {
             const onBadEnd = (text: string): void => this.breach(text);
             const onOwnEnd = (text: string): void => this.fail(text);
+            const program = upgrade?.programOf(i) ?? { program: this.options.program };
             this.sites.push(
-                await createSite({ name: `e${i}`, platform, program, folder, onBadEnd, onOwnEnd }),
+                await createSite({ name: `e${i}`, platform, ...program, folder, onBadEnd, onOwnEnd }),
             );
         }
+        this.upgrade?.watch(this.sites);
         this.sites.forEach(({ process }) => process.start());
         const fronts = this.sites.map(({ process, callerLink }) => ({
             entry: process.name,
@@ -218,8 +255,9 @@
             ...steps.map(step => ({ ...step, needs: { cpu: 500, memory: 10, accelerators: 0 } })),
         );
         const wantsCancel = random.chance(cancelShare);
-        const cancelAfterMs = random.fraction() * longestWorkMs;
-        platform.expectJob(job.id, spec, { workMs: 50 + random.int(longestWorkMs) });
+        const cancelAfterMs = random.fraction() * this.pace.extraWorkMs;
+        const workMs = this.pace.shortestWorkMs + random.int(this.pace.extraWorkMs);
+        platform.expectJob(job.id, spec, { workMs });
         this.handed.push(job);
         job.acceptance = await callers.handIn(job.id, encodeJob(spec));
         job.acceptedAt = performance.now();
@@ -240,7 +278,7 @@
         const { checker } = this.platform;
         const open = new Set(this.handed.filter(isAccepted));
         const last = new Map<string, string>();
-        await this.until(finishMs, async () => {
+        await this.until(this.pace.finishMs, async () => {
             for (const job of open) {
                 const states = await Promise.all(
                     this.callers.fronts.map(front => this.callers.stateAt(front, job.id)),
@@ -286,6 +324,15 @@
         await Promise.all(this.sites.map(({ process }) => process.ended()));
     }
 
+    private strike(fault: Fault): void {
+        if (this.upgrade === undefined) {
+            strike(fault, this.scene());
+        }
+        else {
+            this.upgrade.strike(fault, this.scene());
+        }
+    }
+
     private scene(): Scene {
         const { sites, platform, workerLinks, options: { lengthMs } } = this;
         return {
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -21,6 +21,8 @@
     readonly platform: WirePlatform;
     /** The built daemon. */
     readonly program: string;
+    /** Name of the program's build; empty by default. */
+    readonly build?: string;
     readonly folder: string;
     /** Called when the process ends otherwise than it should after it was asked to. */
     readonly onBadEnd: (text: string) => void;
