--- a/soak/entry-process.ts
+++ b/soak/entry-process.ts
@@ -231,9 +231,11 @@
     /** Expects an end for a moment; a process that lives on afterwards was not hit. */
     private noteTooEarly(child: ChildProcess): Expected {
         setTimeout(() => {
-            if (this.child === child && this.expected === "too-early") {
-                this.expected = undefined;
+            if (this.child !== child || this.expected !== "too-early") {
+                return;
             }
+            // A process that stands still receives the signal only when it goes on.
+            this.expected = this.isStandingStill ? this.noteTooEarly(child) : undefined;
         }, tooEarlyMs);
         return "too-early";
     }
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -6,7 +6,7 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { afterAll, beforeAll, describe, expect, onTestFinished, test } from "vitest";
-import { handlesSignals } from "../soak/entry-process.js";
+import { EntryProcess, handlesSignals } from "../soak/entry-process.js";
 import { judgeCalls } from "../soak/judge.js";
 import { Link, LinkMode } from "../soak/link.js";
 import { host, listenAnywhere } from "../soak/loopback.js";
@@ -90,6 +90,35 @@
     });
 });
 
+describe("an entry as a process", () => {
+    test("may end by a SIGTERM that was sent before it handled signals, while it stood still for longer than that counts", async () => {
+        const source = join(folder, "still.mjs");
+        writeFileSync(source, "setInterval(() => undefined, 1000);");
+        const ends: string[] = [];
+        const entry = EntryProcess.create({
+            name: "still",
+            program: source,
+            folder,
+            ports: { callers: 1, readiness: 1, metrics: 1, peers: 1 },
+            advertise: "",
+            store: "",
+            inventory: "",
+            onBadEnd: text => ends.push(text),
+            onOwnEnd: text => ends.push(text),
+        });
+        entry.start();
+        onTestFinished(() => entry.end());
+        entry.pause();
+        entry.term();
+        await pause(2500);
+        expect(entry.isRunning).toBe(true);
+        const ended = entry.ended();
+        entry.resume();
+        await ended;
+        expect(ends).toEqual([]);
+    });
+});
+
 describe("a link", () => {
     async function createEchoLink(): Promise<{ link: Link; close: () => void; open: () => Promise<Socket> }> {
         const { connect } = await import("node:net");
