Soak: rounds with two builds lose or delay the store's answers around some handovers

A takeover whose answer is lost or that is carried out late is where two builds may differ in which fencing tokens are taken. Owners that are replaced while the store is harmed count as disturbed.

--- a/soak/owner-watch.ts
+++ b/soak/owner-watch.ts
@@ -27,7 +27,7 @@
     readonly at: number;
     /** Monotonic time at which its process was seen to have ended, in milliseconds. */
     endedAt: number | undefined;
-    /** Whether its process was seen to have ended, to stand still, or to be stopping. */
+    /** Whether its process was seen to have ended, to stand still, or to be stopping, or the store to be harmed. */
     isDisturbed: boolean;
     /** Whether it replaced an owner whose process was not disturbed. */
     readonly isUnprompted: boolean;
@@ -40,6 +40,8 @@
     /** Value of a row; undefined if there is none. */
     readonly find: (key: RowKey) => string | undefined;
     readonly entries: readonly WatchedEntry[];
+    /** Whether answers of the store are lost or come late. */
+    readonly isStoreHarmed: () => boolean;
 }
 
 /** A call that a worker received. */
@@ -150,7 +152,8 @@
         for (const tenure of this.tenures) {
             const isThere = this.isProcessThere(tenure);
             const entry = this.entryOf(tenure.entry);
-            tenure.isDisturbed ||= !isThere || entry?.isPaused === true || entry?.isStopping === true;
+            tenure.isDisturbed ||= this.options.isStoreHarmed() || !isThere || entry?.isPaused === true
+                || entry?.isStopping === true;
             if (tenure.endedAt === undefined && !isThere) {
                 tenure.endedAt = now;
             }
--- a/soak/upgrade.ts
+++ b/soak/upgrade.ts
@@ -31,6 +31,8 @@
 
 /** Added to a round's seed, so that the plan differs from that of the faults. */
 const seedOffset = 4;
+/** The faults of the store are drawn apart, so that a seed keeps its handovers without them. */
+const storeSeedOffset = 5;
 /** Time from the beginning, and between two handovers, in which an entry that was stopped is ready again. */
 const shortestGapMs = 3500;
 const meanExtraGapMs = 800;
@@ -43,12 +45,17 @@
 /** Worker faults begin within this time before or after a handover. */
 const workerFaultSpreadMs = 600;
 const workerFaultMs = { shortest: 150, extra: 3500 };
+const storeFaultShare = 0.4;
+/** Faults of the store begin within this time before a handover, and last beyond the takeover. */
+const storeFaultSpreadMs = 300;
+const storeFaultMs = 1500;
 const watchIntervalMs = 20;
 const targets = 64;
 
 /**
  * Handovers in order of their start. Each strikes all entries of the owner's build, so that the owner after it is of the
- * other one. Some entries restart with the other build, and workers crash or fall silent around handovers.
+ * other one. Some entries restart with the other build, workers crash or fall silent around handovers, and answers to takeovers
+ * are lost or come late.
  */
 export function planUpgrade({ seed, lengthMs, isPlannedOnly }: UpgradePlanOptions): readonly Fault[] {
     const random = Random.createFromSmallSeed(seed + seedOffset);
@@ -72,7 +79,21 @@
             });
         }
     }
-    return faults.filter(({ atMs }) => atMs < lengthMs).sort((a, b) => a.atMs - b.atMs);
+    const storeFaults = isPlannedOnly ? [] : planStoreFaults(seed, faults);
+    return [...faults, ...storeFaults].filter(({ atMs }) => atMs < lengthMs).sort((a, b) => a.atMs - b.atMs);
+}
+
+function planStoreFaults(seed: number, faults: readonly Fault[]): readonly Fault[] {
+    const random = Random.createFromSmallSeed(seed + storeSeedOffset);
+    return faults
+        .filter(({ target }) => target === FaultTarget.OwnerBuild && random.chance(storeFaultShare))
+        .map(({ atMs }) => ({
+            kind: random.pick([FaultKind.StoreLost, FaultKind.StoreLate]),
+            atMs: atMs - random.int(storeFaultSpreadMs),
+            forMs: storeFaultMs,
+            at: -1,
+            link: LinkMode.Open,
+        }));
 }
 
 /** Events that an entry logs when it cannot use what another entry wrote or sent. */
@@ -118,6 +139,7 @@
         this.owners = OwnerWatch.create({
             find: key => rows.find(key)?.value,
             entries: sites.map(({ process }) => process),
+            isStoreHarmed: () => rows.faults.lostAnswerShare > 0 || rows.faults.delayedCommitShare > 0,
         });
         this.watching = setInterval(() => this.owners!.observe(performance.now(), calls), watchIntervalMs);
     }
