--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -48,6 +48,14 @@
     Lists = "lists",
 }
 
+/** Whom a fault strikes, other than by its number; for rounds with two builds of the daemon. */
+export enum FaultTarget {
+    /** Every entry that runs the build of the present owner. */
+    OwnerBuild = "owner-build",
+    /** An entry that starts again with the other build. */
+    Switched = "switched",
+}
+
 /** One fault. */
 export interface Fault {
     readonly kind: FaultKind;
@@ -59,6 +67,7 @@
     readonly link: LinkMode;
     /** Course of the restart; only with `WorkersRestart`. */
     readonly restart?: RestartTimes;
+    readonly target?: FaultTarget;
 }
 
 /** Course of a restart and the cut that follows it, which lasts until the end of the fault. */
