--- a/src/operator/routes.ts
+++ b/src/operator/routes.ts
@@ -155,11 +155,11 @@
 }
 
 async function readJson<S extends z.ZodType>(req: WebRequest, schema: S): Promise<z.output<S>> {
-    const body = await readBody(req, maxBodyBytes);
-    if (body === undefined) {
+    const read = await readBody(req, maxBodyBytes);
+    if (read.kind !== "complete") {
         throw new OperatorError(`the request is larger than ${maxBodyBytes} bytes; send smaller lists`);
     }
-    return checkValue("request", parseJsonBody(body), schema);
+    return checkValue("request", parseJsonBody(read.body), schema);
 }
 
 function parseJsonBody(body: Buffer): unknown {
--- a/src/request/caller-api.ts
+++ b/src/request/caller-api.ts
@@ -94,8 +94,8 @@
             this.refuse(res, id, admission.reason);
             return;
         }
-        const body = await readBody(req, this.options.requestBytes);
-        if (body === undefined) {
+        const read = await readBody(req, this.options.requestBytes);
+        if (read.kind !== "complete") {
             this.refuse(res, id, NotRunReason.TooLarge);
             return;
         }
@@ -110,7 +110,7 @@
             class: queue.class,
             idempotent: queue.idempotent,
             contentType: headerOf(req, "content-type") ?? defaultType,
-            body,
+            body: read.body,
             deadline: arrivedAt + timeoutMs,
             isRelayed: false,
             signal: disconnect.signal,
@@ -127,9 +127,13 @@
         }
         const key = headerOf(req, "idempotency-key") ?? randomUUID();
         const size = sizeOf(req);
-        const body = await readBody(req, this.options.requestBytes);
-        if (body === undefined || size === undefined || key.length > 200) {
-            this.refuse(res, id, body === undefined ? NotRunReason.TooLarge : NotRunReason.BadRequest);
+        if (size === undefined || key.length > 200) {
+            this.refuse(res, id, NotRunReason.BadRequest);
+            return;
+        }
+        const read = await readBody(req, this.options.requestBytes);
+        if (read.kind !== "complete") {
+            this.refuse(res, id, NotRunReason.TooLarge);
             return;
         }
         const { team, queue } = admission;
@@ -150,7 +154,7 @@
             attempt: 0,
             cancelAsked: false,
             failures: [],
-        }, body);
+        }, read.body);
     }
 
     async showJob(req: WebRequest, res: ServerResponse): Promise<void> {
--- a/src/request/step-jobs-api.ts
+++ b/src/request/step-jobs-api.ts
@@ -1,7 +1,7 @@
 /** The built-in HTTP interface for jobs made of steps, at an entry of a site. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { z } from "zod";
-import { readBody, sendBody, sendJson } from "../connection/caller/body.js";
+import { type BodyResult, readBody, sendBody, sendJson } from "../connection/caller/body.js";
 import { type JobSpec, maxSteps, maxTasksPerStep } from "../job/index.js";
 import {
     amountSchema,
@@ -17,6 +17,7 @@
 export const stepJobsPathPrefix = "/v1/queues/";
 
 const maxBodyBytes = 256 * 1024;
+const noBody: BodyResult = { kind: "complete", body: Buffer.alloc(0) };
 const msPerSecond = 1000;
 const problemType = "application/problem+json";
 const pathPattern = /^\/v1\/queues\/([A-Za-z0-9._-]{1,100})(?:\/jobs\/([A-Za-z0-9_-]{1,64}))?$/;
@@ -71,7 +72,10 @@
 }
 
 async function handle(calls: JobCallHandler, req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const body = req.method === "PUT" ? await readBody(req, maxBodyBytes) : undefined;
+    const body = req.method === "PUT" ? await readBody(req, maxBodyBytes) : noBody;
+    if (body.kind === "too-large") {
+        return sendProblem(res, 413, `the body has more than ${maxBodyBytes} bytes`, { connection: "close" });
+    }
     const [, name, id] = pathPattern.exec((req.url ?? "").split("?", 1)[0]!) ?? [];
     if (name === undefined) {
         return sendProblem(res, 404, "no-such-path");
@@ -98,7 +102,7 @@
     const method = req.method ?? "";
     switch (method) {
         case "PUT": {
-            const spec = decodeJobSpec(body);
+            const spec = decodeJobSpec(body.body);
             return typeof spec === "string"
                 ? sendProblem(res, 400, spec)
                 : sendSubmitted(res, await calls.submit(id, queue, team, spec, queue.timeoutMs));
@@ -146,10 +150,7 @@
 }
 
 /** Decodes the job that a body describes; returns the error message if the body is invalid. */
-function decodeJobSpec(body: Buffer | undefined): JobSpec | string {
-    if (body === undefined) {
-        return `the body has more than ${maxBodyBytes} bytes`;
-    }
+function decodeJobSpec(body: Buffer): JobSpec | string {
     const value = parseJson(body.toString("utf8"));
     if (value === undefined) {
         return "the body is no JSON";
--- a/standin/wire/http.ts
+++ b/standin/wire/http.ts
@@ -64,7 +64,8 @@
 
 async function dispatch(routes: Routes, recordCall: CallRecorder, req: IncomingMessage): Promise<Answer> {
     const url = new URL(req.url ?? "/", "http://x");
-    const text = (await readBody(req, maxBodyBytes))?.toString() ?? "";
+    const read = await readBody(req, maxBodyBytes);
+    const text = read.kind === "complete" ? read.body.toString() : "";
     const body = text === "" ? {} : JSON.parse(text) as Record<string, unknown>;
     recordCall(url.pathname, body);
     const handler = routes[`${req.method} ${url.pathname}`];
