Connections to the peer listener are bounded until they prove the secret

Whatever connected to the peers' address could hold a frame of up to 72 MB before it showed the secret, requests that are never answered, unfinished headers and connections without number: 20 connections with 5,000 GETs ahead, and 1,000 unfinished headers, ended an entry with a heap of 64 MB.

Other requests than the opening handshake, and a second hello, close the connection. Event 1206 and a counter say what was closed.

--- a/src/connection/peer/peer-link.ts
+++ b/src/connection/peer/peer-link.ts
@@ -193,7 +193,8 @@
     private receiveHandshake(frame: Frame): void {
         const { role, secret, self } = this.options;
         if (
-            role === LinkRole.Acceptor && frame.kind === FrameKind.Hello && frame.protocol === protocolVersion
+            role === LinkRole.Acceptor && frame.kind === FrameKind.Hello
+            && frame.protocol === protocolVersion && this.peer === undefined
         ) {
             this.peer = { vm: frame.vm, incarnation: frame.incarnation };
             this.peerNonce = frame.nonce;
--- a/src/connection/peer/peer-mesh.ts
+++ b/src/connection/peer/peer-mesh.ts
@@ -2,7 +2,7 @@
  * The links of one entry to its peers: accepts links, dials those that this entry needs, replaces lost ones, lets go of
  * those that it no longer needs, and routes messages by topic.
  */
-import { createServer, type Server } from "node:http";
+import { createServer, type IncomingMessage, type Server } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import type { Socket } from "node:net";
 import { WebSocket, WebSocketServer } from "ws";
@@ -17,6 +17,7 @@
 import { LinkRole } from "./auth.js";
 import { encodeNotification } from "./message.js";
 import { CloseReason, Link, type PeerIdentity } from "./peer-link.js";
+import { PendingConnections, PendingRefusal } from "./pending-connections.js";
 
 interface NeededPeer {
     readonly url: string;
@@ -45,6 +46,8 @@
 /** Silence after which a link no longer takes precedence over a new one to the same process. */
 const staleAfterMs = 750;
 const handshakeTimeoutMs = 1000;
+/** Limits of the opening handshake of a WebSocket, which takes some hundred bytes. */
+const serverLimits = { maxHeaderSize: 8 * 1024, headersTimeout: 5000, connectionsCheckingInterval: 1000 };
 /** Longest part of an error message that quotes a URL. */
 const maxLoggedChars = 200;
 
@@ -68,7 +71,11 @@
     /** Accepted connections, also those that have not become links, which the listener would wait for. */
     private readonly acceptedSockets = new Set<Socket>();
 
-    private constructor(private readonly options: PeerMeshOptions) {}
+    private readonly pendingConnections: PendingConnections;
+
+    private constructor(private readonly options: PeerMeshOptions) {
+        this.pendingConnections = PendingConnections.create(options);
+    }
 
     static create(options: PeerMeshOptions): PeerMesh {
         return new PeerMesh(options);
@@ -87,8 +94,18 @@
     /** Opens the peer listener and dials; rejects with a `ListenError` when the address cannot be bound. */
     async start(): Promise<void> {
         const { host, port, tls, timer } = this.options;
-        this.server = tls === undefined ? createServer() : createTlsServer(tls);
+        this.server = tls === undefined
+            ? createServer(serverLimits)
+            : createTlsServer({ ...serverLimits, ...tls });
         this.server.on("connection", (socket: Socket) => this.trackAccepted(socket));
+        this.server.on(
+            tls === undefined ? "connection" : "secureConnection",
+            (socket: Socket) => this.pendingConnections.add(socket),
+        );
+        this.server.on(
+            "request",
+            (req: IncomingMessage) => this.pendingConnections.refuse(req.socket, PendingRefusal.Request),
+        );
         await listen(this.server, { host, port, name: this.name });
         // Added only now, since it throws the errors of its server instead of passing them on.
         const webSocketServer = new WebSocketServer({ server: this.server, maxPayload: maxFrameBytes });
@@ -169,6 +186,7 @@
     }
 
     private maintain(): void {
+        this.pendingConnections.check();
         this.allLinks.forEach(link => link.checkHeartbeat());
         this.dialMissing();
         this.releaseUnneeded();
@@ -229,7 +247,12 @@
             timer,
             self: this.self,
             events: {
-                onOpen: (openedLink, peer) => this.handleOpen(openedLink, peer),
+                onOpen: (openedLink, peer) => {
+                    if (connection !== undefined) {
+                        this.pendingConnections.admit(connection);
+                    }
+                    this.handleOpen(openedLink, peer);
+                },
                 onClose: (closedLink, reason) => this.handleClose(closedLink, reason),
                 onNotification: (peer, topic, body) => this.receiveNotification(peer, topic, body),
                 onRequest: async (peer, topic, body) => await this.handlerOf(topic)(peer, body),
--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -17,6 +17,7 @@
     PeerRejected = 1203,
     PeerFrameInvalid = 1204,
     PeerUrlMalformed = 1205,
+    PeerConnectionsRefused = 1206,
     ListsAdopted = 1301,
     ListsApplied = 1302,
     ListsConflict = 1303,
