Bodies are kept in blocks, and refused callers are read less

A crowd of 400 open bodies of 256 KB still took up to 171 MB with a heap of 64 MB: bodies that doubled left their smaller predecessors, and input that was discarded left 64 KB for each read, to the collector, which lets 64 MB of such memory gather. Bodies are now kept in blocks that are not copied, and a refused caller's input is read only after its answer was sent: up to 256 KB, or not at all when bytes are short. Incomplete headers count four times, since the parser keeps short lines as strings. A handler's fault is logged and closes its connection.

--- a/src/connection/caller/connection-table.ts
+++ b/src/connection/caller/connection-table.ts
@@ -104,6 +104,10 @@
         this.options.report.recordClose(cause);
     }
 
+    recordFault(err: unknown): void {
+        this.options.report.recordFault(err);
+    }
+
     /** Closes connections whose callers do not read their answers, and logs what was refused; called every second. */
     check(): void {
         [...this.connections].forEach(connection => connection.check());
--- a/src/connection/caller/connection.ts
+++ b/src/connection/caller/connection.ts
@@ -9,6 +9,7 @@
 import { CloseCause, RefusalCause } from "./limit-report.js";
 import type { CallerLimits } from "./limits.js";
 import { PacedInput, pieceBytes } from "./paced-input.js";
+import { retryAfterS, sendRefusal } from "./refusal.js";
 
 /** Handles a request; a promise settles when nothing works on the request any more. */
 export type RequestHandler = (req: IncomingMessage, res: ServerResponse) => void | Promise<void>;
@@ -29,15 +30,18 @@
     adjust(bytes: number): void;
     recordRefusal(cause: RefusalCause): void;
     recordClose(cause: CloseCause): void;
+    /** Records that a handler failed otherwise than by an answer. */
+    recordFault(err: unknown): void;
     remove(connection: CallerConnection): void;
 }
 
 const maxHeaderBytes = 16 * 1024;
+/** Memory for each byte of an incomplete header: the parser keeps short lines as strings of some 40 bytes each. */
+const headerWeight = 4;
 /** Time for which a connection that was refused is kept so that its caller can read the answer, in milliseconds. */
 const lingerMs = 1000;
 /** What a refused caller may still send before its connection is closed at once, in bytes. */
-const maxDiscardedBytes = 1024 * 1024;
-const retryAfterS = 1;
+const maxDiscardedBytes = 256 * 1024;
 
 const connections = new WeakMap<Socket, CallerConnection>();
 
@@ -73,7 +77,7 @@
             },
             abandonBody: cause => {
                 shared.recordRefusal(cause);
-                this.stopParsing();
+                this.stopParsing(cause);
             },
         };
         this.parserBytes = ByteAccount.create(this.host);
@@ -242,8 +246,8 @@
         try {
             await this.shared.onRequest(exchange.req, exchange.res);
         }
-        catch {
-            // The handler answers its failures itself; when it cannot, the caller has disconnected.
+        catch (err) {
+            this.shared.recordFault(err);
             exchange.res.destroy();
         }
         exchange.isHandled = true;
@@ -273,19 +277,14 @@
     /** Refuses a request that was not handled, and closes the connection with the answer. */
     refuse(res: ServerResponse, status: number, cause: RefusalCause): void {
         this.shared.recordRefusal(cause);
-        const text = JSON.stringify({ outcome: "not-run", reason: cause, error: cause });
-        res.writeHead(status, {
-            "content-type": "application/json",
-            "content-length": String(text.length),
-            connection: "close",
-            ...(status === 503 && { "retry-after": String(retryAfterS) }),
-        });
-        res.end(text);
-        this.stopParsing();
+        sendRefusal(res, status, cause);
+        this.stopParsing(cause);
     }
 
-    private stopParsing(): void {
-        this.input.discard(maxDiscardedBytes);
+    /** Parses no more. What is refused since bytes are short must not cost more of them. */
+    private stopParsing(cause?: RefusalCause): void {
+        const isShort = cause === RefusalCause.HeldBytes || cause === RefusalCause.Slow;
+        this.input.discard(isShort ? 0 : maxDiscardedBytes);
         this.account(this.parserBytes, 0);
     }
 
@@ -297,7 +296,7 @@
         this.input.drain();
     }
 
-    /** Accounts for input that was parsed; what the parser itself holds of it is unknown, and taken as the most it may. */
+    /** Accounts for input that was parsed, of which the parser may hold all that is part of a header or trailer. */
     private recordParsed(bytes: number): void {
         const { current } = this;
         if (this.input.isDiscarding || this.socket.destroyed) {
@@ -311,7 +310,8 @@
             this.account(this.parserBytes, 0);
         }
         else if (!isBodyOpen) {
-            this.account(this.parserBytes, Math.min(maxHeaderBytes, this.parserBytes.bytes + bytes));
+            const heldBytes = this.parserBytes.bytes + headerWeight * bytes;
+            this.account(this.parserBytes, Math.min(headerWeight * maxHeaderBytes, heldBytes));
         }
         else if (declaredBytes(current.req) === undefined) {
             current.parsedBytes += bytes;
--- a/src/connection/caller/growing-buffer.ts
+++ b/src/connection/caller/growing-buffer.ts
@@ -1,4 +1,4 @@
-/** A buffer that grows with what is appended to it. */
+/** A buffer that grows with what is appended to it, block by block. */
 
 /** Options of `GrowingBuffer.create`. */
 export interface GrowingBufferOptions {
@@ -8,16 +8,20 @@
     readonly expectedBytes?: number | undefined;
 }
 
-/** First allocation, in bytes. Most bodies are smaller. */
-const firstBytes = 4096;
+/** Size of the first block, in bytes. Most bodies are smaller. */
+const firstBlockBytes = 4096;
+const largestBlockBytes = 64 * 1024;
 
 /**
- * Bytes appended one after the other, copied into one allocation that doubles when it is full. A list of the appended
- * chunks would cost some hundred bytes for each of them, however small it is.
+ * Bytes appended one after the other, copied into blocks. A list of the appended chunks would cost some hundred bytes for
+ * each of them, however small it is; one allocation that grows would leave its smaller predecessors to the collector.
  */
 export class GrowingBuffer {
-    private bytes = Buffer.alloc(0);
+    private readonly blocks: Buffer[] = [];
+    /** Free bytes of the last block. */
+    private free = Buffer.alloc(0);
     private used = 0;
+    private allocated = 0;
 
     private constructor(private readonly options: GrowingBufferOptions) {}
 
@@ -32,16 +36,12 @@
 
     /** Number of bytes allocated. */
     get capacity(): number {
-        return this.bytes.length;
+        return this.allocated;
     }
 
     /** Number of bytes that would be allocated after `count` more were appended. */
     capacityFor(count: number): number {
-        const { maxBytes, expectedBytes = maxBytes } = this.options;
-        const needed = this.used + count;
-        return needed <= this.capacity
-            ? this.capacity
-            : Math.max(needed, Math.min(expectedBytes, maxBytes, Math.max(firstBytes, 2 * this.capacity)));
+        return count <= this.free.length ? this.allocated : this.allocated + this.nextBlockBytes(count);
     }
 
     /** Appends a copy of `chunk`. Throws a `RangeError` when the buffer would exceed its largest size. */
@@ -49,18 +49,35 @@
         if (this.used + chunk.length > this.options.maxBytes) {
             throw new RangeError(`more than ${this.options.maxBytes} bytes were appended`);
         }
-        const capacity = this.capacityFor(chunk.length);
-        if (capacity > this.capacity) {
-            const grown = Buffer.allocUnsafeSlow(capacity);
-            grown.set(this.bytes.subarray(0, this.used));
-            this.bytes = grown;
+        const head = chunk.subarray(0, this.free.length);
+        this.fill(head);
+        if (head.length < chunk.length) {
+            const block = Buffer.allocUnsafeSlow(this.nextBlockBytes(chunk.length - head.length));
+            this.blocks.push(block);
+            this.allocated += block.length;
+            this.free = block;
+            this.fill(chunk.subarray(head.length));
         }
-        this.bytes.set(chunk, this.used);
-        this.used += chunk.length;
     }
 
-    /** The appended bytes, without a copy; valid until the next call of `append`. */
+    /** The appended bytes; a copy if there is more than one block. */
     contents(): Buffer {
-        return this.bytes.subarray(0, this.used);
+        const [first = Buffer.alloc(0)] = this.blocks;
+        return this.blocks.length > 1 ? Buffer.concat(this.blocks, this.used) : first.subarray(0, this.used);
+    }
+
+    /** Size of the block that is needed to append `count` bytes, of which the last block takes what it can. */
+    private nextBlockBytes(count: number): number {
+        const { maxBytes, expectedBytes = maxBytes } = this.options;
+        const missing = count - this.free.length;
+        const wanted = Math.max(firstBlockBytes, Math.min(largestBlockBytes, this.allocated));
+        const expected = Math.min(expectedBytes, maxBytes) - this.allocated;
+        return Math.max(missing, Math.min(wanted, expected));
+    }
+
+    private fill(bytes: Uint8Array): void {
+        this.free.set(bytes);
+        this.free = this.free.subarray(bytes.length);
+        this.used += bytes.length;
     }
 }
--- a/src/connection/caller/limit-report.ts
+++ b/src/connection/caller/limit-report.ts
@@ -72,6 +72,11 @@
         this.closed.set(reason, (this.closed.get(reason) ?? 0) + 1);
     }
 
+    recordFault(err: unknown): void {
+        const text = err instanceof Error ? err.stack ?? err.message : String(err);
+        this.log.write(Severity.Error, EventId.TaskFailed, { task: this.listener, err: text });
+    }
+
     /** Writes one line about what was recorded since the last call, if anything was. */
     flush(figures: ListenerFigures): void {
         if (this.refused.size + this.closed.size === 0) {
--- a/src/connection/caller/paced-input.ts
+++ b/src/connection/caller/paced-input.ts
@@ -35,6 +35,7 @@
     private resumption: NodeJS.Immediate | undefined;
     /** Bytes that are known to belong to one body, and are parsed without further checks. */
     private bulkBytes = 0;
+    private isDraining = false;
     /** Bytes that may still be discarded; undefined while input is parsed. */
     private discardable: number | undefined;
 
@@ -87,6 +88,7 @@
     /** Reads on so that input is discarded and the end of the connection is noticed. */
     drain(): void {
         this.clearHold();
+        this.isDraining = true;
         this.options.socket.resume();
     }
 
@@ -126,7 +128,7 @@
             }
         }
         if (this.isDiscarding) {
-            this.recordDiscarded(chunk.length - at);
+            this.drop(chunk.length - at);
             return;
         }
         onWaiting(0);
@@ -157,7 +159,12 @@
         this.options.socket.pause();
     }
 
-    private recordDiscarded(bytes: number): void {
+    /** Discards input; before the answer is sent, reads no more, since each read costs memory until it is collected. */
+    private drop(bytes: number): void {
+        if (!this.isDraining) {
+            this.options.socket.pause();
+            return;
+        }
         this.discardable = (this.discardable ?? 0) - bytes;
         if (this.discardable < 0) {
             this.options.onDiscardLimit();
--- a/test/caller-limits.test.ts
+++ b/test/caller-limits.test.ts
@@ -30,6 +30,7 @@
     const [port] = await freePorts(1);
     const metrics = Metrics.create();
     const lines: LogFields[] = [];
+    const faults: LogFields[] = [];
     const listener = HttpListener.create({
         name: "callers",
         host: "127.0.0.1",
@@ -37,11 +38,14 @@
         limits,
         onRequest,
         metrics,
-        log: { write: (_, event, fields = {}) => event === EventId.CallersLimited && lines.push(fields) },
+        log: {
+            write: (_, event, fields = {}) =>
+                void (event === EventId.CallersLimited ? lines : faults).push(fields),
+        },
     });
     await listener.listen();
     listeners.push(listener);
-    return { port: port!, metrics, lines };
+    return { port: port!, metrics, lines, faults };
 }
 
 /** Connects and sends a text; `received` is what has arrived so far, `ended` resolves when the connection has closed. */
@@ -142,6 +146,17 @@
         expect(lines[0]).toMatchObject({ listener: "callers", refused: "requests 1", requests: 4 });
     });
 
+    // Guards against: a handler's fault that is neither answered nor logged, or that ends the process.
+    test("whose handler fails end with their connection and a line in the log", async () => {
+        const { port, faults } = await serve({}, () => {
+            throw new Error("a fault of the handler");
+        });
+        const caller = send(port, get("/"));
+        await caller.ended;
+        expect(caller.received).toBe("");
+        expect(faults).toEqual([expect.objectContaining({ task: "callers" })]);
+    });
+
     // Guards against: requests without a host, which Node answers by itself, unseen by the limits.
     test("without a host end with one refusal", async () => {
         const { port } = await serve({}, (_, res) => void res.end("ok"));
