--- a/src/connection/caller/body.ts
+++ b/src/connection/caller/body.ts
@@ -22,6 +22,7 @@
         const bytes = GrowingBuffer.create({ maxBytes: limit, expectedBytes });
         const refuse = (cause: RefusalCause): void => {
             req.off("data", receive);
+            bytes.release();
             exchange?.abandonBody(cause);
             resolve({ kind: "refused", cause });
         };
@@ -45,11 +46,15 @@
         req.on("data", receive);
         req.once("end", () => {
             exchange?.endBody();
-            resolve({ kind: "complete", body: bytes.contents() });
+            resolve({ kind: "complete", body: bytes.take() });
         });
         req.once(
             "aborted",
-            () => reject(new Error(`caller closed the connection after ${bytes.length} bytes of the body`)),
+            () => {
+                req.off("data", receive);
+                bytes.release();
+                reject(new Error(`caller closed the connection after ${bytes.length} bytes of the body`));
+            },
         );
         req.once("error", reject);
     });
--- a/src/connection/caller/growing-buffer.ts
+++ b/src/connection/caller/growing-buffer.ts
@@ -1,4 +1,5 @@
 /** A buffer that grows with what is appended to it, block by block. */
+import { BlockPool } from "./block-pool.js";
 
 /** Options of `GrowingBuffer.create`. */
 export interface GrowingBufferOptions {
@@ -11,6 +12,7 @@
 /** Size of the first block, in bytes. Most bodies are smaller. */
 const firstBlockBytes = 4096;
 const largestBlockBytes = 64 * 1024;
+const pool = BlockPool.create();
 
 /**
  * Bytes appended one after the other, copied into blocks. A list of the appended chunks would cost some hundred bytes for
@@ -19,7 +21,7 @@
 export class GrowingBuffer {
     private readonly blocks: Buffer[] = [];
     /** Free bytes of the last block. */
-    private free = Buffer.alloc(0);
+    private free: Buffer = Buffer.alloc(0);
     private used = 0;
     private allocated = 0;
 
@@ -52,7 +54,7 @@
         const head = chunk.subarray(0, this.free.length);
         this.fill(head);
         if (head.length < chunk.length) {
-            const block = Buffer.allocUnsafeSlow(this.nextBlockBytes(chunk.length - head.length));
+            const block = pool.take(this.nextBlockBytes(chunk.length - head.length));
             this.blocks.push(block);
             this.allocated += block.length;
             this.free = block;
@@ -60,10 +62,21 @@
         }
     }
 
-    /** The appended bytes; a copy if there is more than one block. */
-    contents(): Buffer {
+    /** The appended bytes, which are the caller's from now on; the buffer must not be used any more. */
+    take(): Buffer {
         const [first = Buffer.alloc(0)] = this.blocks;
-        return this.blocks.length > 1 ? Buffer.concat(this.blocks, this.used) : first.subarray(0, this.used);
+        if (this.blocks.length <= 1) {
+            return first.subarray(0, this.used);
+        }
+        const bytes = Buffer.concat(this.blocks, this.used);
+        this.release();
+        return bytes;
+    }
+
+    /** Gives the memory back; the buffer must not be used any more. */
+    release(): void {
+        this.blocks.splice(0).forEach(block => pool.give(block));
+        this.free = Buffer.alloc(0);
     }
 
     /** Size of the block that is needed to append `count` bytes, of which the last block takes what it can. */
--- a/test/caller-bodies.test.ts
+++ b/test/caller-bodies.test.ts
@@ -52,7 +52,7 @@
                         expect(buffer.capacity).toBeLessThanOrEqual(Math.max(4096, 2 * buffer.length));
                         expect(buffer.capacity).toBeLessThanOrEqual(maxBytes);
                     }
-                    expect(buffer.contents()).toEqual(Buffer.concat(chunks));
+                    expect(buffer.take()).toEqual(Buffer.concat(chunks));
                 },
             ),
             { seed: 59, numRuns: 200 },
@@ -69,6 +69,22 @@
         }
         expect([...capacities]).toEqual([4096, 8192, 16_384, 32_768, 65_536]);
     });
+
+    // Guards against: memory that is used again while what was read before still lies in it.
+    test("leaves what was taken from it alone when its memory is used again", () => {
+        const fillOf = (byte: number, size: number): Buffer => {
+            const buffer = GrowingBuffer.create({ maxBytes: limit });
+            for (let i = 0; i < size; i += 100) {
+                buffer.append(Buffer.alloc(100, byte));
+            }
+            return buffer.take();
+        };
+        const sizes = [100, 4000, 5000, 30_000, 60_000];
+        const taken = sizes.map((size, i) => fillOf(i, size));
+        sizes.forEach(size => GrowingBuffer.create({ maxBytes: limit }).append(Buffer.alloc(size, 99)));
+        sizes.forEach(size => fillOf(99, size));
+        taken.forEach((bytes, i) => expect(bytes.equals(Buffer.alloc(sizes[i]!, i))).toBe(true));
+    });
 });
 
 describe("the body of a request", () => {
