--- a/src/connection/caller/body.ts
+++ b/src/connection/caller/body.ts
@@ -1,34 +1,81 @@
 /** Reads and sends complete HTTP bodies. */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { CallerConnection } from "./connection.js";
+import { declaredBytes } from "./declared-bytes.js";
+import { GrowingBuffer } from "./growing-buffer.js";
+import { RefusalCause } from "./limit-report.js";
+
+/** Result of reading the body of a request. */
+export type BodyResult =
+    | { readonly kind: "complete"; readonly body: Buffer }
+    /** It was not read, or not to its end; the connection closes with the answer. */
+    | { readonly kind: "refused"; readonly cause: RefusalCause };
 
 /**
- * Reads the body of a request; undefined when it is larger than `limit` bytes. Rejects when the connection ends before
- * the body is complete.
+ * Reads the body of a request of up to `limit` bytes, within what the request's listener may hold. Rejects when the
+ * connection ends before the body is complete.
  */
-export function readBody(req: IncomingMessage, limit: number): Promise<Buffer | undefined> {
+export function readBody(req: IncomingMessage, limit: number): Promise<BodyResult> {
+    const exchange = CallerConnection.of(req.socket)?.exchangeOf(req);
+    const expectedBytes = declaredBytes(req);
     return new Promise((resolve, reject) => {
-        const chunks: Buffer[] = [];
-        let size = 0;
-        req.on("data", (chunk: Buffer) => {
-            size += chunk.length;
-            if (size > limit) {
-                chunks.length = 0;
-                req.removeAllListeners("data");
-                req.resume();
-                resolve(undefined);
-                return;
+        const bytes = GrowingBuffer.create({ maxBytes: limit, expectedBytes });
+        const refuse = (cause: RefusalCause): void => {
+            req.off("data", receive);
+            bytes.release();
+            exchange?.abandonBody(cause);
+            resolve({ kind: "refused", cause });
+        };
+        const receive = (chunk: Buffer): void => {
+            const receivedBytes = bytes.length + chunk.length;
+            if (receivedBytes > limit) {
+                refuse(RefusalCause.TooLarge);
+            }
+            else if (exchange?.holdBody(bytes.capacityFor(chunk.length), receivedBytes) === false) {
+                refuse(RefusalCause.HeldBytes);
+            }
+            else {
+                bytes.append(chunk);
             }
-            chunks.push(chunk);
+        };
+        if (expectedBytes !== undefined && expectedBytes > limit) {
+            refuse(RefusalCause.TooLarge);
+            return;
+        }
+        exchange?.beginBody(refuse);
+        req.on("data", receive);
+        req.once("end", () => {
+            exchange?.endBody();
+            resolve({ kind: "complete", body: bytes.take() });
         });
-        req.once("end", () => resolve(Buffer.concat(chunks)));
         req.once(
             "aborted",
-            () => reject(new Error(`caller closed the connection after ${size} bytes of the request body`)),
+            () => {
+                req.off("data", receive);
+                bytes.release();
+                reject(new Error(`caller closed the connection after ${bytes.length} bytes of the body`));
+            },
         );
         req.once("error", reject);
     });
 }
 
+/** HTTP status of the answer to a request whose body was refused. */
+export function refusedBodyStatus(cause: RefusalCause): number {
+    switch (cause) {
+        case RefusalCause.TooLarge:
+            return 413;
+        case RefusalCause.Slow:
+            return 408;
+        case RefusalCause.Malformed:
+            return 400;
+        case RefusalCause.Requests:
+        case RefusalCause.Connections:
+        case RefusalCause.HeldBytes:
+            return 503;
+    }
+}
+
 /** Sends an answer with its body; answers with status 204 and 304 are sent without one. */
 export function sendBody(
     res: ServerResponse,
