--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -421,7 +421,7 @@
     ): void {
         this.lastImpairedAt = this.timer.now();
         this.checker.recordCrash(worker);
-        worker.vanish();
+        worker.loseRuns();
         this.workerCalls.holdCalls(worker);
         const vm = this.vms.find(candidate => candidate.worker === worker);
         this.timer.after(downMs, () => {
--- a/standin/site/worker-calls.ts
+++ b/standin/site/worker-calls.ts
@@ -28,7 +28,7 @@
 }
 
 /** A call that was delivered to a later incarnation than the one that was there when it was sent. */
-export interface StrayCall {
+export interface MisdeliveredCall {
     readonly kind: CallKind;
     readonly worker: StandinWorker;
 }
@@ -65,7 +65,7 @@
 /** Carries calls to the workers. */
 export class WorkerCalls {
     /** Calls that were delivered to a later incarnation than the one that was there when they were sent. */
-    readonly strayCalls: StrayCall[] = [];
+    readonly misdeliveredCalls: MisdeliveredCall[] = [];
     /** Time by which the answer to a call is late, so that answers overtake each other; none by default. */
     answerDelayMs: (kind: CallKind) => number = () => 0;
     /** Deliveries that wait for the next incarnation, by worker id. */
@@ -166,7 +166,7 @@
     private deliverLate<T>(sentTo: StandinWorker, { kind, target, carryOut }: SentCall<T>): void {
         const deliver = (worker: StandinWorker): void => {
             if (worker !== sentTo) {
-                this.strayCalls.push({ kind, worker });
+                this.misdeliveredCalls.push({ kind, worker });
             }
             this.options.carryOutLate(() => carryOut(worker, () => undefined));
         };
@@ -185,7 +185,7 @@
         const { sender, target, kind } = call;
         this.heldCalls.get(target.worker)?.push(worker => {
             if (!this.options.isCutOff(worker.id, sender.entry)) {
-                this.strayCalls.push({ kind, worker });
+                this.misdeliveredCalls.push({ kind, worker });
                 this.carryOut(worker, call);
             }
         });
--- a/standin/site/worker.ts
+++ b/standin/site/worker.ts
@@ -215,7 +215,7 @@
     }
 
     /** Ends as `goDark` does; moreover, the hold requests that wait are never answered, not even after `terminate`. */
-    vanish(): void {
+    loseRuns(): void {
         this.holdWaiters.clear();
         this.goDark();
     }
--- a/standin/wire/worker.ts
+++ b/standin/wire/worker.ts
@@ -69,7 +69,7 @@
      * those that arrive until `restart` wait for the next incarnation.
      */
     goDown(): void {
-        this.incarnation.vanish();
+        this.incarnation.loseRuns();
         this.heldCalls ??= [];
     }
 
--- a/test/reborn-workers.test.ts
+++ b/test/restarted-workers.test.ts
@@ -74,8 +74,8 @@
         return site.workers.find(worker => worker.id === id)!;
     }
 
-    function hasStrayed(site: StandinSite, kind: CallKind): boolean {
-        return site.workerCalls.strayCalls.some(call => call.kind === kind);
+    function isMisdelivered(site: StandinSite, kind: CallKind): boolean {
+        return site.workerCalls.misdeliveredCalls.some(call => call.kind === kind);
     }
 
     function workerAtOwner(site: StandinSite, id: string) {
@@ -94,7 +94,7 @@
         await site.timer.advance(1);
         site.restart(worker, downMs, listDelayMs);
         await site.timer.advance(downMs + 1);
-        expect(hasStrayed(site, CallKind.Hold)).toBe(true);
+        expect(isMisdelivered(site, CallKind.Hold)).toBe(true);
         const { startedAtMs } = present(site, worker.id);
         await until(site, () => workerAtOwner(site, worker.id)?.startedAtMs === startedAtMs);
         await submit(site, "j1", job, longMs);
@@ -109,7 +109,7 @@
         const submitted = site.submit(availableEntry(site)!, "j1", job, { workMs });
         await site.timer.advance(downMs + 5);
         expect((await submitted).kind).toBe("accepted");
-        expect(hasStrayed(site, CallKind.Start)).toBe(true);
+        expect(isMisdelivered(site, CallKind.Start)).toBe(true);
         expect(present(site, worker.id).running.size).toBeGreaterThan(0);
         return worker.id;
     }
@@ -235,6 +235,75 @@
         },
     );
 
+    /** A worker's restart, of which neither the list nor an answer ever tells: it is cut off from the store, too. */
+    async function restartUnseen(site: StandinSite, downMs: number): Promise<StandinWorker> {
+        const [worker] = site.workers;
+        site.restart(worker!, downMs, 60_000);
+        await site.timer.advance(downMs + 1);
+        const next = site.workers.find(({ id }) => id === worker!.id)!;
+        next.faults.isReportStale = true;
+        next.stopReporting();
+        return next;
+    }
+
+    // Guards against: a start that arrives after its former incarnation has confirmed that it has neither the run nor will start it.
+    test.each([800, 1200, 3000])("runs the task once although the start is %i ms late", async lateMs => {
+        const site = StandinSite.create(capacityOf);
+        await site.start(lists);
+        await site.timer.advance(10_000);
+        const worker = site.workers[0]!;
+        worker.faults.commandDelayMs = lateMs;
+        void site.submit(availableEntry(site)!, "a", jobOf({ tasks: 1 }), { workMs: 2 * longMs });
+        await site.timer.advance(60);
+        worker.faults.commandDelayMs = 0;
+        await site.timer.advance(lateMs - 160);
+        site.restart(worker, 150, 1000);
+        await site.timer.advance(15_000);
+        expect(site.checker.violations).toEqual([]);
+    });
+
+    // Guards against: a bound that counts on the list to show a later incarnation, which can't reach the store.
+    test.each([2500, 4000, 9000])(
+        "waits for a start that is %i ms late at a worker that is not listed",
+        async lateMs => {
+            const site = StandinSite.create(capacityOf);
+            await site.start(lists);
+            await site.timer.advance(10_000);
+            const worker = site.workers[0]!;
+            worker.faults.commandDelayMs = lateMs;
+            void site.submit(availableEntry(site)!, "a", jobOf({ tasks: 2 * cores + 4 }), {
+                workMs: 2 * longMs,
+            });
+            await site.timer.advance(60);
+            site.partition(worker);
+            site.timer.after(20_000, () => site.heal(worker));
+            await restartUnseen(site, 150);
+            await site.timer.advance(30_000);
+            expect(site.checker.violations).toEqual([]);
+        },
+    );
+
+    // Guards against: a next owner that knows nothing of a start which another incarnation has answered.
+    test.each([2, 20, 60])(
+        "hands its doubt to the next owner, killed %i ms after the worker was cut off",
+        async killMs => {
+            const site = StandinSite.create(capacityOf);
+            await site.start(lists);
+            await site.timer.advance(10_000);
+            const submitted = site.submit(availableEntry(site)!, "a", jobOf({ tasks: 2 * cores + 4 }), {
+                workMs: 2 * longMs,
+            });
+            const next = await restartUnseen(site, 150);
+            await site.timer.advance(2);
+            void submitted;
+            cutOff(site, next, 20_000);
+            await site.timer.advance(killMs);
+            killOwner(site);
+            await site.timer.advance(30_000);
+            expect(site.checker.violations).toEqual([]);
+        },
+    );
+
     // Guards against: rows of lease bounds, in each batch or alone, while no worker has started again.
     test("stores no bounds while all workers answer", async () => {
         const site = StandinSite.create({ vmsPerPool: 12, capacity });
@@ -253,7 +322,7 @@
 });
 
 /** What follows the return of the workers of a zone. */
-interface Aftermath {
+interface RestartFaults {
     /** Shortest and longest time from a worker's return until it is cut off, in milliseconds. */
     readonly cutAfterMs: readonly [number, number];
     /** Whether the owner is killed in between. */
@@ -264,8 +333,13 @@
     readonly seeds: readonly number[];
 }
 
-const plain: Aftermath = { cutAfterMs: [200, 2200], killsOwner: false, hasLateCalls: false, seeds: [1, 15] };
-const aftermaths: Readonly<Record<string, Aftermath>> = {
+const plain: RestartFaults = {
+    cutAfterMs: [200, 2200],
+    killsOwner: false,
+    hasLateCalls: false,
+    seeds: [1, 15],
+};
+const faultsByName: Readonly<Record<string, RestartFaults>> = {
     "cut off": plain,
     "cut off after the owner was killed": { ...plain, killsOwner: true, seeds: [5, 16] },
     "cut off at once": { ...plain, cutAfterMs: [20, 150], seeds: [1, 2] },
@@ -275,20 +349,20 @@
 /** Time after which the workers' clocks are ahead of new ones by more than the longest lease. */
 const warmUpMs = 5000;
 const faultsMs = 40_000;
-/** Shortest time between two strikes: each is over by then. */
+/** Shortest time between two restarts of a zone: each is over by then. */
 const shortestGapMs = 9000;
 /** Time in which all jobs end after the faults: leases, and two runs of the longest tasks. */
 const settleMs = 45_000;
 const settleStepMs = 1500;
 
 /** A site on which the workers of one zone after the other restart under their ids while jobs are submitted. */
-class RebornScenario {
+class RestartScenario {
     private readonly random: Random;
     private readonly site: StandinSite;
     private readonly zones: readonly string[];
     private readonly accepted: string[] = [];
 
-    private constructor(seed: number, private readonly aftermath: Aftermath) {
+    private constructor(seed: number, private readonly faults: RestartFaults) {
         this.random = Random.createFromSmallSeed(seed);
         this.zones = ["z1", "z2", "z3"].slice(0, 2 + this.random.int(2));
         this.site = StandinSite.create({
@@ -299,8 +373,8 @@
         });
     }
 
-    static create(seed: number, aftermath: Aftermath): RebornScenario {
-        return new RebornScenario(seed, aftermath);
+    static create(seed: number, faults: RestartFaults): RestartScenario {
+        return new RestartScenario(seed, faults);
     }
 
     /** Plays the scenario; returns the violations, and the jobs that have ended otherwise than they should. */
@@ -308,16 +382,16 @@
         const { site, random } = this;
         await site.start(lists);
         await site.timer.advance(warmUpMs);
-        if (this.aftermath.hasLateCalls) {
+        if (this.faults.hasLateCalls) {
             site.workerCalls.answerDelayMs = () => random.chance(0.2) ? random.int(200) : 0;
         }
         const endsAt = site.timer.now() + faultsMs;
-        let strikesAt = site.timer.now() + random.int(2000);
+        let restartsAt = site.timer.now() + random.int(2000);
         for (let job = 0; site.timer.now() < endsAt; job++) {
             void this.submit(`j${job}`);
-            if (site.timer.now() >= strikesAt) {
-                this.strike(random.pick(this.zones));
-                strikesAt += shortestGapMs + random.int(4000);
+            if (site.timer.now() >= restartsAt) {
+                this.restartZone(random.pick(this.zones));
+                restartsAt += shortestGapMs + random.int(4000);
             }
             await site.timer.advance(100 + random.int(600));
         }
@@ -358,8 +432,8 @@
         }
     }
 
-    private strike(zone: string): void {
-        const { site, random, aftermath: { cutAfterMs: [leastMs, mostMs], killsOwner, hasLateCalls } } = this;
+    private restartZone(zone: string): void {
+        const { site, random, faults: { cutAfterMs: [leastMs, mostMs], killsOwner, hasLateCalls } } = this;
         const downMs = 100 + random.int(500);
         const cutAfterMs = leastMs + random.int(mostMs - leastMs);
         const lastsMs = 4000 + random.int(2000);
@@ -376,17 +450,17 @@
 }
 
 describe("workers that restart under their ids while calls are on the way to them", () => {
-    const seeds = Number(process.env["REBORN_SEEDS"] ?? "1");
-    const firstSeed = Number(process.env["REBORN_FIRST_SEED"] ?? "101");
-    const isDefault = process.env["REBORN_FIRST_SEED"] === undefined;
-    const cases = Object.entries(aftermaths).flatMap(([name, aftermath]) =>
+    const seeds = Number(process.env["RESTART_SEEDS"] ?? "1");
+    const firstSeed = Number(process.env["RESTART_FIRST_SEED"] ?? "101");
+    const isDefault = process.env["RESTART_FIRST_SEED"] === undefined;
+    const cases = Object.entries(faultsByName).flatMap(([name, faults]) =>
         [
-            ...(isDefault ? aftermath.seeds : []),
+            ...(isDefault ? faults.seeds : []),
             ...Array.from({ length: seeds }, (_, i) => firstSeed + i),
-        ].map(seed => [name, seed, aftermath] as const)
+        ].map(seed => [name, seed, faults] as const)
     );
     // Guards against: tasks that run twice, or are lost, after orders for former incarnations have reached new ones.
-    test.each(cases)("run no task twice when they are %s, seed %i", async (_, seed, aftermath) => {
-        expect(await RebornScenario.create(seed, aftermath).play()).toEqual([]);
+    test.each(cases)("run no task twice when they are %s, seed %i", async (_, seed, faults) => {
+        expect(await RestartScenario.create(seed, faults).play()).toEqual([]);
     });
 });
