--- a/soak/done-watch.ts
+++ b/soak/done-watch.ts
@@ -13,6 +13,8 @@
 interface Done {
     readonly worker: StandinWorker;
     readonly at: number;
+    /** Monotonic time at which an owner acknowledged the end, in milliseconds; undefined before. */
+    acknowledgedAt: number | undefined;
 }
 
 interface Restart {
@@ -20,6 +22,7 @@
     readonly worker: string;
     readonly doneAt: number;
     readonly startedAt: number;
+    readonly acknowledgedAt: number | undefined;
     /** Whether the worker that reported the end had ended itself by the time of the start. */
     readonly isDoneLost: boolean;
 }
@@ -40,6 +43,7 @@
         const watch = new DoneWatch();
         const onRunStarted = checker.onRunStarted.bind(checker);
         const onRunEnded = checker.onRunEnded.bind(checker);
+        const onEndAcknowledged = checker.onEndAcknowledged.bind(checker);
         checker.onRunStarted = (worker, order) => {
             watch.recordStart(order.task, performance.now());
             onRunStarted(worker, order);
@@ -50,22 +54,30 @@
             }
             onRunEnded(worker, task, run, outcome);
         };
+        checker.onEndAcknowledged = (worker, task, run, outcome) => {
+            const done = watch.doneByTask.get(task);
+            if (done !== undefined && outcome === RunEnd.Done) {
+                done.acknowledgedAt ??= performance.now();
+            }
+            onEndAcknowledged(worker, task, run, outcome);
+        };
         return watch;
     }
 
     recordDone(worker: StandinWorker, task: string, at: number): void {
-        this.doneByTask.set(task, { worker, at });
+        this.doneByTask.set(task, { worker, at, acknowledgedAt: undefined });
     }
 
     recordStart(task: string, startedAt: number): void {
         const done = this.doneByTask.get(task);
         if (done !== undefined) {
-            const { worker, at: doneAt } = done;
+            const { worker, at: doneAt, acknowledgedAt } = done;
             this.restarts.push({
                 task,
                 worker: worker.id,
                 doneAt,
                 startedAt,
+                acknowledgedAt,
                 isDoneLost: !worker.isAlive,
             });
         }
@@ -87,8 +99,19 @@
         );
     }
 
-    /** Figures of the watch, after `breaches`. */
-    summary(): string {
-        return `${this.doneByTask.size} tasks done; ${this.restarts.length} starts after done, ${this.excused} of them excused by a worker that was lost or cut off`;
+    /** Figures of the watch, after `breaches`, and the starts after an end that an owner had acknowledged, each as a line. */
+    summary(roundStartedAt: number): readonly string[] {
+        const since = (at: number): number => Math.round(at - roundStartedAt);
+        const acknowledged = this.restarts.flatMap(({ task, worker, doneAt, startedAt, acknowledgedAt }) =>
+            acknowledgedAt === undefined ? [] : [
+                `${since(startedAt)} ms: ${task} starts; done on ${worker} at ${
+                    since(doneAt)
+                } ms, acknowledged at ${since(acknowledgedAt)} ms`,
+            ]
+        );
+        return [
+            ...acknowledged,
+            `${this.doneByTask.size} tasks done; ${this.restarts.length} starts after done, ${this.excused} of them excused by a worker that was lost or cut off`,
+        ];
     }
 }
--- a/soak/upgrade.ts
+++ b/soak/upgrade.ts
@@ -193,7 +193,7 @@
 
     /** Owners and their fencing tokens, each as a line. */
     summary(startedAt: number): readonly string[] {
-        return [...this.owners?.summary(startedAt) ?? [], this.done.summary()];
+        return [...this.owners?.summary(startedAt) ?? [], ...this.done.summary(startedAt)];
     }
 }
 
--- a/test/soak-upgrade.test.ts
+++ b/test/soak-upgrade.test.ts
@@ -9,6 +9,7 @@
 import { FaultKind, FaultTarget } from "../soak/plan.js";
 import { playRound, roundFolder } from "../soak/round.js";
 import { Build, misunderstandingsIn, planUpgrade } from "../soak/upgrade.js";
+import { RunEnd } from "../src/job/index.js";
 import { tables } from "../src/pool/ownership.js";
 import { InvariantChecker } from "../standin/site/checker.js";
 import { WirePlatform } from "../standin/wire/platform.js";
@@ -198,20 +199,22 @@
     });
 });
 
+async function createDoneWatch() {
+    const platform = WirePlatform.create({ pool: "bench", workers: 1 });
+    const checker = new InvariantChecker({ now: () => 0 } as never);
+    const watch = DoneWatch.create(checker);
+    await platform.start();
+    const { incarnation } = platform.workers[0]!;
+    await platform.stop();
+    watch.recordDone(incarnation, "t", 1000);
+    return { watch, checker, incarnation };
+}
+
 describe("the watch of done tasks", () => {
-    async function createWatch() {
-        const platform = WirePlatform.create({ pool: "bench", workers: 1 });
-        const watch = DoneWatch.create(new InvariantChecker({} as never));
-        await platform.start();
-        const { incarnation } = platform.workers[0]!;
-        await platform.stop();
-        watch.recordDone(incarnation, "t", 1000);
-        return { watch, incarnation };
-    }
     const harm = { worker: "w-0", fromMs: 1500, untilMs: 2000 };
 
     test("reports a start after done, also before the end is stored", async () => {
-        const { watch } = await createWatch();
+        const { watch } = await createDoneWatch();
         watch.recordStart("other", 3000);
         expect(watch.breaches([], 0)).toEqual([]);
         watch.recordStart("t", 3000);
@@ -221,7 +224,7 @@
     });
 
     test("excuses one whose worker cannot report the end, since it ended or was cut off", async () => {
-        const { watch, incarnation } = await createWatch();
+        const { watch, incarnation } = await createDoneWatch();
         watch.recordStart("t", 3000);
         expect(watch.breaches([harm], 0)).toEqual([]);
         incarnation.terminate();
@@ -231,6 +234,20 @@
     });
 });
 
+describe("the summary of done tasks", () => {
+    test("names the starts after an end that an owner had acknowledged, with the times of both", async () => {
+        const { watch, checker, incarnation } = await createDoneWatch();
+        watch.recordStart("t", 3000);
+        expect(watch.summary(0)).toHaveLength(1);
+        checker.onEndAcknowledged(incarnation, "t", 1, RunEnd.Done);
+        watch.recordStart("t", 4000);
+        expect(watch.summary(0)).toEqual([
+            expect.stringMatching(/^4000 ms: t starts; done on w-0 at 1000 ms, acknowledged at \d+ ms$/),
+            expect.stringMatching(/^1 tasks done; 2 starts after done/),
+        ]);
+    });
+});
+
 test("logs are searched for what an entry could not use of another's rows and messages", () => {
     const file = join(folder, "e0.log");
     const refused = '{"event":2103,"message":"RowRefused"}';
