Test of the soak: SIGTERM is sent only once the process stands still

The test timed out after 120 s in one of two plays. By reading: of two pending signals the lower number is delivered first, so that the process ends at once and is started again, and the test waits for the second process. The pid of an entry's process is public for that.

--- a/soak/entry-process.ts
+++ b/soak/entry-process.ts
@@ -77,6 +77,11 @@
         return this.child !== undefined;
     }
 
+    /** Id of the process that runs; undefined while there is none. */
+    get pid(): number | undefined {
+        return this.child?.pid;
+    }
+
     /** Whether the process stands still. */
     get isPaused(): boolean {
         return this.isStandingStill;
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -25,6 +25,10 @@
 
 afterAll(() => rmSync(folder, { recursive: true, force: true }));
 
+function isStopped({ pid }: { readonly pid?: number | undefined }): boolean {
+    return /^State:\s*T/m.test(readFileSync(`/proc/${pid}/status`, "utf8"));
+}
+
 describe("the built daemon", () => {
     const signalGapMs = 100;
     const settings = JSON.stringify({
@@ -45,10 +49,6 @@
         return child;
     }
 
-    function isStopped({ pid }: ChildProcess): boolean {
-        return /^State:\s*T/m.test(readFileSync(`/proc/${pid}/status`, "utf8"));
-    }
-
     test("survives a SIGHUP, and exits with code 0 on a SIGTERM, that arrive before it has read its settings", async () => {
         const file = createFifo(folder, "settings.jsonc");
         const child = startDaemon(file);
@@ -109,9 +109,13 @@
         entry.start();
         onTestFinished(() => entry.end());
         entry.pause();
+        // Of two signals that are pending, SIGTERM would be delivered first.
+        while (!isStopped(entry)) {
+            await pause(10);
+        }
         entry.term();
         await pause(2500);
-        expect(entry.isRunning).toBe(true);
+        expect(entry.lifetime).toBe(1);
         const ended = entry.ended();
         entry.resume();
         await ended;
