--- a/src/pool/worker-registry.ts
+++ b/src/pool/worker-registry.ts
@@ -131,7 +131,10 @@
         return this.shapes.couldEverRun(step);
     }
 
-    /** Records a worker's incarnation; resets its state and returns true if it is a later one. */
+    /**
+     * Records a worker's incarnation; resets its state and returns true if it is a later one. `correctIncarnation` is for an earlier
+     * one that the list shows, `restartIncarnation` for an unknown one.
+     */
     updateIncarnation(worker: WorkerState, startedAtMs: number): boolean {
         if (startedAtMs <= worker.startedAtMs) {
             return false;
