--- a/review/lib-3/entry.ts
+++ b/review/lib-3/entry.ts
@@ -98,9 +98,9 @@
         this.child?.kill("SIGKILL");
     }
 
-    /** Whether a connection on loopback with this local port belongs to the process. */
-    ownsPort(port: number): boolean {
-        const inode = inodeOf(port);
+    /** Whether the process has the connection on loopback from one port to another. */
+    hasConnection(from: number, to: number): boolean {
+        const inode = inodeOf(from, to);
         const { pid } = this;
         if (inode === undefined || pid === undefined) {
             return false;
@@ -166,12 +166,11 @@
     );
 }
 
-/** Inode of the socket on loopback with a local port. */
-function inodeOf(port: number): string | undefined {
-    const hex = port.toString(16).toUpperCase().padStart(4, "0");
-    const line = readFileSync("/proc/net/tcp", "utf8").split("\n")
-        .find(text => text.trim().split(/\s+/)[1]?.endsWith(`:${hex}`) === true);
-    return line?.trim().split(/\s+/)[9];
+/** Inode of the socket that is connected from one port to another. */
+function inodeOf(from: number, to: number): string | undefined {
+    const hex = (port: number): string => `:${port.toString(16).toUpperCase().padStart(4, "0")}`;
+    return readFileSync("/proc/net/tcp", "utf8").split("\n").map(line => line.trim().split(/\s+/))
+        .find(([, local = "", remote = ""]) => local.endsWith(hex(from)) && remote.endsWith(hex(to)))?.[9];
 }
 
 function linkOf(path: string): string {
--- a/review/lib-3/link.ts
+++ b/review/lib-3/link.ts
@@ -9,8 +9,8 @@
     readonly target: string;
     /** Called with the bytes that a client sends, before they are forwarded. */
     readonly onData?: (data: Buffer) => void;
-    /** Whether a new connection is cut, by the port of its client. */
-    readonly isCutFor?: (clientPort: number) => boolean;
+    /** Whether a connection from a port of its client to one of the proxy is cut by itself. */
+    readonly isCutFor?: (clientPort: number, proxyPort: number) => boolean;
 }
 
 interface Pair {
@@ -77,8 +77,13 @@
         const { target, onData, isCutFor } = this.options;
         const [host, port] = target.split(":");
         const server = connect({ host: host!, port: Number(port) });
-        const clientPort = client.remotePort ?? 0;
-        const pair: Pair = { client, server, isCutAlone: () => isCutFor?.(clientPort) === true, held: [] };
+        const { remotePort: clientPort = 0, localPort = 0 } = client;
+        const pair: Pair = {
+            client,
+            server,
+            isCutAlone: () => isCutFor?.(clientPort, localPort) === true,
+            held: [],
+        };
         this.pairs.add(pair);
         client.setNoDelay(true);
         server.setNoDelay(true);
--- a/review/lib-3/site.ts
+++ b/review/lib-3/site.ts
@@ -243,8 +243,10 @@
             peers: await Link.open({
                 host,
                 target: `${ip}:${ports.control}`,
-                isCutFor: port =>
-                    this.entries.some(entry => this.cutEntries.has(entry.name) && entry.ownsPort(port)),
+                isCutFor: (from, to) =>
+                    this.entries.some(entry =>
+                        this.cutEntries.has(entry.name) && entry.hasConnection(from, to)
+                    ),
             }),
         })));
         for (const [number, plan] of plans.entries()) {
@@ -276,6 +278,29 @@
         this.recorder.write("ready", { owner: this.owner?.name });
     }
 
+    /**
+     * Cuts a worker off from all entries and the store for `ms`; `crashAfterMs` after that it crashes, and it is back under its id
+     * `downMs` later.
+     */
+    async cutOffWorker(
+        worker: Worker,
+        { ms, crashAfterMs, downMs }: Readonly<Record<"ms" | "crashAfterMs" | "downMs", number>>,
+    ): Promise<void> {
+        this.recorder.write("cut begins", { worker: worker.id, ms });
+        worker.isCutOff = true;
+        worker.isSilent = true;
+        const expiry = setTimeout(() => this.store.remove("servers", worker.id), expiryMs);
+        setTimeout(() => {
+            this.recorder.write("cut ends", { worker: worker.id });
+            clearTimeout(expiry);
+            worker.isCutOff = false;
+            worker.isSilent = false;
+            this.register(worker);
+        }, ms);
+        await pause(crashAfterMs);
+        await this.restart(worker, downMs, ms);
+    }
+
     /** Crashes a worker silently; it is back under its id after `downMs`, and reports to the store `silentMs` after that. */
     async restart(worker: Worker, downMs: number, silentMs: number): Promise<void> {
         this.recorder.write("worker crashes", { worker: worker.id, downMs });
--- a/review/lib-3/worker.ts
+++ b/review/lib-3/worker.ts
@@ -65,6 +65,8 @@
 }
 
 const tickMs = 20;
+/** Age of the workers at the start of a deployment. */
+const firstAgeMs = 480_000;
 const holdMaxMs = 6000;
 const gangMs = 3000;
 const stopMs = 60;
@@ -76,8 +78,10 @@
     life: Life | undefined;
     sequence = 0;
     isDraining = false;
-    /** Whether its next report to the store is not due yet. */
+    /** Whether its reports do not reach the store, or the next one is not due yet. */
     isSilent = false;
+    /** Whether it is cut off from the entries: no call reaches it, and no answer leaves it. */
+    isCutOff = false;
     private readonly failures = new Map<string, number>();
     private server: Server | undefined;
     private readonly ticker: NodeJS.Timeout;
@@ -89,18 +93,18 @@
     /** Starts a worker. */
     static async start(options: WorkerOptions): Promise<Worker> {
         const worker = new Worker(options);
-        await worker.begin();
+        await worker.begin(firstAgeMs);
         return worker;
     }
 
-    /** Begins the next life. */
-    async begin(): Promise<void> {
+    /** Begins the next life, which has lasted for `ageMs`. */
+    async begin(ageMs = 0): Promise<void> {
         const { host } = this.options;
         this.server ??= await serve(host, call => this.handle(call));
         this.sequence = 0;
         this.life = {
-            born: Date.now(),
-            startedAt: performance.now(),
+            born: Date.now() - ageMs,
+            startedAt: performance.now() - ageMs,
             fence: 0,
             leaseUntil: 0,
             runs: new Map(),
@@ -166,7 +170,12 @@
         return this.life === undefined ? 0 : Math.floor(performance.now() - this.life.startedAt);
     }
 
-    private handle(call: Call): Promise<Answer> | Answer {
+    private async handle(call: Call): Promise<Answer> {
+        const answer = this.isCutOff ? undefined : await this.respond(call);
+        return this.isCutOff ? undefined : answer;
+    }
+
+    private respond(call: Call): Promise<Answer> | Answer {
         const { life } = this;
         if (life === undefined) {
             return undefined;
