review: scripts that end what they started however they end

Cause: an error outside of a case's own steps left entries running and gave the exit code of a broken rule.

--- a/review/lib-3/entry.ts
+++ b/review/lib-3/entry.ts
@@ -33,6 +33,9 @@
 }
 
 const restartMs = 300;
+/** Processes that run; they end with this one, however it ends. */
+const running = new Set<ChildProcess>();
+process.on("exit", () => running.forEach(child => child.kill("SIGKILL")));
 
 /** One entry. */
 export class Entry {
@@ -78,12 +81,14 @@
         child.stderr.pipe(log, { end: false });
         child.once("exit", (code, signal) => {
             recorder.write("process ends", { entry: name, with: code ?? signal });
+            running.delete(child);
             this.child = undefined;
             if (this.isWanted) {
                 setTimeout(() => this.isWanted && this.start(), restartMs);
             }
         });
         this.child = child;
+        running.add(child);
         recorder.write("process starts", { entry: name });
     }
 
--- a/review/lib-3/site.ts
+++ b/review/lib-3/site.ts
@@ -522,15 +522,26 @@
     };
 }
 
+/** Longest time of a case; one that takes longer could not run. */
+const longestMs = 110_000;
+
 /** Plays a case: exits with 1 if a rule was broken, 0 if it held, 2 if the case could not run. */
 export async function play(run: (isTroubled: boolean) => Promise<readonly string[]>): Promise<never> {
+    const giveUp = (err: unknown): never => {
+        process.stderr.write(`${String(err)}\n`);
+        process.exit(2);
+    };
+    process.on("uncaughtException", giveUp);
+    process.on("unhandledRejection", giveUp);
+    process.on("SIGTERM", giveUp);
+    process.on("SIGINT", giveUp);
+    setTimeout(() => giveUp("the case took too long"), longestMs);
     try {
         const breaches = await run(process.env["TROUBLE"] !== "0");
         breaches.forEach(breach => process.stdout.write(`${breach}\n`));
         process.exit(breaches.length > 0 ? 1 : 0);
     }
     catch (err) {
-        process.stderr.write(`${String(err)}\n`);
-        process.exit(2);
+        return giveUp(err);
     }
 }
