Log: by which number of attempts the end of a failed run was judged

Cause sought: the log names neither the failures counted nor the limit that they were compared with, so three hypotheses read the same: the new owner takes the default for a queue that its lists leave out; a run is counted twice across the takeover; the number comes from another version of the lists.

Change: RunEnded (2304) of a failed run has `failures`, `maxFailures`, `lists` and `isQueueListed`. No decision changes.

--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -113,6 +113,7 @@
         const gang = outcome === RunEnd.Done ? [] : this.ctx.jobs.otherGangRuns(record);
         this.ctx.workers.removeRun(record);
         this.queue.delete(record);
+        const maxFailures = this.maxFailuresOf(record.entry);
         this.ctx.jobs.end(
             record,
             {
@@ -121,7 +122,7 @@
                 isExplained: end.isExplained === true,
                 hasEnded: lost => this.ctx.liveness.of(lost) === Liveness.Ended,
             },
-            this.maxFailuresOf(record.entry),
+            maxFailures,
             now,
         );
         log.write(Severity.Info, EventId.RunEnded, {
@@ -137,6 +138,12 @@
             ageMs: Math.round(now - record.startedAt),
             phase: record.entry.state.phase,
             lostWorkers: lossesOf(record).length || undefined,
+            ...(outcome === RunEnd.Failed && {
+                failures: taskOf(record).failures,
+                maxFailures,
+                isQueueListed: queueOf(this.ctx, record.entry) !== undefined,
+                lists: this.ctx.options.directory()?.version,
+            }),
         });
         if (outcome === RunEnd.WorkerLost && taskOf(record).phase === TaskPhase.Failed) {
             log.write(Severity.Warn, EventId.TaskGivenUp, {
