A job fails by the attempts that the lists in force name, never by a default

Cause: what earlier lists said of a queue was known to one owner for one tenure (KnownLists); an owner that had not seen the queue took a default of 3, and a failed job stays failed. Besides, the number was looked at only when a run failed: a task that waited with as many failures as newer lists allow was started again.

Change: without a number in the lists in force there is no verdict; the failure is counted, the task waits, and as before nothing of the queue is started. Each version of the lists is applied to the waiting tasks before tasks are placed by it, and again to a claimed run before its start. To find these tasks the table of tasks counts those that wait after a failure.

Why it works: the decision needs nothing but the lists in force and the stored count of failures, both of which every owner has; how often and how the owner changes does not matter. No start can come before the verdict, since both need the same lists.

--- a/src/job/state.ts
+++ b/src/job/state.ts
@@ -149,10 +149,13 @@
 
 /** Limit on the failures of a task, as the queue sets it. */
 export interface FailureLimit {
-    /** Number of failed runs of one task at which the job fails. */
+    /** Number of failed runs of one task at which the job fails; infinite while it is not known. */
     readonly maxFailures: number;
 }
 
+/** Reason of a job that has failed since a task of it has failed as often as its queue allows. */
+export const attemptsExhausted = "attempts-exhausted";
+
 /** End of a run. */
 export interface RunResult {
     readonly how: RunEnd;
@@ -246,7 +249,20 @@
         return withTask(state, position, { ...released, failures, phase: TaskPhase.Waiting });
     }
     const ended = withTask(state, position, { ...released, failures, phase: TaskPhase.Failed });
-    return failJob(ended, "attempts-exhausted");
+    return failJob(ended, attemptsExhausted);
+}
+
+/** Position of the first waiting task that has failed as often as it may; undefined if there is none. */
+export function findExhaustedTask({ tasks }: JobState, { maxFailures }: FailureLimit): number | undefined {
+    if (tasks.count(TaskSet.WithFailures) === 0) {
+        return undefined;
+    }
+    for (const position of tasks.positions(TaskSet.WithFailures)) {
+        if (tasks.at(position).failures >= maxFailures) {
+            return position;
+        }
+    }
+    return undefined;
 }
 
 /**
--- a/src/job/task-table.ts
+++ b/src/job/task-table.ts
@@ -40,6 +40,8 @@
     Begun = "begun",
     /** Tasks under which workers were lost. */
     WithLosses = "with-losses",
+    /** Tasks that wait for another run after failed ones, whether they are held or not. */
+    WithFailures = "with-failures",
 }
 
 /** Tasks of a job. */
@@ -235,6 +237,8 @@
             return "begun";
         case TaskSet.WithLosses:
             return "withLosses";
+        case TaskSet.WithFailures:
+            return "withFailures";
     }
 }
 
--- a/src/job/task-tree.ts
+++ b/src/job/task-tree.ts
@@ -18,6 +18,7 @@
     readonly done: number;
     readonly begun: number;
     readonly withLosses: number;
+    readonly withFailures: number;
 }
 
 /** A block of tasks. */
@@ -32,8 +33,15 @@
 
 export type Node = Block | Tree;
 
-export const emptyTally: Tally = { notOpen: 0, claimed: 0, done: 0, begun: 0, withLosses: 0 };
-const doneTally: Tally = { notOpen: 1, claimed: 0, done: 1, begun: 1, withLosses: 0 };
+export const emptyTally: Tally = {
+    notOpen: 0,
+    claimed: 0,
+    done: 0,
+    begun: 0,
+    withLosses: 0,
+    withFailures: 0,
+};
+const doneTally: Tally = { notOpen: 1, claimed: 0, done: 1, begun: 1, withLosses: 0, withFailures: 0 };
 /** Trees of which all children are the same one, by that child: the tasks of finished occurrences share them. */
 const uniformTrees = new WeakMap<Node, Tree>();
 /** Blocks of tasks that are all done in the same run, by its number. */
@@ -65,8 +73,8 @@
     const [run] = items;
     const isShared = tally.done === blockTasks && typeof run === "number" && run < maxSharedRuns
         && items.every(item => item === run);
-    const { notOpen, claimed, done, begun, withLosses } = tally;
-    const block = { items, notOpen, claimed, done, begun, withLosses };
+    const { notOpen, claimed, done, begun, withLosses, withFailures } = tally;
+    const block = { items, notOpen, claimed, done, begun, withLosses, withFailures };
     if (!isShared) {
         return block;
     }
@@ -79,8 +87,8 @@
     const [first] = children;
     const isUniform = tally.done === blockTasks ** (level + 1) && first !== undefined
         && children.every(child => child === first);
-    const { notOpen, claimed, done, begun, withLosses } = tally;
-    const tree = { children, notOpen, claimed, done, begun, withLosses };
+    const { notOpen, claimed, done, begun, withLosses, withFailures } = tally;
+    const tree = { children, notOpen, claimed, done, begun, withLosses, withFailures };
     if (!isUniform) {
         return tree;
     }
@@ -105,6 +113,7 @@
         done: a.done + times * b.done,
         begun: a.begun + times * b.begun,
         withLosses: a.withLosses + times * b.withLosses,
+        withFailures: a.withFailures + times * b.withFailures,
     };
 }
 
@@ -115,13 +124,14 @@
     if (typeof item === "number") {
         return doneTally;
     }
-    const { phase, step, lostWorkers } = item;
+    const { phase, step, failures, lostWorkers } = item;
     return {
         notOpen: phase !== TaskPhase.Waiting || isHeldTask(item, steps[step]!) ? 1 : 0,
         claimed: phase === TaskPhase.Claimed ? 1 : 0,
         done: phase === TaskPhase.Done ? 1 : 0,
         begun: 1,
         withLosses: lostWorkers.length > 0 ? 1 : 0,
+        withFailures: phase === TaskPhase.Waiting && failures > 0 ? 1 : 0,
     };
 }
 
@@ -142,6 +152,8 @@
             return true;
         case "withLosses":
             return typeof item === "object" && item.lostWorkers.length > 0;
+        case "withFailures":
+            return typeof item === "object" && item.phase === TaskPhase.Waiting && item.failures > 0;
     }
 }
 
--- a/src/pool/run-dispatcher.ts
+++ b/src/pool/run-dispatcher.ts
@@ -113,7 +113,7 @@
         const gang = outcome === RunEnd.Done ? [] : this.ctx.jobs.otherGangRuns(record);
         this.ctx.workers.removeRun(record);
         this.queue.delete(record);
-        const maxFailures = this.maxFailuresOf(record.entry);
+        const maxFailures = this.ctx.attemptLimits.maxFailuresOf(record.entry);
         this.ctx.jobs.end(
             record,
             {
@@ -140,8 +140,8 @@
             lostWorkers: lossesOf(record).length || undefined,
             ...(outcome === RunEnd.Failed && {
                 failures: taskOf(record).failures,
-                maxFailures,
-                isQueueListed: queueOf(this.ctx, record.entry) !== undefined,
+                maxFailures: maxFailures === Infinity ? undefined : maxFailures,
+                isQueueListed: maxFailures !== Infinity,
                 lists: this.ctx.options.directory()?.version,
             }),
         });
@@ -183,7 +183,8 @@
         const worker = this.ctx.workers.workerOf(record);
         const isStale = record.stopReason !== undefined || worker.startedAtMs !== record.workerIncarnation
             || !isAcceptingRuns(worker) || this.isZoneEvacuated(worker)
-            || queueOf(this.ctx, record.entry)?.pool !== worker.listed.pool;
+            || queueOf(this.ctx, record.entry)?.pool !== worker.listed.pool
+            || this.ctx.attemptLimits.isExhausted(record);
         const pool = this.ctx.options.directory()?.pools.get(worker.listed.pool);
         if (isStale || !this.ctx.mayOrder() || !mayFill(worker, pool, timer.now())) {
             this.applyEnd({ record, outcome: RunEnd.Lost, saved: "" });
@@ -232,9 +233,4 @@
         }
         return isEvacuated;
     }
-
-    private maxFailuresOf({ job }: JobEntry): number {
-        this.ctx.knownLists.record(this.ctx.options.directory());
-        return this.ctx.knownLists.maxAttemptsOf(job.queue);
-    }
 }
--- a/src/pool/task-placer.ts
+++ b/src/pool/task-placer.ts
@@ -50,7 +50,7 @@
     placeTasks(limit: number): void {
         const { options, jobs, workers, durations, advice, clock, fairShares, outliers, reservations } =
             this.ctx;
-        const { knownLists } = this.ctx;
+        const { attemptLimits, knownLists } = this.ctx;
         const directory = options.directory();
         if (directory === undefined || this.isStopped || limit <= 0) {
             return;
@@ -60,6 +60,7 @@
         this.evacuationLog.report(workers.byId.values(), jobs);
         fairShares?.advance(jobs.runs.values(), workers.byId.values());
         knownLists.record(directory);
+        attemptLimits.enforce(directory);
         const placements = planStarts({
             jobs,
             workers: workers.byId.values(),
--- a/src/pool/tenure-context.ts
+++ b/src/pool/tenure-context.ts
@@ -8,6 +8,7 @@
 import { sleep, type Timer } from "../process/timer.js";
 import type { Directory, Queue } from "../version/directory.js";
 import type { AdviceCache } from "./advice-cache.js";
+import type { AttemptLimits } from "./attempt-limits.js";
 import type { DurationEstimator } from "./duration-estimator.js";
 import type { JobRegistry } from "./job-registry.js";
 import type { KnownLists } from "./known-lists.js";
@@ -82,6 +83,8 @@
     readonly fairShares: FairShares | undefined;
     /** Outlier detection; undefined while `outlierDetection` is off. */
     readonly outliers: WorkerOutliers | undefined;
+    /** How often the tasks of each queue may fail. */
+    readonly attemptLimits: AttemptLimits;
     /** The lists, with what earlier versions said of entries that are left out now. */
     readonly knownLists: KnownLists;
     /** Workers kept for large jobs; undefined if there are no reservations. */
--- a/src/pool/tenure.ts
+++ b/src/pool/tenure.ts
@@ -7,6 +7,7 @@
 import type { RowKey, RowPut, TransactionOutcome } from "../process/rows.js";
 import { type Cancel, sleep } from "../process/timer.js";
 import { AdviceCache } from "./advice-cache.js";
+import { AttemptLimits } from "./attempt-limits.js";
 import { DurationEstimator } from "./duration-estimator.js";
 import { EvacuationLog } from "./evacuation-log.js";
 import { FleetHandover } from "./fleet-handover.js";
@@ -61,6 +62,7 @@
     readonly phases: TakeoverPhases;
     readonly fairShares: FairShares | undefined;
     readonly outliers: WorkerOutliers | undefined;
+    readonly attemptLimits: AttemptLimits = new AttemptLimits(this);
     readonly knownLists = KnownLists.create();
     readonly reservations: Reservations | undefined;
     readonly runController: RunDispatcher;
--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -65,6 +65,7 @@
     JobSuspended = 2208,
     JobImpossible = 2209,
     JobBeyondLimit = 2210,
+    AttemptsExhausted = 2211,
     RunClaimed = 2301,
     RunRefused = 2302,
     RunUncertain = 2303,
--- a/test/task-table.test.ts
+++ b/test/task-table.test.ts
@@ -42,6 +42,7 @@
         },
         { phase: TaskPhase.Waiting, run, worker: "", workerStartedAt: 0, lostWorkers: [lost("a")] },
         { phase: TaskPhase.Waiting, run, worker: "", lostWorkers: ["a", "b", "c", "d"].map(lost) },
+        { phase: TaskPhase.Waiting, run, worker: "", failures: random.int(3), lostWorkers: [] },
         { phase: TaskPhase.Failed, run, worker: "", workerStartedAt: 0 },
     ];
     return changes[random.int(changes.length)]!;
@@ -65,6 +66,7 @@
             [TaskSet.Unfinished]: ({ phase }) => phase !== TaskPhase.Done,
             [TaskSet.Begun]: ({ run }) => run > 0,
             [TaskSet.WithLosses]: ({ lostWorkers }) => lostWorkers.length > 0,
+            [TaskSet.WithFailures]: ({ phase, failures }) => phase === TaskPhase.Waiting && failures > 0,
         };
         for (let round = 0; round < 6; round++) {
             for (let i = 0; i < 120; i++) {
