VMs that an earlier owner ordered for maintenance count against the caps of their waves

The owner is cut off, killed or stopped while its order is on its way; the next one orders another VM of the wave, and then the first order arrives.

Cause: the next owner knows the VMs of these orders (row vm-orders) and leaves them alone for the holder gap, but the cap counts only what it has ordered itself and what the inventory shows.

Change: the row tells for each VM whether it may have been ordered for maintenance (rows of earlier versions: it may). Such a VM takes a place in its waves until a reading of the inventory settles the order: by showing the VM in maintenance, or by being requested after the order could last arrive. A row that cannot be read takes all places until then. 2612 tells how each order was settled.

Why it works: an order is counted from the record before it is sent until the inventory takes over, with no time between, and a bar that runs out frees nothing. A row holds what its owner has inherited, too, so a series of owners loses none.

--- a/src/pool/fleet-controller.ts
+++ b/src/pool/fleet-controller.ts
@@ -16,12 +16,13 @@
     type VmOrder,
     type VmSnapshot,
 } from "./fleet-plan.js";
+import { inventoryLagMs } from "./inherited-orders.js";
 import { openSteps } from "./open-steps.js";
 import { type EvacuatedZones, type InventoryVm, VmPhase } from "./ports.js";
 import { FleetPacking } from "./scheduling/fleet-packing.js";
 import { TakeoverPhase } from "./takeover-phases.js";
 import { VmDrainer } from "./vm-drainer.js";
-import { inventoryLagMs, VmOrderDispatcher, type VmOrderDispatcherOptions } from "./vm-order-dispatcher.js";
+import { VmOrderDispatcher, type VmOrderDispatcherOptions } from "./vm-order-dispatcher.js";
 import { WaveReporter, type WaveReporterOptions } from "./wave-reporter.js";
 import type { WorkerState } from "./worker-registry.js";
 
@@ -174,7 +175,7 @@
 
     /** Replaces assumed states, and waves' VMs in maintenance, by what the inventory read at `readAt` shows. */
     private applyInventory(readAt: number): void {
-        this.orderDispatcher.expireAssumedStates(readAt);
+        this.orderDispatcher.applyInventory(this.inventory, readAt);
         const phases = new Map(this.inventory.map(({ vm, phase }) => [vm, phase]));
         for (const { wave, vm, since } of this.waves.tracker.inProgress()) {
             const phase = phases.get(vm);
@@ -263,9 +264,11 @@
         };
     }
 
-    private vmsInMaintenance(): ReadonlySet<string> {
-        const vms = this.inventory.filter(({ phase }) => phase === VmPhase.InMaintenance);
-        return new Set(vms.map(({ vm }) => vm));
+    /** The VMs that are in maintenance, or that an order of an earlier owner may bring there. */
+    private vmsInMaintenance(): Pick<ReadonlySet<string>, "has"> {
+        const listed = this.inventory.filter(({ phase }) => phase === VmPhase.InMaintenance);
+        const vms = new Set(listed.map(({ vm }) => vm));
+        return { has: vm => vms.has(vm) || this.orderDispatcher.mayBeInMaintenance(vm) };
     }
 
     /** Waiting steps that no VM of a pool could run, one for each combination of label and use of accelerators. */
--- a/src/pool/vm-order-dispatcher.ts
+++ b/src/pool/vm-order-dispatcher.ts
@@ -5,6 +5,7 @@
 import type { Directory } from "../version/directory.js";
 import type { OrderInProgress } from "./fleet-handover.js";
 import type { VmOrder } from "./fleet-plan.js";
+import { inventoryLagMs } from "./inherited-orders.js";
 import type { OrderBar } from "./ownership-guard.js";
 import { type InventoryVm, type VmClient, type VmOrderIssuer, VmOrderResult, VmPhase } from "./ports.js";
 import type { Tenure } from "./tenure.js";
@@ -34,8 +35,6 @@
     readonly expiresAt: number;
 }
 
-/** Added to the duration of a move or maintenance before the inventory is trusted for the VM again. */
-export const inventoryLagMs = 300;
 /** Share of the platform's rate limit to use, since an earlier owner may have sent orders within the same second. */
 const orderRateShare = 0.9;
 
@@ -77,9 +76,14 @@
         return this.orderLog.isOrderable(vm);
     }
 
+    /** Whether an order of an earlier owner may have brought a VM into maintenance, or still bring it there, unseen by the inventory. */
+    mayBeInMaintenance(vm: string): boolean {
+        return this.orderLog.mayBeInMaintenance(vm);
+    }
+
     /** Whether the inventory does not show the effect of some order yet. */
     get hasUnconfirmedOrders(): boolean {
-        return this.assumedStates.size > 0;
+        return this.assumedStates.size > 0 || this.orderLog.hasUnsettled;
     }
 
     /** Assumed state of a VM; undefined if the inventory is current for it. */
@@ -110,8 +114,9 @@
         return this.options.directory()?.pools.get(pool)?.isSpare === true;
     }
 
-    /** Drops the assumed states that an inventory read at the monotonic time `readAt` replaces. */
-    expireAssumedStates(readAt: number): void {
+    /** Drops what is assumed of VMs where an inventory, requested at the monotonic time `readAt`, tells it. */
+    applyInventory(inventory: readonly InventoryVm[], readAt: number): void {
+        this.orderLog.applyInventory(inventory, readAt);
         for (const [vm, { expiresAt }] of this.assumedStates) {
             if (readAt >= expiresAt) {
                 this.assumedStates.delete(vm);
@@ -131,7 +136,7 @@
             return;
         }
         const recordedFrom = timer.now();
-        if (!await this.orderLog.record(batch.map(({ vm }) => vm))) {
+        if (!await this.orderLog.record(batch)) {
             return;
         }
         const bar = this.bar();
@@ -141,7 +146,7 @@
         }
         this.abortion = new AbortController();
         this.orderRate.record(timer.now(), batch.length);
-        this.orderLog.recordSent(batch.map(({ vm }) => vm));
+        this.orderLog.recordSent(batch);
         await Promise.all(batch.map(async order => {
             const entry = inventory.find(({ vm }) => vm === order.vm);
             const result = await this.sendOrder(order, entry?.pool ?? "");
--- a/src/pool/vm-order-log.ts
+++ b/src/pool/vm-order-log.ts
@@ -1,6 +1,7 @@
 /**
- * Stores which VMs were ordered recently. Two owners must not order the same VM within the holder gap, whether the first of
- * them runs on, has ended or is stopping. The next owner waits only for the VMs of this row and can order all others at once.
+ * Stores which VMs were ordered recently, and what for. Two owners must not order the same VM within the holder gap, whether the
+ * first of them runs on, has ended or is stopping. The next owner waits only for the VMs of this row and can order all others at
+ * once, within the caps of the waves.
  */
 import { z } from "zod";
 import { EventId, Severity } from "../process/events.js";
@@ -17,8 +18,10 @@
     TransactionStatus,
 } from "../process/rows.js";
 import type { Timer } from "../process/timer.js";
+import type { VmOrder } from "./fleet-view.js";
+import { type InheritedOrder, InheritedOrders, inventoryLagMs } from "./inherited-orders.js";
 import { tables } from "./ownership.js";
-import type { VmClient } from "./ports.js";
+import type { InventoryVm, VmClient } from "./ports.js";
 import type { Tenure } from "./tenure.js";
 
 /** Options of `VmOrderLog.create`. */
@@ -50,18 +53,17 @@
     vms: z.array(z.string()),
     /** Time from the store of the row until another owner may order each VM, in milliseconds; the longest if absent. */
     remainingMs: z.array(z.number().nonnegative()).exactOptional(),
+    /** Whether each VM may have been ordered for maintenance; absent in rows of earlier versions. */
+    maintenance: z.array(z.boolean()).exactOptional(),
     /** Fencing token of the owner that stored the row. */
     fence: z.number().exactOptional(),
 });
 
 /** VMs ordered recently by this owner and by earlier ones. */
 export class VmOrderLog {
-    /** Latest monotonic time at which an order of this owner for a VM can arrive, by VM. */
-    private readonly arrivalBy = new Map<string, number>();
-    /** Monotonic time from which a VM that an earlier owner ordered may be ordered, by VM. */
-    private readonly barredUntil = new Map<string, number>();
-    /** The same for all other VMs; in the past once it is known which VMs earlier owners ordered. */
-    private othersBarredUntil = Infinity;
+    /** Orders of this owner, by VM, with the latest monotonic time at which each can arrive. */
+    private readonly sent = new Map<string, Pick<InheritedOrder, "isMaintenance" | "arrivesBy">>();
+    private readonly inherited = InheritedOrders.create();
     private rowVersion = 0;
     private isRestored = false;
     /** Whether the stored row names VMs, or cannot be read. */
@@ -72,13 +74,16 @@
     private lastStoreMs = 0;
     /** Monotonic time of the creation. Earlier owners could record no order after the takeover, which was before it. */
     private readonly createdAt: number;
-    /** Time from the end of a tenure until a VM may be ordered for which it recorded an order just before. */
-    private readonly longestWaitMs: number;
+    /** Time from the latest arrival of an order until the next owner neither leaves its VM alone nor waits for the inventory. */
+    private readonly gapMs: number;
+    /** Time from the end of a tenure until an order can no longer arrive that it recorded just before. */
+    private readonly longestArrivalMs: number;
 
     private constructor(private readonly options: VmOrderLogOptions) {
         const { timer, holderGapMs, vms } = options;
         this.createdAt = timer.now();
-        this.longestWaitMs = maxOrderConfirmationAgeMs + vms.maxOrderMs + holderGapMs;
+        this.gapMs = Math.max(holderGapMs, inventoryLagMs);
+        this.longestArrivalMs = maxOrderConfirmationAgeMs + vms.maxOrderMs;
     }
 
     /** Creates the log of a tenure, at or after its takeover. */
@@ -88,7 +93,31 @@
 
     /** Whether a VM may be ordered: no order of an earlier owner can have arrived within the holder gap. */
     isOrderable(vm: string): boolean {
-        return this.options.timer.now() >= (this.barredUntil.get(vm) ?? this.othersBarredUntil);
+        return this.inherited.isOrderable(vm, this.options.timer.now());
+    }
+
+    /** Whether an order of an earlier owner may have brought a VM into maintenance, or still bring it there, unseen by the inventory. */
+    mayBeInMaintenance(vm: string): boolean {
+        return this.inherited.mayBeInMaintenance(vm);
+    }
+
+    /** Whether the inventory has not told yet of some order of an earlier owner. */
+    get hasUnsettled(): boolean {
+        return this.inherited.hasUnsettled;
+    }
+
+    /** Settles the orders of earlier owners that an inventory, requested at the monotonic time `readAt`, tells of. */
+    applyInventory(inventory: readonly InventoryVm[], readAt: number): void {
+        const { log, tenure, timer } = this.options;
+        for (const { vm, phase, arrivesBy } of this.inherited.settle(inventory, readAt)) {
+            log.write(Severity.Info, EventId.InheritedOrderSettled, {
+                vm,
+                phase,
+                canArriveForMs: Math.max(0, Math.round(arrivesBy - readAt)),
+                tenureMs: Math.round(timer.now() - this.createdAt),
+                fence: tenure.fence,
+            });
+        }
     }
 
     /** Reads the orders of earlier owners, once; rejects if the store cannot be read. */
@@ -100,22 +129,32 @@
     }
 
     /**
-     * Stores VMs about to be ordered. Returns true if they are certainly stored and this entry was the owner then; whether it
-     * may still order them has to be asked after that.
+     * Stores orders about to be sent. Returns true if they are certainly stored and this entry was the owner then; whether it may
+     * still send them has to be asked after that.
      */
-    record(vms: readonly string[]): Promise<boolean> {
-        return this.store(new Map([...this.waits(), ...vms.map(vm => [vm, this.longestWaitMs] as const)]));
+    record(orders: readonly VmOrder[]): Promise<boolean> {
+        const waitMs = this.longestArrivalMs + this.gapMs;
+        return this.store(
+            new Map([
+                ...this.waits(),
+                ...orders.map(order => [order.vm, { isMaintenance: isMaintenance(order), waitMs }] as const),
+            ]),
+        );
     }
 
-    /** Notes that orders for recorded VMs are sent now. */
-    recordSent(vms: readonly string[]): void {
+    /** Notes that recorded orders are sent now. */
+    recordSent(orders: readonly VmOrder[]): void {
         const { timer, vms: { maxOrderMs } } = this.options;
-        vms.forEach(vm => this.arrivalBy.set(vm, timer.now() + maxOrderMs));
+        const arrivesBy = timer.now() + maxOrderMs;
+        orders.forEach(order => this.sent.set(order.vm, { isMaintenance: isMaintenance(order), arrivesBy }));
     }
 
     /** Notes that the platform has answered the order for a VM, which has therefore arrived. */
     recordAnswered(vm: string): void {
-        this.arrivalBy.set(vm, this.options.timer.now());
+        const sent = this.sent.get(vm);
+        if (sent !== undefined) {
+            this.sent.set(vm, { ...sent, arrivesBy: this.options.timer.now() });
+        }
     }
 
     /**
@@ -126,7 +165,7 @@
     async refreshRow(): Promise<void> {
         const now = this.options.timer.now();
         const intervalMs = Math.max(refreshMs, this.lastStoreMs / maxRefreshShare);
-        const isDue = now - this.storedAt >= intervalMs && now >= this.othersBarredUntil;
+        const isDue = now - this.storedAt >= intervalMs && this.inherited.areKnown(now);
         if (this.isRowInUse && isDue) {
             await this.store(this.waits());
         }
@@ -134,42 +173,42 @@
 
     /** The row for the next owner, once no more orders are sent; undefined if the stored one tells it more. */
     handOverRow(): RowPut | undefined {
-        return this.options.timer.now() >= this.othersBarredUntil ? this.rowOf(this.waits()) : undefined;
+        return this.inherited.areKnown(this.options.timer.now()) ? this.rowOf(this.waits()) : undefined;
     }
 
-    /** Time from now until another owner may order a VM, in milliseconds, by VM. */
-    private waits(): Map<string, number> {
-        const { timer, holderGapMs } = this.options;
-        const now = timer.now();
-        const waits = new Map<string, number>();
-        for (const [vm, until] of this.barredUntil) {
-            if (until > now) {
-                waits.set(vm, until - now);
-            }
-        }
-        for (const [vm, at] of this.arrivalBy) {
-            const waitMs = at + holderGapMs - now;
+    /** Orders that concern the next owner, by VM. */
+    private waits(): Map<string, StoredWait> {
+        const now = this.options.timer.now();
+        const waits = new Map<string, StoredWait>(
+            this.inherited.barredAt(now).map(({ vm, barredUntil, ...order }) => [
+                vm,
+                { isMaintenance: order.isMaintenance, waitMs: barredUntil - now },
+            ]),
+        );
+        for (const [vm, { arrivesBy, ...order }] of this.sent) {
+            const waitMs = arrivesBy + this.gapMs - now;
             if (waitMs > 0) {
-                waits.set(vm, Math.max(waitMs, waits.get(vm) ?? 0));
+                waits.set(vm, { ...order, waitMs: Math.max(waitMs, waits.get(vm)?.waitMs ?? 0) });
             }
             else {
-                this.arrivalBy.delete(vm);
+                this.sent.delete(vm);
             }
         }
         return waits;
     }
 
-    private rowOf(waits: ReadonlyMap<string, number>): RowPut {
-        const remainingMs = [...waits.values()].map(ms => Math.ceil(ms));
+    private rowOf(waits: ReadonlyMap<string, StoredWait>): RowPut {
+        const stored = [...waits.values()];
         const value = JSON.stringify({
             vms: [...waits.keys()],
-            remainingMs,
+            remainingMs: stored.map(({ waitMs }) => Math.ceil(waitMs)),
+            maintenance: stored.map(order => order.isMaintenance),
             fence: this.options.tenure.fence,
         });
         return { ...this.key, value };
     }
 
-    private async store(waits: ReadonlyMap<string, number>): Promise<boolean> {
+    private async store(waits: ReadonlyMap<string, StoredWait>): Promise<boolean> {
         const { timer, tenure } = this.options;
         const sentAt = timer.now();
         const outcome = await tenure.putIfOwner(this.rowOf(waits), this.rowVersion);
@@ -198,34 +237,56 @@
         const parsed = orderRowSchema.safeParse(row === undefined ? { vms: [] } : parseJson(row.value));
         this.rowVersion = row?.version ?? 0;
         if (!parsed.success) {
-            // The earlier orders are unknown, so that any VM may have been ordered until now.
-            this.othersBarredUntil = this.createdAt + this.longestWaitMs;
+            this.inherited.addUnknown({
+                arriveBy: this.createdAt + this.longestArrivalMs,
+                barredUntil: this.createdAt + this.longestArrivalMs + this.gapMs,
+            });
             this.isRowInUse = true;
             return;
         }
-        const { vms, remainingMs, fence } = parsed.data;
-        this.othersBarredUntil = -Infinity;
+        const { vms, remainingMs, maintenance, fence } = parsed.data;
         this.isRowInUse = vms.length > 0;
-        if (fence !== this.options.tenure.fence) {
-            vms.forEach((vm, i) => {
-                const waitMs = Math.min(remainingMs?.[i] ?? this.longestWaitMs, this.longestWaitMs);
-                this.barredUntil.set(vm, this.createdAt + waitMs);
-            });
-            this.reportWaits(vms);
-        }
+        const isOwn = fence === this.options.tenure.fence;
+        this.inherited.add(
+            isOwn ? [] : vms.map((vm, i) => this.inheritedOrder(vm, remainingMs?.[i], maintenance?.[i])),
+        );
+        this.reportWaits();
+    }
+
+    private inheritedOrder(vm: string, remainingMs = Infinity, isMaintenance = true): InheritedOrder {
+        const barredUntil = this.createdAt + Math.min(remainingMs, this.longestArrivalMs + this.gapMs);
+        return { vm, isMaintenance, arrivesBy: barredUntil - this.gapMs, barredUntil };
     }
 
-    private reportWaits(vms: readonly string[]): void {
+    private reportWaits(): void {
         const { log, metrics, tenure, timer } = this.options;
-        const barred = vms.filter(vm => !this.isOrderable(vm));
-        const waitsMs = barred.map(vm => this.barredUntil.get(vm)! - timer.now());
+        const now = timer.now();
+        const barred = this.inherited.barredAt(now);
+        const waitsMs = barred.map(({ barredUntil }) => barredUntil - now);
         waitsMs.forEach(ms => metrics.observe("celerywind_vm_holder_gap_ms", ms));
         if (barred.length > 0) {
+            const inMaintenance = barred.filter(({ vm }) => this.inherited.mayBeInMaintenance(vm));
             log.write(Severity.Info, EventId.VmsAwaitHolderGap, {
                 fence: tenure.fence,
-                vms: barred.join(" "),
+                vms: barred.map(({ vm }) => vm).join(" "),
                 longestMs: Math.round(Math.max(...waitsMs)),
+                maintenance: inMaintenance.map(({ vm }) => vm).join(" ") || undefined,
             });
         }
     }
 }
+
+/** An order for the next owner. */
+interface StoredWait extends Pick<InheritedOrder, "isMaintenance"> {
+    /** Time from the store of the row until another owner may order the VM, in milliseconds. */
+    readonly waitMs: number;
+}
+
+function isMaintenance(order: VmOrder): boolean {
+    switch (order.kind) {
+        case "move":
+            return false;
+        case "service":
+            return true;
+    }
+}
--- a/src/pool/wave-tracker.ts
+++ b/src/pool/wave-tracker.ts
@@ -113,13 +113,13 @@
     }
 
     /**
-     * Waves that still have VMs due, with the number of VMs that may enter maintenance now. VMs that the inventory
-     * shows in maintenance count against the cap as well, since an earlier owner may have ordered them.
+     * Waves that still have VMs due, with the number of VMs that may enter maintenance now. VMs of `inMaintenance` count against
+     * the cap as well, whoever has ordered them.
      *
      * Load pattern: a wave over half of the site's VMs, many of which run services that may leave only one after the other.
      * Of the VMs in use, the share is drained at once that is needed for all of them to be done in time.
      */
-    openWaves(now: number, inMaintenance: ReadonlySet<string>) {
+    openWaves(now: number, inMaintenance: Pick<ReadonlySet<string>, "has">) {
         return [...this.waves].flatMap(([wave, state]) => {
             const remaining = state.order.vms.filter(vm =>
                 !state.done.has(vm) && !state.excluded.has(vm) && !state.inProgress.has(vm)
--- a/src/process/events.ts
+++ b/src/process/events.ts
@@ -106,6 +106,7 @@
     StartsPrevented = 2609,
     VmOrdersWithheld = 2610,
     VmsAwaitHolderGap = 2611,
+    InheritedOrderSettled = 2612,
     RunStoppedForWave = 2620,
     LinesDropped = 2701,
 }
