A VM that is ordered into maintenance counts in each wave that has it

What operators saw: by a test, two VMs of a wave with cap 1 in maintenance at once, one of which had been ordered for another wave (LIMIT).

Cause: a VM took a place only in the wave that it was ordered for, until the inventory showed it in maintenance, and a plan of VMs filled the places of each wave by themselves.

Evidence: test/inherited-orders.test.ts, "takes a place in each wave of its VM": 2 in maintenance on the code before, cap 1.

Change: places are taken by all VMs of a wave that are ordered, inherited or shown, and by those that the same plan has ordered for other waves. What is stored of an order under way is from when on an inventory tells whether its VM is back.

--- a/src/pool/fleet-controller.ts
+++ b/src/pool/fleet-controller.ts
@@ -16,7 +16,6 @@
     type VmOrder,
     type VmSnapshot,
 } from "./fleet-plan.js";
-import { inventoryLagMs } from "./inherited-orders.js";
 import { openSteps } from "./open-steps.js";
 import { type EvacuatedZones, type InventoryVm, VmPhase } from "./ports.js";
 import { FleetPacking } from "./scheduling/fleet-packing.js";
@@ -177,10 +176,10 @@
     private applyInventory(readAt: number): void {
         this.orderDispatcher.applyInventory(this.inventory, readAt);
         const phases = new Map(this.inventory.map(({ vm, phase }) => [vm, phase]));
-        for (const { wave, vm, since } of this.waves.tracker.inProgress()) {
+        for (const { wave, vm, toldFrom } of this.waves.tracker.inProgress()) {
             const phase = phases.get(vm);
             const isBack = phase === undefined || phase === VmPhase.Up;
-            if (isBack && readAt >= since + this.options.maintenanceMs + inventoryLagMs) {
+            if (isBack && readAt >= toldFrom) {
                 this.waves.tracker.recordReturn(wave, vm);
             }
         }
--- a/src/pool/fleet-plan.ts
+++ b/src/pool/fleet-plan.ts
@@ -133,7 +133,10 @@
      * handled after the pools with a deficit have been given VMs.
      */
     private maintainIdleVms(selects: (wave: OpenWave) => boolean): void {
-        for (const { wave, availableSlots } of this.view.waves.filter(selects)) {
+        for (const { wave, members, availableSlots } of this.view.waves.filter(selects)) {
+            const planned = this.actions.filter(action =>
+                action.kind === "service" && members?.has(action.vm) === true
+            ).length;
             const due = this.view.vms
                 .filter(vm =>
                     vm.dueWave === wave && vm.phase === VmPhase.Up && vm.runs === 0 && vm.isOrderable
@@ -145,7 +148,7 @@
                     Number(b.isZoneEvacuated === true) - Number(a.isZoneEvacuated === true)
                     || Number(b.pool === this.sparePool) - Number(a.pool === this.sparePool)
                 );
-            for (const { vm } of due.slice(0, availableSlots)) {
+            for (const { vm } of due.slice(0, Math.max(0, availableSlots - planned))) {
                 this.orderedVms.add(vm);
                 this.actions.push({ kind: "service", vm, wave });
             }
--- a/src/pool/fleet-view.ts
+++ b/src/pool/fleet-view.ts
@@ -50,6 +50,8 @@
 /** An unfinished maintenance wave. */
 export interface OpenWave {
     readonly wave: number;
+    /** Its VMs, which may belong to other waves as well; only those that are due for it by default. */
+    readonly members?: ReadonlySet<string>;
     /** VMs that may enter maintenance now without exceeding the wave's cap. */
     readonly availableSlots: number;
     /** Whether the remaining time may not suffice. */
--- a/src/pool/vm-order-dispatcher.ts
+++ b/src/pool/vm-order-dispatcher.ts
@@ -225,13 +225,9 @@
             waveTracker,
             onOrderAccepted,
         } = this.options;
-        const now = timer.now();
-        waveTracker.recordStart(wave, vm, now);
-        this.assumedStates.set(vm, {
-            pool,
-            phase: VmPhase.InMaintenance,
-            expiresAt: now + maintenanceMs + inventoryLagMs,
-        });
+        const expiresAt = timer.now() + maintenanceMs + inventoryLagMs;
+        waveTracker.recordStart(wave, vm, expiresAt);
+        this.assumedStates.set(vm, { pool, phase: VmPhase.InMaintenance, expiresAt });
         const result = await vms.startMaintenance(vm, wave, this.issuer());
         switch (result) {
             case VmOrderResult.Done:
--- a/src/pool/wave-tracker.ts
+++ b/src/pool/wave-tracker.ts
@@ -9,12 +9,13 @@
 
 interface WaveState {
     readonly order: MaintenanceWave;
+    readonly members: ReadonlySet<string>;
     /** Monotonic time at which an owner first saw the wave; before this process began, if it was an earlier one. */
     firstSeenAt: number;
     readonly done: Set<string>;
     /** VMs that cannot be maintained: gone, or not part of the wave according to the platform. */
     readonly excluded: Set<string>;
-    /** VMs ordered into maintenance and not back yet, with the monotonic time of the order. */
+    /** VMs ordered into maintenance and not back yet, with the monotonic time from which an inventory tells whether they are. */
     readonly inProgress: Map<string, number>;
     isReported: boolean;
 }
@@ -63,6 +64,7 @@
                 added.push(order);
                 this.waves.set(order.wave, {
                     order,
+                    members: new Set(order.vms),
                     firstSeenAt: now,
                     done: new Set(),
                     excluded: new Set(),
@@ -114,19 +116,20 @@
 
     /**
      * Waves that still have VMs due, with the number of VMs that may enter maintenance now. VMs of `inMaintenance` count against
-     * the cap as well, whoever has ordered them.
+     * the cap as well, whoever has ordered them, and so do those that are ordered for another wave.
      *
      * Load pattern: a wave over half of the site's VMs, many of which run services that may leave only one after the other.
      * Of the VMs in use, the share is drained at once that is needed for all of them to be done in time.
      */
     openWaves(now: number, inMaintenance: Pick<ReadonlySet<string>, "has">) {
+        const ordered = new Set(this.inProgress().map(({ vm }) => vm));
         return [...this.waves].flatMap(([wave, state]) => {
             const remaining = state.order.vms.filter(vm =>
                 !state.done.has(vm) && !state.excluded.has(vm) && !state.inProgress.has(vm)
             ).length;
             const cap = Math.max(1, state.order.cap);
             const slotsInUse = state.order.vms.filter(vm =>
-                state.inProgress.has(vm) || inMaintenance.has(vm)
+                ordered.has(vm) || inMaintenance.has(vm)
             ).length;
             const timeLeftMs = state.firstSeenAt + state.order.durationMs - now;
             const roundMs = this.maintenanceMs + roundOverheadMs;
@@ -139,6 +142,7 @@
                 ? []
                 : [{
                     wave,
+                    members: state.members,
                     availableSlots: Math.max(0, cap - slotsInUse),
                     isUrgent,
                     maxDraining,
@@ -153,9 +157,12 @@
         return state === undefined ? Infinity : state.firstSeenAt + state.order.durationMs - now;
     }
 
-    /** Records that a VM is being ordered into maintenance. */
-    recordStart(wave: number, vm: string, now: number): void {
-        this.waves.get(wave)?.inProgress.set(vm, now);
+    /**
+     * Records that a VM is being ordered into maintenance. An inventory that is requested at the monotonic time `toldFrom` or later
+     * tells whether it is back.
+     */
+    recordStart(wave: number, vm: string, toldFrom: number): void {
+        this.waves.get(wave)?.inProgress.set(vm, toldFrom);
     }
 
     /** Records that the platform accepted the order for a VM. */
@@ -186,10 +193,10 @@
         }
     }
 
-    /** VMs in maintenance, with the monotonic time of their orders. */
-    inProgress(): readonly { readonly wave: number; readonly vm: string; readonly since: number }[] {
+    /** VMs ordered into maintenance, with the monotonic time from which an inventory tells whether they are back. */
+    inProgress(): readonly { readonly wave: number; readonly vm: string; readonly toldFrom: number }[] {
         return [...this.waves].flatMap(([wave, { inProgress }]) =>
-            [...inProgress].map(([vm, since]) => ({ wave, vm, since }))
+            [...inProgress].map(([vm, toldFrom]) => ({ wave, vm, toldFrom }))
         );
     }
 
--- a/test/inherited-orders.test.ts
+++ b/test/inherited-orders.test.ts
@@ -228,3 +228,23 @@
         expect(orders.mayBeInMaintenance("b")).toBe(false);
     });
 });
+
+describe("an order of the present owner for maintenance", () => {
+    const createSite = async (): Promise<StandinSite> => {
+        const site = StandinSite.create({ managesVms: true, spareVms: 4 });
+        await site.start({ version: 1, queues: [{}] });
+        await site.timer.advance(6000);
+        return site;
+    };
+
+    // Guards against: a VM that is counted in the wave alone for which it was ordered.
+    test("takes a place in each wave of its VM", async () => {
+        const site = await createSite();
+        const wave = { durationMs: 60_000, cap: 1 };
+        site.orderWave({ ...wave, wave: 1, vms: ["vm-4"] });
+        site.orderWave({ ...wave, wave: 2, vms: ["vm-4", "vm-5", "vm-6"] });
+        await site.timer.advance(30_000);
+        expect([site.isWaveFinished(1), site.isWaveFinished(2)]).toEqual([true, true]);
+        expect(site.maxVmsInMaintenance).toBe(1);
+    });
+});
