A confirmed maintenance order of an earlier owner takes a place until the inventory shows the VM up

Cause: a VM whose maintenance an earlier owner ordered is ordered once more, which the platform confirms at once ("already done"). The place was then taken for the time of a maintenance, 2.3 s, in which nothing was.

Change: for a VM that the inventory has shown in maintenance by an inherited order, the inventory is trusted 0.3 s after the answer. If it was in maintenance after all, that inventory shows it, and the place stays taken.

--- a/src/pool/inherited-orders.ts
+++ b/src/pool/inherited-orders.ts
@@ -29,6 +29,8 @@
     private readonly byVm = new Map<string, InheritedOrder>();
     /** Orders that may be or have been carried out, as far as the inventory has told. */
     private readonly unsettled = new Map<string, InheritedOrder>();
+    /** VMs that the inventory has shown in maintenance by an inherited order. */
+    private readonly carriedOut = new Set<string>();
     /** Bounds of orders for VMs that are not known: infinite until the stored ones are read. */
     private others = { arriveBy: Infinity, barredUntil: Infinity };
     private areOthersSettled = false;
@@ -73,6 +75,11 @@
         return !this.areOthersSettled || this.unsettled.has(vm);
     }
 
+    /** Whether an order was seen to be carried out, so that the platform only confirms another one for the same wave. */
+    wasCarriedOut(vm: string): boolean {
+        return this.carriedOut.has(vm);
+    }
+
     /** Whether the inventory has not told of some order yet. */
     get hasUnsettled(): boolean {
         return !this.areOthersSettled || this.unsettled.size > 0;
@@ -99,7 +106,12 @@
             .filter(({ phase, arrivesBy }) =>
                 phase === VmPhase.InMaintenance || readAt >= arrivesBy + inventoryLagMs
             );
-        settled.forEach(({ vm }) => this.unsettled.delete(vm));
+        settled.forEach(({ vm, phase }) => {
+            this.unsettled.delete(vm);
+            if (phase === VmPhase.InMaintenance) {
+                this.carriedOut.add(vm);
+            }
+        });
         return settled;
     }
 }
--- a/src/pool/vm-order-dispatcher.ts
+++ b/src/pool/vm-order-dispatcher.ts
@@ -233,6 +233,10 @@
             case VmOrderResult.Done:
                 onOrderAccepted(vm);
                 waveTracker.recordAccepted(wave, vm);
+                if (this.orderLog.wasMaintained(vm)) {
+                    // The platform has probably confirmed what the earlier order did; the next inventory tells.
+                    waveTracker.recordStart(wave, vm, timer.now() + inventoryLagMs);
+                }
                 tenure.putWithNextBatch(
                     waveTracker.progressRow(wave, { now: timer.now(), wallMs: tenure.clock.wallMs() }),
                 );
--- a/src/pool/vm-order-log.ts
+++ b/src/pool/vm-order-log.ts
@@ -101,6 +101,11 @@
         return this.inherited.mayBeInMaintenance(vm);
     }
 
+    /** Whether an order of an earlier owner was seen to bring a VM into maintenance. */
+    wasMaintained(vm: string): boolean {
+        return this.inherited.wasCarriedOut(vm);
+    }
+
     /** Whether the inventory has not told yet of some order of an earlier owner. */
     get hasUnsettled(): boolean {
         return this.inherited.hasUnsettled;
