--- a/test/team-limits.test.ts
+++ b/test/team-limits.test.ts
@@ -112,6 +112,17 @@
     expect(await phaseOf(site, "j")).toBe("succeeded");
 });
 
+// Guards against: a new owner that takes an account without an entry in its lists for one without a limit.
+test("an account that the lists leave out keeps its limit when the owner changes", async () => {
+    const site = await createSite(4000);
+    await submit(site, "j", { tasks: 6, needs: largeNeeds }, { workMs: 1000 });
+    await site.timer.advance(300);
+    site.setLists(listsOf(2, undefined));
+    await site.timer.advance(100);
+    site.kill(site.owner()!);
+    expect(await mostCpuWhile(site, 12_000)).toBe(4000);
+});
+
 // Guards against: a default number of attempts that fails a job for good while the lists leave its queue out.
 test("a queue that a version of the lists leaves out keeps its number of attempts", async () => {
     const site = StandinSite.create();
