Tests: random lists, owners, late orders and overlapping waves; the stand-in checks the caps of waves

Change: eight seeds of each kind in the suite. The stand-in reports a maintenance that begins while as many VMs of its wave as the cap allows are in theirs, so that every test that looks at violations checks it. No code of the product changes.

--- a/standin/site/site.ts
+++ b/standin/site/site.ts
@@ -655,8 +655,15 @@
         if (done.has(vm)) {
             return VmOrderResult.Done;
         }
+        const inMaintenance = this.countInMaintenance(wave);
         const result = this.takeOutOfService(vm, VmPhase.InMaintenance, vmMaintenanceMs, undefined);
         if (result === VmOrderResult.Done) {
+            const { cap } = this.waves.get(wave)!;
+            if (inMaintenance >= cap) {
+                this.checker.reportViolation(
+                    `the maintenance of ${vm} begins while ${inMaintenance} VMs of wave ${wave} are in theirs, with cap ${cap}`,
+                );
+            }
             this.maintainedVms.set(wave, done.add(vm));
             this.maxVmsInMaintenance = Math.max(
                 this.maxVmsInMaintenance,
@@ -666,6 +673,11 @@
         return result;
     }
 
+    private countInMaintenance(wave: number): number {
+        const vms = this.waves.get(wave)?.vms ?? [];
+        return this.vms.filter(({ vm, phase }) => phase === VmPhase.InMaintenance && vms.includes(vm)).length;
+    }
+
     private takeOutOfService(
         name: string,
         phase: VmPhase,
--- a/test/attempt-limits.test.ts
+++ b/test/attempt-limits.test.ts
@@ -1,6 +1,8 @@
 /** Verdicts on jobs whose tasks fail, while the lists that tell their number of attempts change and owners come and go. */
 import { describe, expect, test } from "vitest";
+import { RunEnd } from "../src/job/index.js";
 import { EventId } from "../src/process/events.js";
+import { Random } from "../src/process/random.js";
 import { jobOf, type StandinEntry, type StandinLists, StandinSite } from "../standin/site/site.js";
 
 const workMs = 3000;
@@ -156,6 +158,54 @@
     expect(site.checker.startCount).toBe(2);
 });
 
+// Guards against: an order of versions and owners that no test above has thought of.
+test.each([1, 2, 3, 4, 5, 6, 7, 8])("random lists and owners change no verdict, seed %i", async seed => {
+    const random = Random.create(seed);
+    const maxAttempts = 1 + random.int(6);
+    const failures = random.int(8);
+    const site = StandinSite.create({ seed, entries: 4 });
+    const failedEnds = new Map<string, number>();
+    const excessStarts: string[] = [];
+    const { checker } = site;
+    const [onRunStarted, onRunEnded] = [checker.onRunStarted.bind(checker), checker.onRunEnded.bind(checker)];
+    checker.onRunEnded = (worker, task, run, outcome) => {
+        failedEnds.set(task, (failedEnds.get(task) ?? 0) + (outcome === RunEnd.Failed ? 1 : 0));
+        onRunEnded(worker, task, run, outcome);
+    };
+    checker.onRunStarted = (worker, request) => {
+        if ((failedEnds.get(request.task) ?? 0) >= maxAttempts) {
+            excessStarts.push(`${request.task} run ${request.run}`);
+        }
+        onRunStarted(worker, request);
+    };
+    await site.start(listsOf(1, maxAttempts));
+    const spec = jobOf({ tasks: 1 + random.int(3), isGang: random.chance(0.25) });
+    await submit(site, "j", spec, { workMs: 400 + random.int(1500), failures });
+    let isListed = true;
+    for (let i = 0; i < 50; i++) {
+        if (random.chance(0.2)) {
+            isListed = !isListed;
+            site.setLists(listsOf(2 + i, isListed ? maxAttempts : undefined));
+        }
+        if (random.chance(0.15)) {
+            const alive = site.entries.filter(({ peers }) => peers.node.isAlive);
+            const lost = random.chance(0.2)
+                ? alive
+                : alive.filter(({ core }) => core.domain.tenure !== undefined);
+            for (const entry of lost) {
+                site.kill(entry);
+                site.timer.after(200 + random.int(1500), () => void site.startEntry(entry.name));
+            }
+        }
+        await site.timer.advance(500);
+    }
+    site.setLists(listsOf(100, maxAttempts));
+    await site.timer.advance(40_000);
+    const isExhausted = Math.max(0, ...failedEnds.values()) >= maxAttempts;
+    expect(await phaseOf(site, "j")).toBe(isExhausted ? "failed" : "succeeded");
+    expect(excessStarts).toEqual([]);
+});
+
 describe("a gang", () => {
     // Guards against: one member that may not be started again, while the others are.
     test("is judged as a whole once its queue is back", async () => {
--- a/test/inherited-orders.test.ts
+++ b/test/inherited-orders.test.ts
@@ -3,6 +3,7 @@
 import { InheritedOrders, inventoryLagMs } from "../src/pool/inherited-orders.js";
 import { type InventoryVm, VmPhase } from "../src/pool/ports.js";
 import { EventId } from "../src/process/events.js";
+import { Random } from "../src/process/random.js";
 import { noResources } from "../src/process/resources.js";
 import { type StandinEntry, StandinSite } from "../standin/site/site.js";
 
@@ -188,6 +189,47 @@
     });
 });
 
+// Guards against: a series of owners, orders and overlapping waves that no test above has thought of.
+test.each([1, 2, 3, 4, 5, 6, 7, 8])(
+    "waves keep their caps through random losses of owners and late orders, seed %i",
+    async seed => {
+        const random = Random.create(seed);
+        const vms = Array.from({ length: 4 + random.int(8) }, (_, i) => `vm-${firstSpare + i}`);
+        const order = { durationMs: 60_000, cap: 1 + random.int(4) };
+        const site = StandinSite.create({ seed, managesVms: true, spareVms: vms.length, entries: 5 });
+        await site.start({ version: 1, queues: [{}] });
+        await site.timer.advance(4000);
+        site.orderWave({ ...order, wave: 1, vms });
+        site.orderWave({ ...order, wave: 2, vms: vms.slice(0, random.int(vms.length)) });
+        for (let i = 0; i < 60; i++) {
+            site.entries.forEach(({ vmFaults }) => {
+                vmFaults.orderDelayMs = random.chance(0.5) ? random.int(1490) : 0;
+            });
+            const owner = site.entries.find(({ core, peers }) =>
+                core.domain.tenure !== undefined && peers.node.isAlive
+            );
+            if (owner !== undefined && random.chance(0.25)) {
+                const backMs = 300 + random.int(1500);
+                if (random.chance(0.5)) {
+                    site.kill(owner);
+                    site.timer.after(backMs, () => void site.startEntry(owner.name));
+                }
+                else {
+                    owner.timer.pause();
+                    site.timer.after(backMs, () => owner.timer.resume());
+                }
+            }
+            await site.timer.advance(500);
+        }
+        site.entries.forEach(({ vmFaults }) => {
+            vmFaults.orderDelayMs = 0;
+        });
+        await site.timer.advance(30_000);
+        expect([site.isWaveFinished(1), site.isWaveFinished(2)]).toEqual([true, true]);
+        expect(site.checker.violations.filter(violation => violation.includes("maintenance"))).toEqual([]);
+    },
+);
+
 describe("an inherited order", () => {
     const inventoryOf = (phase: VmPhase): readonly InventoryVm[] => [
         { vm: "a", pool: "p", phase, zone: "z", labels: [], capacity: noResources, worker: "" },
